--- /dev/null
+++ b/src/cli/main.cc
@@ -0,0 +1,3 @@
+int main() {
+  return 0;
+}
