Callers' HTTP API over an interface of the node

Cause: the thin path needs the callers' side: completions, models, actions, health, metrics. Conclusion: the node can now be put behind it.

--- /dev/null
+++ b/src/http/caller_api.cc
@@ -0,0 +1,281 @@
+#include "http/caller_api.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_format.h>
+#include <absl/time/clock.h>
+#include <glog/logging.h>
+
+#include <nlohmann/json.hpp>
+#include <random>
+#include <utility>
+
+#include "http/completion_request.h"
+#include "http/completion_response.h"
+#include "http/error_body.h"
+
+namespace quincewick::http {
+namespace {
+
+constexpr absl::Duration kReadPatience = absl::Seconds(1);
+constexpr size_t kLongestHeaderValue = 256;
+constexpr const char* kJsonType = "application/json";
+constexpr const char* kEventStreamType = "text/event-stream";
+
+// A request with its identity established.
+struct CallContext {
+  RequestId id;
+  TenantId tenant;
+  absl::Time arrival;
+};
+
+RequestId makeRequestId() {
+  thread_local std::mt19937_64 generator{std::random_device{}()};
+  return RequestId(absl::StrFormat("req-%016x%016x", generator(), generator()));
+}
+
+std::string bearerKey(const httplib::Request& request) {
+  constexpr std::string_view prefix = "Bearer ";
+  const std::string value = request.get_header_value("Authorization");
+  if (value.compare(0, prefix.size(), prefix) != 0) {
+    return "";
+  }
+  return value.substr(prefix.size());
+}
+
+Result<std::string> boundedHeader(const httplib::Request& request, const char* name) {
+  std::string value = request.get_header_value(name);
+  if (value.size() > kLongestHeaderValue) {
+    return fail(ErrorCode::kInvalidArgument, std::string("header ") + name + " is too long");
+  }
+  return value;
+}
+
+Result<std::optional<Urgency>> requestedUrgency(const httplib::Request& request) {
+  const std::string name = request.get_header_value("X-Urgency");
+  if (name.empty()) {
+    return std::optional<Urgency>();
+  }
+  const std::optional<Urgency> urgency = urgencyFromName(name);
+  if (!urgency.has_value()) {
+    return fail(ErrorCode::kInvalidArgument, "X-Urgency must be urgent, standard or deferrable");
+  }
+  return urgency;
+}
+
+Result<CompletionCall> makeCompletionCall(const CallContext& context, const httplib::Request& request,
+                                          CompletionRequest&& completion) {
+  CompletionCall call;
+  call.id = context.id;
+  call.tenant = context.tenant;
+  call.arrival = context.arrival;
+  call.model = std::move(completion.model);
+  call.adapter = std::move(completion.adapter);
+  call.prompt = std::move(completion.prompt);
+  call.maximum_tokens = completion.maximum_tokens;
+  BOOST_OUTCOME_TRY(kind, boundedHeader(request, "X-Request-Kind"));
+  call.kind = RequestKind(std::move(kind));
+  BOOST_OUTCOME_TRY(session, boundedHeader(request, "X-Session"));
+  call.session = std::move(session);
+  BOOST_OUTCOME_TRY(urgency, requestedUrgency(request));
+  call.urgency = urgency;
+  return call;
+}
+
+bool isFinal(const StreamEvent& event) {
+  return !std::holds_alternative<TokenEvent>(event);
+}
+
+// Writes what has come to the caller. Returns false when the caller is gone.
+bool writeEvents(const AnswerHeader& header, const std::vector<StreamEvent>& events,
+                 httplib::DataSink& sink) {
+  std::string text;
+  for (const StreamEvent& event : events) {
+    text += serverSentEvent(header, event);
+  }
+  if (!sink.write(text.data(), text.size())) {
+    return false;
+  }
+  if (isFinal(events.back())) {
+    sink.done();
+  }
+  return true;
+}
+
+void streamAnswer(const AnswerHeader& header, const std::shared_ptr<AnswerReader>& reader,
+                  httplib::Response& response) {
+  response.set_header("Cache-Control", "no-cache");
+  auto provide = [header, reader](size_t /*offset*/, httplib::DataSink& sink) {
+    const std::vector<StreamEvent> events = reader->next(kReadPatience);
+    if (events.empty()) {
+      return sink.is_writable();
+    }
+    return writeEvents(header, events, sink);
+  };
+  auto release = [reader](bool success) {
+    if (!success) {
+      reader->abandon();
+    }
+  };
+  response.set_chunked_content_provider(kEventStreamType, provide, release);
+}
+
+void sendWholeAnswer(const AnswerHeader& header, AnswerReader& reader, httplib::Response& response) {
+  std::string text;
+  while (true) {
+    for (const StreamEvent& event : reader.next(kReadPatience)) {
+      if (const auto* token = std::get_if<TokenEvent>(&event)) {
+        text += token->text;
+      } else if (const auto* end = std::get_if<EndEvent>(&event)) {
+        response.set_content(wholeAnswer(header, text, *end), kJsonType);
+        return;
+      } else {
+        sendError(std::get<CutEvent>(event).error, header.request, response);
+        return;
+      }
+    }
+  }
+}
+
+// One instance serves all requests; it holds no state of its own.
+class CallerApi {
+ public:
+  explicit CallerApi(CallerBackend& backend) : backend_(backend) {}
+
+  void complete(CompletionShape shape, const httplib::Request& request, httplib::Response& response) {
+    withCaller(request, response, [&](const CallContext& context) -> Result<void> {
+      BOOST_OUTCOME_TRY(completion, parseCompletionRequest(shape, request.body));
+      const bool stream = completion.stream;
+      const AnswerHeader header{shape, context.id, completion.model, absl::ToUnixSeconds(context.arrival)};
+      BOOST_OUTCOME_TRY(call, makeCompletionCall(context, request, std::move(completion)));
+      BOOST_OUTCOME_TRY(reader, backend_.complete(call));
+      if (stream) {
+        streamAnswer(header, std::move(reader), response);
+      } else {
+        sendWholeAnswer(header, *reader, response);
+      }
+      return outcome::success();
+    });
+  }
+
+  // GET /v1/streams/ID with Last-Event-ID: the rest of an answer whose connection broke.
+  void reconnect(const httplib::Request& request, httplib::Response& response) {
+    withCaller(request, response, [&](const CallContext& context) -> Result<void> {
+      const RequestId original(request.matches[1].str());
+      BOOST_OUTCOME_TRY(last_offset, lastEventId(request));
+      BOOST_OUTCOME_TRY(reader, backend_.reconnect(original, context.tenant, last_offset));
+      const AnswerHeader header{CompletionShape::kChat, original, ModelName(),
+                                absl::ToUnixSeconds(context.arrival)};
+      streamAnswer(header, std::move(reader), response);
+      return outcome::success();
+    });
+  }
+
+  void runAction(const httplib::Request& request, httplib::Response& response) {
+    withCaller(request, response, [&](const CallContext& context) -> Result<void> {
+      ActionCall call;
+      call.id = context.id;
+      call.tenant = context.tenant;
+      call.arrival = context.arrival;
+      call.kind = RequestKind(request.matches[1].str());
+      BOOST_OUTCOME_TRY(key, boundedHeader(request, "Idempotency-Key"));
+      call.key = IdempotencyKey(std::move(key));
+      call.body = request.body;
+      BOOST_OUTCOME_TRY(answer, backend_.runAction(call));
+      response.status = answer.status;
+      response.set_header("X-Repeated", answer.is_repeat ? "true" : "false");
+      response.set_content(answer.body, kJsonType);
+      return outcome::success();
+    });
+  }
+
+  void listModels(const httplib::Request& request, httplib::Response& response) {
+    withCaller(request, response, [&](const CallContext& context) -> Result<void> {
+      nlohmann::json data = nlohmann::json::array();
+      for (const ModelName& model : backend_.models(context.tenant)) {
+        data.push_back({{"id", model.value()}, {"object", "model"}, {"owned_by", "quincewick"}});
+      }
+      response.set_content(nlohmann::json{{"object", "list"}, {"data", data}}.dump(), kJsonType);
+      return outcome::success();
+    });
+  }
+
+ private:
+  // Establishes who calls, runs `handle`, and turns its error into an answer.
+  template <class Handler>
+  void withCaller(const httplib::Request& request, httplib::Response& response, Handler handle) {
+    CallContext context;
+    context.arrival = absl::Now();
+    context.id = makeRequestId();
+    response.set_header("X-Request-Id", context.id.value());
+    const Result<void> result = [&]() -> Result<void> {
+      BOOST_OUTCOME_TRY(tenant, backend_.authenticate(bearerKey(request)));
+      context.tenant = std::move(tenant);
+      return handle(context);
+    }();
+    if (result.has_error()) {
+      const Error& error = result.error();
+      LOG(INFO) << "event=refused trace=" << context.id << " tenant=" << context.tenant
+                << " type=" << errorCodeName(error.code) << " ran=" << executionName(error.execution);
+      sendError(error, context.id, response);
+    }
+  }
+
+  static Result<std::optional<uint64_t>> lastEventId(const httplib::Request& request) {
+    const std::string text = request.get_header_value("Last-Event-ID");
+    if (text.empty()) {
+      return std::optional<uint64_t>();
+    }
+    uint64_t offset = 0;
+    if (!absl::SimpleAtoi(text, &offset)) {
+      return fail(ErrorCode::kInvalidArgument, "Last-Event-ID must be a token's offset");
+    }
+    return std::optional<uint64_t>(offset);
+  }
+
+  CallerBackend& backend_;
+};
+
+void sendUnknownPath(const httplib::Request& request, httplib::Response& response) {
+  if (!response.body.empty()) {
+    return;
+  }
+  const int status = response.status;
+  const ErrorCode code = status == 404 ? ErrorCode::kNotFound : ErrorCode::kInvalidArgument;
+  const std::string message = status == 413 ? "the body is too large" : "no such path: " + request.path;
+  response.set_content(errorBody(Error{code, message, Execution::kNotRun}, RequestId()), kJsonType);
+}
+
+}  // namespace
+
+void registerCallerApi(httplib::Server& server, CallerBackend& backend) {
+  auto api = std::make_shared<CallerApi>(backend);
+  server.Post("/v1/chat/completions", [api](const httplib::Request& request, httplib::Response& response) {
+    api->complete(CompletionShape::kChat, request, response);
+  });
+  server.Post("/v1/completions", [api](const httplib::Request& request, httplib::Response& response) {
+    api->complete(CompletionShape::kText, request, response);
+  });
+  server.Get(R"(/v1/streams/([\w-]+))", [api](const httplib::Request& request, httplib::Response& response) {
+    api->reconnect(request, response);
+  });
+  server.Post(R"(/v1/actions/([\w-]+))", [api](const httplib::Request& request, httplib::Response& response) {
+    api->runAction(request, response);
+  });
+  server.Get("/v1/models", [api](const httplib::Request& request, httplib::Response& response) {
+    api->listModels(request, response);
+  });
+  server.Get("/healthz", [](const httplib::Request&, httplib::Response& response) {
+    response.set_content("ok\n", "text/plain");
+  });
+  server.Get("/readyz", [&backend](const httplib::Request&, httplib::Response& response) {
+    const bool ready = backend.ready();
+    response.status = ready ? 200 : 503;
+    response.set_content(ready ? "ready\n" : "not ready\n", "text/plain");
+  });
+  server.Get("/metrics", [&backend](const httplib::Request&, httplib::Response& response) {
+    response.set_content(backend.metricsText(), "text/plain; version=0.0.4");
+  });
+  server.set_error_handler(sendUnknownPath);
+}
+
+}  // namespace quincewick::http
--- /dev/null
+++ b/src/http/caller_api.h
@@ -0,0 +1,13 @@
+// The callers' HTTP API: completions, models, actions, health and metrics.
+#pragma once
+
+#include <httplib.h>
+
+#include "http/caller_backend.h"
+
+namespace quincewick::http {
+
+// Registers all routes of the API on `server`. `backend` must outlive the server.
+void registerCallerApi(httplib::Server& server, CallerBackend& backend);
+
+}  // namespace quincewick::http
--- a/src/types/error.h
+++ b/src/types/error.h
@@ -1,6 +1,8 @@
 // Typed errors and the Result type that every fallible function of the project returns.
 #pragma once
 
+#include <absl/time/time.h>
+
 #include <boost/outcome/basic_result.hpp>
 #include <boost/outcome/policy/terminate.hpp>
 #include <boost/outcome/try.hpp>
@@ -40,6 +42,7 @@
   ErrorCode code = ErrorCode::kInternal;
   std::string message;  // one line of plain English, without secrets
   Execution execution = Execution::kNotRun;
+  absl::Duration retry_after = absl::ZeroDuration();  // when a repeat may succeed; zero: no advice
 };
 
 // Returns the code's stable, lower-case name as used in JSON bodies and logs.
--- a/src/types/labels.h
+++ b/src/types/labels.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include <absl/container/btree_map.h>
+#include <absl/strings/string_view.h>
 
+#include <initializer_list>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -14,7 +16,8 @@
 class Labels {
  public:
   Labels() = default;
-  Labels(std::initializer_list<std::pair<const std::string, std::string>> entries) : entries_(entries) {}
+  Labels(std::initializer_list<std::pair<std::string, std::string>> entries)
+      : entries_(entries.begin(), entries.end()) {}
 
   // Sets the key's value, replacing an earlier one.
   void set(std::string key, std::string value) {
@@ -23,7 +26,7 @@
 
   // The key's value, or nothing. The view lives as long as this object is unchanged.
   std::optional<std::string_view> get(std::string_view key) const {
-    const auto entry = entries_.find(key);
+    const auto entry = entries_.find(absl::string_view(key.data(), key.size()));
     if (entry == entries_.end()) {
       return std::nullopt;
     }
