Answer streams: complete, in order, one end

Cause: an answer must reach its caller whole although engines die, connections repeat or skip events and callers leave and return. Change: streams::AnswerStream decides for one answer by (attempt, offset): drops duplicates, late and crossed events, fetches gaps again, resumes at the engine, else continues at another from the tokens so far, lets the first token decide between hedged attempts, bounds what a slow reader may hold up, cancels when the caller goes and goes on when it returns. A cut is an explicit error with whether anything ran. Check: properties over random schedules of loss, repetition, reordering, lost engines, hedges and reconnects against engines with a known answer.

--- /dev/null
+++ b/tests/streams/answer_stream_test.cc
@@ -0,0 +1,267 @@
+#include "streams/answer_stream.h"
+
+#include <absl/strings/str_cat.h>
+#include <rapidcheck/catch.h>
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace quincewick::streams {
+namespace {
+
+std::string tokenAt(uint64_t offset) {
+  return absl::StrCat("t", offset, " ");
+}
+
+// One step of a schedule: what happens, and a number that picks among the choices.
+struct Step {
+  uint8_t kind = 0;
+  uint32_t pick = 0;
+};
+
+void showValue(const Step& step, std::ostream& out) {
+  out << int{step.kind} << ":" << step.pick;
+}
+
+// Engines that give the same answer, a network that loses, repeats and reorders, and a caller who checks.
+class World {
+ public:
+  World(uint64_t answer_size, const AnswerOptions& options)
+      : answer_size_(answer_size), options_(options), stream_(options) {
+    feed(RequestOpened{});
+  }
+
+  void step(const Step& step) {
+    switch (step.kind) {
+      case 0:
+      case 1:
+      case 2:
+      case 3:
+        emit(step.pick);
+        break;
+      case 4:
+      case 5:
+      case 6:
+      case 7:
+        deliver(step.pick, step.pick % 7 == 0, step.pick % 11 == 0);
+        break;
+      case 8:
+        lose(step.pick);
+        break;
+      case 9:
+        feed(HedgeAllowed{});
+        break;
+      case 10:
+        drain(step.pick % 64);
+        break;
+      case 11:
+        callerLeavesOrReturns(step.pick);
+        break;
+      default:
+        feed(EngineStarted{AttemptNumber(step.pick % 6)});
+    }
+  }
+
+  // A benign network from here on: the answer must come to its end.
+  void settle() {
+    for (uint64_t round = 0; round < 40 * (answer_size_ + 4) && !ended_ && !cut_; ++round) {
+      if (!connected_) {
+        connected_ = true;
+        feed(CallerResumed{received_});
+      }
+      emit(0);
+      deliver(0, false, false);
+      drain(1000);
+    }
+  }
+
+  bool ended() const { return ended_; }
+  bool cut() const { return cut_; }
+  bool connected() const { return connected_; }
+  uint64_t received() const { return received_; }
+  size_t running() const { return engines_.size(); }
+
+ private:
+  struct Engine {
+    uint64_t next = 0;  // offset of the token that it sends next
+    bool reading = true;
+  };
+
+  void feed(const AnswerEvent& event) {
+    for (const AnswerAction& action : stream_.handle(event)) {
+      std::visit([this](const auto& one) { carryOut(one); }, action);
+    }
+    RC_ASSERT(unsent_ <= options_.unsent_limit_bytes + tokenAt(answer_size_).size());
+  }
+
+  void carryOut(const DeliverToken& token) {
+    RC_ASSERT(connected_ && !ended_ && !cut_);
+    RC_ASSERT(token.offset == received_);
+    RC_ASSERT(token.text == tokenAt(received_));
+    ++received_;
+    unsent_ += token.text.size();
+  }
+  void carryOut(const DeliverEnd& end) {
+    RC_ASSERT(connected_ && !ended_ && !cut_);
+    RC_ASSERT(received_ == answer_size_);
+    RC_ASSERT(end.end.token_count == answer_size_);
+    ended_ = true;
+  }
+  void carryOut(const DeliverCut& /*cut*/) {
+    RC_ASSERT(connected_ && !ended_ && !cut_);
+    cut_ = true;
+  }
+  void carryOut(const ResumeAtEngine& resume) {
+    RC_ASSERT(engines_.count(resume.attempt) == 1u);
+    RC_ASSERT(resume.from_offset <= answer_size_);
+    engines_[resume.attempt] = Engine{resume.from_offset, true};
+    in_flight_.push_back(EngineStarted{resume.attempt});
+  }
+  void carryOut(const StartAttempt& start) {
+    RC_ASSERT(seen_attempts_.insert({start.attempt, true}).second);
+    std::string expected;
+    for (uint64_t offset = 0; offset < start.from_offset; ++offset) {
+      expected += tokenAt(offset);
+    }
+    RC_ASSERT(start.generated_prefix == expected);
+    engines_[start.attempt] = Engine{start.from_offset, true};
+  }
+  void carryOut(const CancelAtEngine& cancel) { engines_.erase(cancel.attempt); }
+  void carryOut(const PauseReading& pause) { engines_.at(pause.attempt).reading = false; }
+  void carryOut(const ResumeReading& resume) { engines_.at(resume.attempt).reading = true; }
+
+  // The engine's next token or its end goes into the network. An end goes out again and again, as after a
+  // resume.
+  void emit(uint32_t pick) {
+    if (engines_.empty()) {
+      return;
+    }
+    auto& [attempt, engine] = *std::next(engines_.begin(), pick % engines_.size());
+    if (!engine.reading) {
+      return;
+    }
+    if (engine.next < answer_size_) {
+      in_flight_.push_back(EngineToken{attempt, engine.next, tokenAt(engine.next)});
+      ++engine.next;
+    } else if (in_flight_.size() < 50) {
+      in_flight_.push_back(EngineEnd{attempt, answer_size_, FinishReason::kStop, Usage{}});
+    }
+  }
+
+  void deliver(uint32_t pick, bool lost, bool again) {
+    if (in_flight_.empty()) {
+      return;
+    }
+    // Mostly in order, at times any.
+    const auto chosen = in_flight_.begin() + (pick % 5 == 1 ? pick % in_flight_.size() : 0);
+    const AnswerEvent event = *chosen;
+    if (!again) {
+      in_flight_.erase(chosen);
+    }
+    // Tokens may get lost between engine and node; the start of a connection is the node's own knowledge.
+    if (!lost || std::holds_alternative<EngineStarted>(event)) {
+      feed(event);
+    }
+  }
+
+  void lose(uint32_t pick) {
+    const AttemptNumber attempt(pick % 6);
+    const ErrorCode code = pick % 2 == 0 ? ErrorCode::kUnavailable : ErrorCode::kNotFound;
+    if (code == ErrorCode::kNotFound) {
+      engines_.erase(attempt);
+    }
+    feed(EngineLost{attempt, Error{code, "lost", Execution::kUnknown}});
+  }
+
+  void drain(uint64_t bytes) {
+    const uint64_t drained = std::min(bytes, unsent_);
+    unsent_ -= drained;
+    feed(CallerDrained{drained});
+  }
+
+  void callerLeavesOrReturns(uint32_t pick) {
+    if (ended_ || cut_) {
+      return;
+    }
+    unsent_ = 0;
+    if (connected_) {
+      connected_ = false;
+      feed(CallerGone{});
+      RC_ASSERT(engines_.empty());
+      return;
+    }
+    connected_ = true;
+    received_ -= std::min<uint64_t>(received_, pick % 3);  // what was under way is lost
+    feed(CallerResumed{received_});
+  }
+
+  uint64_t answer_size_;
+  AnswerOptions options_;
+  AnswerStream stream_;
+  std::map<AttemptNumber, Engine> engines_;
+  std::map<AttemptNumber, bool> seen_attempts_;
+  std::vector<AnswerEvent> in_flight_;
+  bool connected_ = true;
+  bool ended_ = false;
+  bool cut_ = false;
+  uint64_t received_ = 0;
+  uint64_t unsent_ = 0;
+};
+
+std::vector<Step> anySchedule() {
+  const auto step = rc::gen::apply(
+      [](uint8_t kind, uint32_t pick) {
+        return Step{kind, pick};
+      },
+      rc::gen::inRange<uint8_t>(0, 13), rc::gen::inRange<uint32_t>(0, 1000));
+  return *rc::gen::container<std::vector<Step>>(200, step);
+}
+
+TEST_CASE("under any schedule the caller gets the tokens in order without gaps, and one end after the last") {
+  rc::prop("complete, in order, one end", [] {
+    AnswerOptions options;
+    options.unsent_limit_bytes = *rc::gen::inRange<uint64_t>(1, 40);
+    options.backlog_limit_bytes = *rc::gen::inRange<uint64_t>(1, 80);
+    World world(*rc::gen::inRange<uint64_t>(0, 30), options);
+    for (const Step& step : anySchedule()) {
+      world.step(step);
+    }
+    world.settle();
+    RC_ASSERT(world.ended() || world.cut());
+    RC_ASSERT(world.running() == 0u || world.ended());
+  });
+}
+
+TEST_CASE("with generous limits no schedule can keep the answer from its end") {
+  rc::prop("ends", [] {
+    AnswerOptions options;
+    options.maximum_attempts = 10000;
+    options.maximum_resumes = 10000;
+    options.maximum_reconnects = 10000;
+    options.unsent_limit_bytes = *rc::gen::inRange<uint64_t>(1, 40);
+    options.backlog_limit_bytes = *rc::gen::inRange<uint64_t>(1, 80);
+    World world(*rc::gen::inRange<uint64_t>(0, 30), options);
+    for (const Step& step : anySchedule()) {
+      world.step(step);
+    }
+    world.settle();
+    RC_ASSERT(world.ended());
+  });
+}
+
+TEST_CASE("when the limits are used up, the caller is told, and whether anything ran") {
+  AnswerStream stream(AnswerOptions{.maximum_attempts = 2});
+  stream.handle(RequestOpened{});
+  const Error refused{ErrorCode::kUnavailable, "connection refused", Execution::kNotRun};
+  stream.handle(EngineLost{AttemptNumber(1), refused});
+  const AnswerActions actions = stream.handle(EngineLost{AttemptNumber(2), refused});
+  REQUIRE(actions.size() == 1);
+  CHECK(std::get<DeliverCut>(actions[0]).error.execution == Execution::kNotRun);
+  CHECK(stream.finished());
+}
+
+}  // namespace
+}  // namespace quincewick::streams
