--- /dev/null
+++ b/src/cli/check_command.cc
@@ -0,0 +1,80 @@
+#include "cli/check_command.h"
+
+#include <cxxopts.hpp>
+#include <exception>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "configuration/node_settings.h"
+#include "configuration/policy.h"
+
+namespace quincewick {
+namespace {
+
+constexpr int kExitMisuse = 2;
+constexpr const char* kSettingsMark = "node_id:";
+
+// A settings file has its node's id at the top level; a policy never has.
+bool looksLikeSettings(const std::string& text) {
+  return text.rfind(kSettingsMark, 0) == 0 ||
+         text.find(std::string("\n") + kSettingsMark) != std::string::npos;
+}
+
+template <class T>
+bool report(const std::string& file, const char* what, const configuration::Parsed<T>& parsed) {
+  if (parsed.ok()) {
+    std::cout << file << ": ok (" << what << ")\n";
+    return true;
+  }
+  std::cerr << configuration::printDiagnostics(file, parsed.diagnostics) << "\n";
+  return false;
+}
+
+bool checkFile(const std::string& file) {
+  std::ifstream input(file);
+  if (!input) {
+    std::cerr << file << ": can't be read\n";
+    return false;
+  }
+  std::ostringstream text;
+  text << input.rdbuf();
+  if (looksLikeSettings(text.str())) {
+    return report(file, "settings", configuration::parseNodeSettings(text.str()));
+  }
+  return report(file, "policy", configuration::parsePolicy(text.str()));
+}
+
+}  // namespace
+
+int runCheckCommand(int argc, char** argv) {
+  cxxopts::Options options("quincewick check",
+                           "Checks settings and policy files and lists all their faults.");
+  options.positional_help("FILE...");
+  options.add_options()("h,help", "Show this help")("files", "Files to check",
+                                                    cxxopts::value<std::vector<std::string>>());
+  options.parse_positional({"files"});
+  try {
+    const cxxopts::ParseResult arguments = options.parse(argc, argv);
+    if (arguments.count("help") > 0) {
+      std::cout << options.help();
+      return 0;
+    }
+    if (arguments.count("files") == 0) {
+      std::cerr << "quincewick check: expected a file\n";
+      return kExitMisuse;
+    }
+    bool ok = true;
+    for (const std::string& file : arguments["files"].as<std::vector<std::string>>()) {
+      ok = checkFile(file) && ok;
+    }
+    return ok ? 0 : kExitMisuse;
+  } catch (const std::exception& exception) {
+    std::cerr << "quincewick check: " << exception.what() << "\n";
+    return kExitMisuse;
+  }
+}
+
+}  // namespace quincewick
