--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -88,10 +88,15 @@
 }
 
 Router::Router(const RouterSettings& settings)
+    : Router(settings, [&settings](const EngineDirectory& directory, prefix::TrunkIndex& index) {
+        return makePolicy(settings, directory, index);
+      }) {}
+
+Router::Router(const RouterSettings& settings, const PolicyFactory& make_policy)
     : settings_(settings),
       directory_(settings.directory),
       index_(settings.index),
-      policy_(makePolicy(settings, directory_, index_)) {}
+      policy_(make_policy(directory_, index_)) {}
 
 std::vector<RouterAction> Router::handle(const RouterEvent& event, absl::Time now) {
   std::vector<RouterAction> actions;
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -10,6 +10,7 @@
 #include <absl/random/bit_gen_ref.h>
 #include <absl/time/time.h>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -76,7 +77,15 @@
 
 class Router {
  public:
+  // Makes a policy over the router's own directory and index, which outlive it.
+  using PolicyFactory =
+      std::function<std::unique_ptr<PlacementPolicy>(const EngineDirectory&, prefix::TrunkIndex&)>;
+
   explicit Router(const RouterSettings& settings);
+  // With a policy of the caller's instead of `settings.policy`.
+  Router(const RouterSettings& settings, const PolicyFactory& make_policy);
+  Router(const Router&) = delete;
+  Router& operator=(const Router&) = delete;
 
   // Takes one event. Returns what the node should do, in order.
   std::vector<RouterAction> handle(const RouterEvent& event, absl::Time now);
