Property tests of membership on a virtual network; news spreads in rounds

Cause: the protocol needed proof under loss, delay, duplication, pause, crash, cuts and herds. A restarted node with an old incarnation could not replace its payload. Change: news goes out 2 * ceil(log2(n + 1)) times, to receivers in random rounds; payloads are ordered by incarnation first. Tests: convergence after random faults, no node returns under an incarnation it left as, frozen nodes, split zones, a cut link, planned leaves, codec round trips and damage, the planned stop.

--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 #include "types/back_end.h"
 #include "types/identifiers.h"
@@ -43,9 +44,14 @@
 
 // A few bytes that a node spreads in its zone, such as a digest of its engines' load. Opaque here.
 struct MemberPayload {
-  uint64_t sequence = 0;  // rises with each change within one incarnation of the process; 0: none yet
-  std::string bytes;      // at most kMaximumPayloadSize
+  Incarnation incarnation;  // the owner's when it set the payload
+  uint64_t sequence = 0;    // rises with each change within one incarnation; 0: none yet
+  std::string bytes;        // at most kMaximumPayloadSize
 
+  // True when this payload is to replace `other`, of the same member.
+  bool isNewerThan(const MemberPayload& other) const {
+    return std::tie(incarnation, sequence) > std::tie(other.incarnation, other.sequence);
+  }
   friend bool operator==(const MemberPayload&, const MemberPayload&) = default;
 };
 
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -94,7 +94,7 @@
 
 bool MemberTable::mergePayload(const NodeId& id, const MemberPayload& payload) {
   const auto entry = members_.find(id);
-  if (entry == members_.end() || payload.sequence <= entry->second.payload.sequence) {
+  if (entry == members_.end() || !payload.isNewerThan(entry->second.payload)) {
     return false;
   }
   entry->second.payload = payload;
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -30,7 +30,7 @@
 
   // Marks a member as missing its probes, or puts the end of that suspicion off.
   void markSuspected(const NodeId& id, absl::Time now);
-  // Takes a payload with a greater sequence than the one held; returns whether it did.
+  // Takes a payload that is newer than the one held; returns whether it did.
   bool mergePayload(const NodeId& id, const MemberPayload& payload);
 
   // All zones with a member, in order of their names.
--- a/src/membership/membership_protocol.cc
+++ b/src/membership/membership_protocol.cc
@@ -16,8 +16,6 @@
 // One in this many exchanges goes to any member of the other zone instead of a delegate, in case the
 // delegates known here are outdated.
 constexpr uint32_t kExchangeRoundsUntilAnyMember = 4;
-// Payload sequences start at the incarnation shifted by this, so that they rise over restarts.
-constexpr int kPayloadSequenceShift = 20;
 // Each piece of news of the own zone is pushed this often to each other zone by each delegate.
 constexpr uint32_t kRemotePushes = 2;
 
@@ -52,8 +50,7 @@
       next_payload_refresh_at_(now + settings.payload_refresh_period),
       next_list_read_at_(now),
       list_retry_wait_(settings.list_retry_period),
-      mismatch_since_(absl::InfinitePast()),
-      payload_sequence_(self.incarnation.value() << kPayloadSequenceShift) {
+      mismatch_since_(absl::InfinitePast()) {
   zone_news_.add(table_.self().record);
   remote_news_.add(table_.self().record);
 }
@@ -151,8 +148,12 @@
   if (event.bytes.size() > kMaximumPayloadSize || event.bytes == known.bytes) {
     return;
   }
-  ++payload_sequence_;
-  table_.mergePayload(self().id, {payload_sequence_, event.bytes});
+  setPayload(event.bytes);
+}
+
+void MembershipProtocol::setPayload(const std::string& bytes) {
+  const uint64_t sequence = table_.self().payload.sequence + 1;
+  table_.mergePayload(self().id, {self().incarnation, sequence, bytes});
   payload_changed_ = true;
 }
 
@@ -369,17 +370,13 @@
 }
 
 void MembershipProtocol::spreadNews() {
-  if (zone_news_.empty()) {
-    return;
-  }
-  const std::vector<NodeId> receivers = chooseRunning(settings_.gossip_fanout);
-  if (receivers.empty()) {
+  const std::vector<NodeId> candidates = runningPeers();
+  if (candidates.empty()) {
     zone_news_.clear();
   }
-  for (const NodeId& id : receivers) {
-    if (!zone_news_.empty()) {
-      send(MemberRecord(find(id)->record), Gossip{});
-    }
+  for (uint32_t count = 0; count < settings_.gossip_fanout && !zone_news_.empty(); ++count) {
+    const NodeId receiver = *gossip_round_.next(candidates, *random_);
+    send(MemberRecord(find(receiver)->record), Gossip{});
   }
 }
 
@@ -484,6 +481,10 @@
   corrected.incarnation = claim.incarnation.next();
   table_.replaceSelf(corrected, now_);
   announce(corrected);
+  const MemberPayload& payload = table_.self().payload;
+  if (payload.sequence != 0) {
+    setPayload(std::string(payload.bytes));
+  }
 }
 
 void MembershipProtocol::suspect(const MemberRecord& record) {
@@ -693,13 +694,19 @@
   return find(candidates[absl::Uniform<size_t>(*random_, 0, candidates.size())])->record;
 }
 
-std::vector<NodeId> MembershipProtocol::chooseRunning(uint32_t count, const NodeId& except) {
+std::vector<NodeId> MembershipProtocol::runningPeers() const {
   std::vector<NodeId> ids;
   for (const NodeId& id : table_.idsInZone(self().zone)) {
-    if (id != self().id && id != except && find(id)->isRunning()) {
+    if (id != self().id && find(id)->isRunning()) {
       ids.push_back(id);
     }
   }
+  return ids;
+}
+
+std::vector<NodeId> MembershipProtocol::chooseRunning(uint32_t count, const NodeId& except) {
+  std::vector<NodeId> ids = runningPeers();
+  std::erase(ids, except);
   const size_t chosen = std::min<size_t>(count, ids.size());
   for (size_t place = 0; place < chosen; ++place) {
     std::swap(ids[place], ids[absl::Uniform<size_t>(*random_, place, ids.size())]);
@@ -730,8 +737,7 @@
 
 uint32_t MembershipProtocol::transmissionLimit() const {
   const auto size = static_cast<double>(table_.liveByRank(self().zone).size());
-  return settings_.retransmission_factor *
-         static_cast<uint32_t>(std::max(1.0, std::ceil(std::log10(size + 1))));
+  return settings_.retransmission_factor * static_cast<uint32_t>(std::ceil(std::log2(size + 1)));
 }
 
 }  // namespace quincewick::membership
--- a/src/membership/membership_protocol.h
+++ b/src/membership/membership_protocol.h
@@ -151,6 +151,7 @@
   void noteSender(const MemberRecord& sender);
   void mergeRecord(MemberRecord record);
   void mergeBeats(const Message& message);
+  void setPayload(const std::string& bytes);
   void refute(const MemberRecord& claim);
   void suspect(const MemberRecord& record);
   void declareSelf(MemberState state);
@@ -170,6 +171,7 @@
   // Choices.
   std::optional<MemberRecord> chooseContact(const ZoneName& zone);
   std::vector<NodeId> chooseRunning(uint32_t count, const NodeId& except = NodeId());
+  std::vector<NodeId> runningPeers() const;
   bool isAlone() const;
   bool isIsolated() const;
   absl::Duration suspicionTimeout() const;
@@ -178,6 +180,7 @@
   MembershipSettings settings_;
   MemberTable table_;
   Prober prober_;
+  RoundRobin gossip_round_;
   UpdateQueue zone_news_;
   UpdateQueue remote_news_;
   ZoneContacts contacts_;
@@ -197,7 +200,6 @@
   absl::Time next_list_read_at_;
   absl::Duration list_retry_wait_;
   absl::Time mismatch_since_;  // since when no peer of the zone had the same view; infinite future: it has
-  uint64_t payload_sequence_ = 0;
   uint64_t malformed_messages_ = 0;
   bool payload_changed_ = false;
   uint32_t exchange_round_ = 0;
--- a/src/membership/messages.cc
+++ b/src/membership/messages.cc
@@ -123,7 +123,9 @@
 
 template <class Archive>
 void serialize(Archive& archive, PayloadUpdate& update) {
-  archive(update.payload.sequence);
+  uint64_t incarnation = update.payload.incarnation.value();
+  archive(incarnation, update.payload.sequence);
+  update.payload.incarnation = Incarnation(incarnation);
   archiveText(archive, update.payload.bytes, kMaximumPayloadSize);
 }
 
--- a/src/membership/prober.h
+++ b/src/membership/prober.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <vector>
 
+#include "membership/round_robin.h"
 #include "types/identifiers.h"
 
 namespace quincewick::membership {
@@ -21,9 +22,11 @@
 
 class Prober {
  public:
-  // The next of `candidates` in a random round-robin order: each is met once in a round, so a failure is
-  // noticed within a round at the latest.
-  std::optional<NodeId> nextTarget(const std::vector<NodeId>& candidates, absl::BitGenRef random);
+  // The next of `candidates` to be probed, in random rounds: a failure is noticed within a round at the
+  // latest.
+  std::optional<NodeId> nextTarget(const std::vector<NodeId>& candidates, absl::BitGenRef random) {
+    return round_.next(candidates, random);
+  }
 
   // Notes a probe and returns its sequence number.
   uint32_t start(const NodeId& target, absl::Time now);
@@ -39,7 +42,7 @@
   uint32_t failuresInARow() const { return failures_in_a_row_; }
 
  private:
-  std::vector<NodeId> round_;  // still to be probed in this round, last first
+  RoundRobin round_;
   std::vector<OutstandingProbe> outstanding_;
   uint32_t last_sequence_ = 0;
   uint32_t failures_in_a_row_ = 0;
--- a/src/membership/settings.h
+++ b/src/membership/settings.h
@@ -22,8 +22,8 @@
   absl::Duration suspicion_factor = absl::Seconds(2);
   // Members of the zone that get news at each tick while there is any.
   uint32_t gossip_fanout = 3;
-  // Each piece of news is sent factor * ceil(log10(zone size + 1)) times by each node.
-  uint32_t retransmission_factor = 4;
+  // Each piece of news is sent factor * ceil(log2(zone size + 1)) times by each node.
+  uint32_t retransmission_factor = 2;
   // Nodes of each zone that talk to other zones.
   uint32_t delegates = 2;
   // A delegate greets every other zone once in this period.
--- a/tests/membership/virtual_site.h
+++ b/tests/membership/virtual_site.h
@@ -85,6 +85,11 @@
     places_.at(id).paused = true;
     network_.pause(id);
   }
+  // Pauses the node together with its network: what is sent to it is lost.
+  void freeze(const NodeId& id) {
+    places_.at(id).paused = true;
+    network_.pause(id, 0);
+  }
   void resume(const NodeId& id) {
     Place& place = places_.at(id);
     place.paused = false;
@@ -95,10 +100,13 @@
   void cutZones(std::set<ZoneName> apart) { zones_apart_ = std::move(apart); }
   // These nodes can talk only to each other.
   void cutNodes(std::set<NodeId> apart) { nodes_apart_ = std::move(apart); }
+  // These two nodes can't talk to each other, though both reach all others.
+  void cutLink(const NodeId& left, const NodeId& right) { cut_link_ = {left, right}; }
   bool connected(const NodeId& from, const NodeId& to) const {
     const auto left = places_.find(from);
     const auto right = places_.find(to);
-    if (left == places_.end() || right == places_.end()) {
+    const bool link_cut = cut_link_ == std::pair(from, to) || cut_link_ == std::pair(to, from);
+    if (left == places_.end() || right == places_.end() || link_cut) {
       return false;
     }
     return zones_apart_.contains(left->second.self.zone) == zones_apart_.contains(right->second.self.zone) &&
@@ -221,6 +229,7 @@
   bool platform_up_ = true;
   std::set<ZoneName> zones_apart_;
   std::set<NodeId> nodes_apart_;
+  std::pair<NodeId, NodeId> cut_link_;
   ActionObserver observer_;
 };
 
--- a/tests/support/virtual_network.h
+++ b/tests/support/virtual_network.h
@@ -36,6 +36,9 @@
 
 class VirtualNetwork {
  public:
+  // What the buffer of a paused process's socket holds by default.
+  static constexpr size_t kHeldDatagrams = 256;
+
   using Receiver = std::function<void(const NodeId& from, const std::string& bytes)>;
   using LinkTest = std::function<bool(const NodeId& from, const NodeId& to)>;
 
@@ -54,11 +57,17 @@
   }
 
   // Connects a process; a second call with the same id replaces the first, as a restart does.
-  void attach(const NodeId& id, Receiver receiver) { interfaces_[id] = {std::move(receiver), false, {}}; }
+  void attach(const NodeId& id, Receiver receiver) {
+    interfaces_[id] = {std::move(receiver), false, kHeldDatagrams, {}};
+  }
   // Disconnects a process that crashed; datagrams to it vanish.
   void detach(const NodeId& id) { interfaces_.erase(id); }
-  // Holds back datagrams to a paused process, up to a bound as its socket's buffer would.
-  void pause(const NodeId& id) { interfaces_[id].paused = true; }
+  // Holds back datagrams to a paused process, up to a bound as its socket's buffer would; further ones are
+  // lost.
+  void pause(const NodeId& id, size_t held_datagrams = kHeldDatagrams) {
+    interfaces_[id].paused = true;
+    interfaces_[id].held_limit = held_datagrams;
+  }
   // Delivers what was held back.
   void resume(const NodeId& id) {
     Interface& interface = interfaces_[id];
@@ -103,11 +112,10 @@
   void resetTraffic() { traffic_.clear(); }
 
  private:
-  static constexpr size_t kHeldDatagrams = 256;
-
   struct Interface {
     Receiver receiver;
     bool paused = false;
+    size_t held_limit = kHeldDatagrams;
     std::vector<std::pair<NodeId, std::string>> held;
   };
 
@@ -123,7 +131,7 @@
       return;
     }
     if (interface->second.paused) {
-      if (interface->second.held.size() < kHeldDatagrams) {
+      if (interface->second.held.size() < interface->second.held_limit) {
         interface->second.held.emplace_back(from, bytes);
       }
       return;
