The whole path, thin: quincewick demo serves completions and actions

Cause: nothing put the modules together; a request could not be served end to end. Conclusion: everything else grows on this path.

--- /dev/null
+++ b/src/cli/demo_site.cc
@@ -0,0 +1,136 @@
+#include "cli/demo_site.h"
+
+#include <absl/time/clock.h>
+
+#include <utility>
+
+#include "node/sha256.h"
+
+namespace quincewick::cli {
+namespace {
+
+constexpr const char* kLoopback = "127.0.0.1";
+constexpr const char* kZone = "zone-a";
+constexpr const char* kRegion = "region-1";
+constexpr size_t kEngineCount = 3;
+constexpr absl::Duration kStartLimit = absl::Seconds(10);
+constexpr absl::Duration kStartPollInterval = absl::Milliseconds(20);
+// A demonstration on loopback keeps no secret; real sites set their own.
+constexpr const char* kDemoSaltSecret = "6465b1c3f0a94e7798ce1f5ad20b3c886465b1c3f0a94e7798ce1f5ad20b3c88";
+
+Address anyPort() {
+  return Address{kLoopback, 0};
+}
+
+Machine makeMachine(const std::string& id, MachineKind kind, const Address& address) {
+  Machine machine;
+  machine.id = id;
+  machine.kind = kind;
+  machine.zone = ZoneName(kZone);
+  machine.region = RegionName(kRegion);
+  machine.address = address;
+  return machine;
+}
+
+configuration::Policy demoPolicy() {
+  configuration::Policy policy;
+  policy.tenants[TenantId("demo")].caller_keys = {{node::sha256Hex(kDemoKey), std::nullopt}};
+  policy.models[ModelName(kDemoModel)].weights_version = WeightsVersion(1);
+  policy.request_kinds[RequestKind("chat")].urgency = Urgency::kUrgent;
+  policy.request_kinds[RequestKind(kDemoActionKind)].type = configuration::RequestType::kAction;
+  policy.groups[GroupName("all")] = {};
+  routing::RouteSpecification route;
+  route.name = "everything";
+  route.groups = {GroupName("all")};
+  policy.routes[route.name] = route;
+  return policy;
+}
+
+configuration::NodeSettings demoSettings(const Address& platform) {
+  configuration::NodeSettings settings;
+  settings.node_id = NodeId("demo-node");
+  settings.zone = ZoneName(kZone);
+  settings.region = RegionName(kRegion);
+  settings.listen.callers = anyPort();
+  settings.listen.operators = anyPort();
+  settings.listen.peers = anyPort();
+  settings.platform.address = platform;
+  settings.salt_secret = kDemoSaltSecret;
+  settings.http.caller_threads = 16;
+  return settings;
+}
+
+}  // namespace
+
+DemoSite::DemoSite() = default;
+
+DemoSite::~DemoSite() {
+  if (node_ != nullptr) {
+    node_->stop();
+  }
+}
+
+Result<void> DemoSite::startStandIns() {
+  emulator::PlatformSettings platform_settings;
+  platform_settings.machine_list_lag = absl::ZeroDuration();
+  platform_ = std::make_unique<emulator::PlatformServer>(platform_settings);
+  BOOST_OUTCOME_TRY(platform_port, platform_->start(anyPort()));
+  platform_address_ = Address{kLoopback, platform_port};
+
+  cache_store_ = std::make_unique<emulator::CacheStoreServer>(emulator::CacheStoreSettings());
+  BOOST_OUTCOME_TRY(cache_store_port, cache_store_->start(anyPort()));
+  cache_store_address_ = Address{kLoopback, cache_store_port};
+  machines_.push_back(makeMachine("cache-store-1", MachineKind::kCacheStore, cache_store_address_));
+
+  emulator::ActionServerSettings action_settings;
+  action_settings.runs = std::make_shared<emulator::ActionRunLog>();
+  action_server_ = std::make_unique<emulator::ActionServer>(action_settings);
+  BOOST_OUTCOME_TRY(action_port, action_server_->start(anyPort()));
+  machines_.push_back(
+      makeMachine("action-server-1", MachineKind::kActionServer, Address{kLoopback, action_port}));
+
+  for (size_t index = 1; index <= kEngineCount; ++index) {
+    BOOST_OUTCOME_TRYV(startEngine("engine-" + std::to_string(index)));
+  }
+  platform_->setMachines(machines_);
+  return outcome::success();
+}
+
+Result<void> DemoSite::startEngine(const std::string& name) {
+  emulator::EngineServerSettings settings;
+  settings.host.engine = std::make_shared<const emulator::EngineSettings>();
+  settings.host.models = {LoadedModel{ModelName(kDemoModel), WeightsVersion(1), {}}};
+  settings.host.seed = engines_.size() + 1;
+  settings.cache_store = cache_store_address_;
+  auto engine = std::make_unique<emulator::EngineServer>(settings);
+  BOOST_OUTCOME_TRY(port, engine->start(anyPort()));
+  machines_.push_back(makeMachine(name, MachineKind::kEngine, Address{kLoopback, port}));
+  engines_.push_back(std::move(engine));
+  return outcome::success();
+}
+
+Result<void> DemoSite::waitForEngines() {
+  const absl::Time limit = absl::Now() + kStartLimit;
+  while (node_->answeringEngines() < kEngineCount) {
+    if (absl::Now() > limit) {
+      return fail(ErrorCode::kDeadlineExceeded, "the node found too few engines");
+    }
+    absl::SleepFor(kStartPollInterval);
+  }
+  return outcome::success();
+}
+
+Result<uint16_t> DemoSite::start() {
+  BOOST_OUTCOME_TRYV(startStandIns());
+  node_ = std::make_unique<node::Node>(demoSettings(platform_address_));
+  BOOST_OUTCOME_TRYV(node_->installPolicy(ConfigurationVersion(1), demoPolicy()));
+  BOOST_OUTCOME_TRY(port, node_->start());
+  BOOST_OUTCOME_TRYV(waitForEngines());
+  return port;
+}
+
+uint64_t DemoSite::actionRuns() {
+  return action_server_->runs().totals().runs;
+}
+
+}  // namespace quincewick::cli
--- /dev/null
+++ b/src/cli/demo_site.h
@@ -0,0 +1,51 @@
+// The small deployment that `quincewick demo` runs: stand-ins and one node in this process, on loopback.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "emulator/action_server.h"
+#include "emulator/cache_store_server.h"
+#include "emulator/engine_server.h"
+#include "emulator/platform_server.h"
+#include "node/node.h"
+#include "types/error.h"
+
+namespace quincewick::cli {
+
+inline constexpr const char* kDemoKey = "demo-key";
+inline constexpr const char* kDemoModel = "demo-model";
+inline constexpr const char* kDemoActionKind = "reservation";
+
+// Owns the whole site; stops it when destroyed.
+class DemoSite {
+ public:
+  DemoSite();
+  ~DemoSite();
+  DemoSite(const DemoSite&) = delete;
+  DemoSite& operator=(const DemoSite&) = delete;
+
+  // Starts everything, on free ports, and waits until the node has found the engines. Returns the node's
+  // port.
+  Result<uint16_t> start();
+
+  // How often the action server ran the actions it was sent, whatever their keys.
+  uint64_t actionRuns();
+
+ private:
+  Result<void> startStandIns();
+  Result<void> startEngine(const std::string& name);
+  Result<void> waitForEngines();
+
+  std::unique_ptr<emulator::PlatformServer> platform_;
+  std::unique_ptr<emulator::CacheStoreServer> cache_store_;
+  std::unique_ptr<emulator::ActionServer> action_server_;
+  std::vector<std::unique_ptr<emulator::EngineServer>> engines_;
+  std::vector<Machine> machines_;
+  Address platform_address_;
+  Address cache_store_address_;
+  std::unique_ptr<node::Node> node_;
+};
+
+}  // namespace quincewick::cli
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -1,3 +1,58 @@
-int main() {
-  return 0;
+// The quincewick program: picks the subcommand and hands it the rest of the command line.
+#include <glog/logging.h>
+
+#include <array>
+#include <cstdio>
+#include <string_view>
+
+#include "cli/demo_command.h"
+#include "cli/exit_codes.h"
+
+namespace quincewick::cli {
+namespace {
+
+struct Command {
+  std::string_view name;
+  std::string_view summary;
+  int (*run)(int argc, char** argv);  // argv[0] is the subcommand's name
+};
+
+constexpr std::array kCommands = {
+    Command{"demo", "run a small deployment in this process on loopback", runDemoCommand},
+};
+
+void printUsage(std::FILE* out) {
+  std::fputs("usage: quincewick COMMAND [OPTIONS]\n\ncommands:\n", out);
+  for (const Command& command : kCommands) {
+    std::fprintf(out, "  %-10s %s\n", command.name.data(), command.summary.data());
+  }
+  std::fputs("\n'quincewick COMMAND --help' lists a command's options.\n", out);
+}
+
+int runProgram(int argc, char** argv) {
+  if (argc < 2) {
+    printUsage(stderr);
+    return kExitMisuse;
+  }
+  const std::string_view name = argv[1];
+  if (name == "--help" || name == "help") {
+    printUsage(stdout);
+    return kExitSuccess;
+  }
+  for (const Command& command : kCommands) {
+    if (command.name == name) {
+      return command.run(argc - 1, argv + 1);
+    }
+  }
+  std::fprintf(stderr, "quincewick: unknown command '%s'; see 'quincewick --help'\n", argv[1]);
+  return kExitMisuse;
+}
+
+}  // namespace
+}  // namespace quincewick::cli
+
+int main(int argc, char** argv) {
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging(argv[0]);
+  return quincewick::cli::runProgram(argc, argv);
 }
--- a/src/engine/engine_channel.h
+++ b/src/engine/engine_channel.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "prefix/trunk_index.h"
 #include "streams/answer_events.h"
 #include "types/back_end.h"
 #include "types/block_key.h"
@@ -48,15 +49,9 @@
 };
 
 // A page of an engine's cache events. Sequence numbers that are missing were lost.
-struct CacheEvent {
-  Sequence sequence;
-  bool stored = true;  // false: evicted
-  BlockKey block;
-};
-
 struct CacheEventPage {
   Incarnation incarnation;
-  std::vector<CacheEvent> events;
+  std::vector<prefix::CacheEvent> events;
   Sequence next;
 };
 
--- a/src/engine/engine_codec.cc
+++ b/src/engine/engine_codec.cc
@@ -228,8 +228,9 @@
     if (!block.has_value()) {
       return broken("a cache event without a block");
     }
-    const bool stored = textOr(entry, "kind", "") == "stored";
-    page.events.push_back(CacheEvent{Sequence(numberOr(entry, "sequence", 0)), stored, *block});
+    const bool evicted = textOr(entry, "kind", "") == "evicted";
+    const auto kind = evicted ? prefix::CacheEventKind::kEvicted : prefix::CacheEventKind::kStored;
+    page.events.push_back(prefix::CacheEvent{Sequence(numberOr(entry, "sequence", 0)), kind, *block});
   }
   return page;
 }
--- a/src/engine/http_engine_channel.cc
+++ b/src/engine/http_engine_channel.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "engine/engine_codec.h"
+#include "engine/transport_error.h"
 
 namespace quincewick::engine {
 namespace {
@@ -26,19 +27,6 @@
   request.body = std::move(body);
 }
 
-// Before a connection exists nothing can have been sent.
-Execution executionAfter(httplib::Error error) {
-  const bool never_connected = error == httplib::Error::Connection ||
-                               error == httplib::Error::ConnectionTimeout ||
-                               error == httplib::Error::BindIPAddress;
-  return never_connected ? Execution::kNotRun : Execution::kUnknown;
-}
-
-Error transportError(httplib::Error error) {
-  return Error{ErrorCode::kUnavailable, absl::StrCat("engine: ", httplib::to_string(error)),
-               executionAfter(error)};
-}
-
 // Reads one answer of an engine: events of a stream, or the body of a refusal.
 class StreamResponse {
  public:
@@ -79,7 +67,7 @@
     if (status_ != 0 && status_ != kStatusOk) {
       lose(decodeRefusal(status_, refusal_body_));
     } else if (!result) {
-      lose(transportError(result.error()));
+      lose(transportError("engine", result.error()));
     } else {
       lose(Error{ErrorCode::kUnavailable, "engine: the stream ended early", Execution::kUnknown});
     }
@@ -168,7 +156,7 @@
   std::unique_ptr<httplib::Client> client = control_.take(engine);
   httplib::Result result = client->send(http_request);
   if (!result) {
-    return outcome::failure(transportError(result.error()));
+    return outcome::failure(transportError("engine", result.error()));
   }
   control_.giveBack(engine, std::move(client));
   if (result->status != kStatusOk) {
--- a/src/http/caller_backend.h
+++ b/src/http/caller_backend.h
@@ -70,10 +70,10 @@
   virtual Result<TenantId> authenticate(std::string_view key) = 0;
 
   // Waits until the first event of the answer is there, or the request is refused or has failed.
-  virtual Result<std::unique_ptr<AnswerReader>> complete(const CompletionCall& call) = 0;
+  virtual Result<std::shared_ptr<AnswerReader>> complete(const CompletionCall& call) = 0;
 
   // Returns the rest of an answer after `last_offset`. kNotFound if this site no longer holds it.
-  virtual Result<std::unique_ptr<AnswerReader>> reconnect(const RequestId& request, const TenantId& tenant,
+  virtual Result<std::shared_ptr<AnswerReader>> reconnect(const RequestId& request, const TenantId& tenant,
                                                           std::optional<uint64_t> last_offset) = 0;
 
   // Runs the action at most once for its tenant and key.
--- a/tests/loadgen/driver_test.cc
+++ b/tests/loadgen/driver_test.cc
@@ -67,7 +67,7 @@
     return TenantId(std::string(key));
   }
 
-  Result<std::unique_ptr<http::AnswerReader>> complete(const http::CompletionCall& call) override {
+  Result<std::shared_ptr<http::AnswerReader>> complete(const http::CompletionCall& call) override {
     std::vector<StreamEvent> events = rightAnswer(call);
     if (isFaulty(fault_ == Fault::kSwap) && events.size() > 2) {
       std::swap(events[0], events[1]);
@@ -78,10 +78,10 @@
     if (isFaulty(fault_ == Fault::kCut)) {
       events.back() = CutEvent{Error{ErrorCode::kUnavailable, "engine lost", Execution::kUnknown}};
     }
-    return std::unique_ptr<http::AnswerReader>(std::make_unique<FixedReader>(std::move(events)));
+    return std::shared_ptr<http::AnswerReader>(std::make_unique<FixedReader>(std::move(events)));
   }
 
-  Result<std::unique_ptr<http::AnswerReader>> reconnect(const RequestId&, const TenantId&,
+  Result<std::shared_ptr<http::AnswerReader>> reconnect(const RequestId&, const TenantId&,
                                                         std::optional<uint64_t>) override {
     return fail(ErrorCode::kNotFound, "not kept");
   }
