--- a/emulator/action_server.cc
+++ b/emulator/action_server.cc
@@ -64,6 +64,7 @@
     answerError(response, kServiceUnavailable, ErrorCode::kUnavailable, "crashed", "the server died");
     return;
   }
+  own_runs_.record(action);
   const uint64_t run = settings_.runs->record(action);
   sleepUnlessStopping(half);
   const std::string receipt = receiptOf(absl::StrCat(action.kind, "/", action.key, "/", run));
@@ -85,11 +86,13 @@
 
 nlohmann::json ActionServer::report() {
   nlohmann::json list = nlohmann::json::array();
-  for (const auto& [action, count] : settings_.runs->all()) {
+  for (const auto& [action, count] : own_runs_.all()) {
     list.push_back({{"kind", action.kind}, {"tenant", action.tenant}, {"key", action.key}, {"count", count}});
   }
   const ActionTotals totals = settings_.runs->totals();
-  return {{"runs", list}, {"total", totals.runs}, {"actions", totals.actions}, {"doubled", totals.doubled}};
+  return {{"runs", list},
+          {"total", own_runs_.totals().runs},
+          {"site", {{"total", totals.runs}, {"actions", totals.actions}, {"doubled", totals.doubled}}}};
 }
 
 }  // namespace quincewick::emulator
--- a/emulator/action_server.h
+++ b/emulator/action_server.h
@@ -21,6 +21,7 @@
   explicit ActionServer(ActionServerSettings settings);
   ~ActionServer() override;
 
+  // The runs of all servers that share the log.
   ActionRunLog& runs() { return *settings_.runs; }
 
  private:
@@ -32,6 +33,7 @@
   nlohmann::json report();
 
   const ActionServerSettings settings_;
+  ActionRunLog own_runs_;  // of this server alone
   std::atomic<uint64_t> crashes_ = 0;
 };
 
--- a/emulator/cache_store_server.h
+++ b/emulator/cache_store_server.h
@@ -17,6 +17,8 @@
   uint64_t capacity_blocks = 16'384;  // the oldest entries go first
   absl::Duration latency = absl::Milliseconds(2);
   uint64_t seed = 1;
+
+  friend bool operator==(const CacheStoreSettings&, const CacheStoreSettings&) = default;
 };
 
 // Keeps what engines export: POST /entries gives a handle, GET /entries/HANDLE the entry again. Empty after a
--- a/emulator/engine_server.cc
+++ b/emulator/engine_server.cc
@@ -31,10 +31,27 @@
   return reason == FinishReason::kStop ? "stop" : "length";
 }
 
+// Fills in what the caller left out.
+EngineServerSettings withDefaults(EngineServerSettings settings) {
+  EngineHost::Settings& host = settings.host;
+  if (host.incarnation == Incarnation()) {
+    host.incarnation = Incarnation(static_cast<uint64_t>(absl::ToUnixMicros(absl::Now())));
+  }
+  if (host.engine == nullptr) {
+    host.engine = std::make_shared<EngineSettings>();
+  }
+  if (host.weights == nullptr) {
+    host.weights = std::make_shared<WeightStore>(WeightLoaderSettings{});
+  }
+  return settings;
+}
+
 }  // namespace
 
 EngineServer::EngineServer(EngineServerSettings settings)
-    : StandIn(settings.host.seed), settings_(std::move(settings)), host_(settings_.host, [this] { poke(); }) {
+    : StandIn(settings.host.seed),
+      settings_(withDefaults(std::move(settings))),
+      host_(settings_.host, [this] { poke(); }) {
   addCompletionRoutes();
   addControlRoutes();
 }
--- a/emulator/engine_settings.h
+++ b/emulator/engine_settings.h
@@ -23,6 +23,8 @@
   absl::Duration cache_event_delay = absl::Milliseconds(300);   // until an event can be read
   double cache_event_loss = 0.0;                                // share of events that never appear
   uint32_t cache_event_log = 1024;                              // events kept for readers
+
+  friend bool operator==(const EngineSettings&, const EngineSettings&) = default;
 };
 
 }  // namespace quincewick::emulator
--- a/emulator/faults.cc
+++ b/emulator/faults.cc
@@ -30,15 +30,6 @@
     {FaultKind::kUncheckedImport, "unchecked_import"},
 }};
 
-std::optional<FaultKind> kindFromName(std::string_view name) {
-  for (const auto& [kind, known] : kNames) {
-    if (known == name) {
-      return kind;
-    }
-  }
-  return std::nullopt;
-}
-
 bool contains(const std::vector<std::string>& list, std::string_view wanted) {
   return !wanted.empty() && std::find(list.begin(), list.end(), wanted) != list.end();
 }
@@ -83,11 +74,29 @@
   return "unknown";
 }
 
+std::optional<FaultKind> faultKindFromName(std::string_view name) {
+  for (const auto& [kind, known] : kNames) {
+    if (known == name) {
+      return kind;
+    }
+  }
+  return std::nullopt;
+}
+
+std::string faultKindNames() {
+  std::string names;
+  for (const auto& [kind, name] : kNames) {
+    names += names.empty() ? "" : ", ";
+    names += name;
+  }
+  return names;
+}
+
 Result<Fault> faultFromJson(const nlohmann::json& json) {
   if (!json.is_object() || !json.contains("kind") || !json["kind"].is_string()) {
     return fail(ErrorCode::kInvalidArgument, "a fault is an object with a kind");
   }
-  const std::optional<FaultKind> kind = kindFromName(json["kind"].get<std::string>());
+  const std::optional<FaultKind> kind = faultKindFromName(json["kind"].get<std::string>());
   if (!kind) {
     return fail(ErrorCode::kInvalidArgument, "unknown kind of fault");
   }
--- a/emulator/faults.h
+++ b/emulator/faults.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -34,6 +35,9 @@
 
 // The name in files and admin calls, such as "drop_events".
 std::string_view faultKindName(FaultKind kind);
+std::optional<FaultKind> faultKindFromName(std::string_view name);
+// All names, separated by commas.
+std::string faultKindNames();
 
 struct Fault {
   FaultKind kind = FaultKind::kPause;
@@ -45,6 +49,8 @@
   bool keep_cache = false;                             // kCrash: the cache outlives the process
   std::vector<std::string> zones;                      // kCut, by the header X-Zone
   std::vector<std::string> nodes;                      // kCut, by the header X-Node
+
+  friend bool operator==(const Fault&, const Fault&) = default;
 };
 
 // Reads {"kind", "for_seconds", "factor", "share", "count", "delay_seconds", "keep_cache", "zones", "nodes"}.
--- a/emulator/platform_json.cc
+++ b/emulator/platform_json.cc
@@ -1,5 +1,10 @@
 #include "emulator/platform_json.h"
 
+#include <absl/strings/numbers.h>
+
+#include <array>
+#include <utility>
+
 #include "emulator/stand_in.h"
 
 namespace quincewick::emulator {
@@ -17,32 +22,43 @@
   return list;
 }
 
+struct KindName {
+  MachineKind kind;
+  const char* name;
+};
+
+constexpr std::array<KindName, 4> kKindNames = {{{MachineKind::kNode, "node"},
+                                                 {MachineKind::kEngine, "engine"},
+                                                 {MachineKind::kActionServer, "action_server"},
+                                                 {MachineKind::kCacheStore, "cache_store"}}};
+
 const char* machineKindName(MachineKind kind) {
-  switch (kind) {
-    case MachineKind::kNode:
-      return "node";
-    case MachineKind::kEngine:
-      return "engine";
-    case MachineKind::kActionServer:
-      return "action_server";
-    case MachineKind::kCacheStore:
-      return "cache_store";
+  for (const KindName& known : kKindNames) {
+    if (known.kind == kind) {
+      return known.name;
+    }
   }
   return "node";
 }
 
-nlohmann::json machineToJson(const Machine& machine) {
-  nlohmann::json labels = nlohmann::json::object();
-  for (const auto& [key, value] : machine.labels.entries()) {
-    labels[key] = value;
+bool readKind(const std::string& text, MachineKind& kind) {
+  for (const KindName& known : kKindNames) {
+    if (text == known.name) {
+      kind = known.kind;
+      return true;
+    }
   }
-  return {{"id", machine.id},
-          {"kind", machineKindName(machine.kind)},
-          {"zone", machine.zone.value()},
-          {"region", machine.region.value()},
-          {"address", machine.address.host + ":" + std::to_string(machine.address.port)},
-          {"labels", labels},
-          {"leaving", machine.leaving}};
+  return false;
+}
+
+bool readAddress(const std::string& text, Address& address) {
+  const size_t colon = text.rfind(':');
+  uint32_t port = 0;
+  if (colon == std::string::npos || !absl::SimpleAtoi(text.substr(colon + 1), &port) || port > UINT16_MAX) {
+    return false;
+  }
+  address = Address{text.substr(0, colon), static_cast<uint16_t>(port)};
+  return true;
 }
 
 int statusOf(ErrorCode code) {
@@ -120,6 +136,32 @@
   return scan;
 }
 
+nlohmann::json machineToJson(const Machine& machine) {
+  nlohmann::json labels = nlohmann::json::object();
+  for (const auto& [key, value] : machine.labels.entries()) {
+    labels[key] = value;
+  }
+  return {{"id", machine.id},
+          {"kind", machineKindName(machine.kind)},
+          {"zone", machine.zone.value()},
+          {"region", machine.region.value()},
+          {"address", machine.address.host + ":" + std::to_string(machine.address.port)},
+          {"labels", labels},
+          {"leaving", machine.leaving}};
+}
+
+bool mergeMachine(const nlohmann::json& body, Machine& machine) {
+  machine.zone = ZoneName(body.value("zone", machine.zone.value()));
+  machine.region = RegionName(body.value("region", machine.region.value()));
+  machine.leaving = body.value("leaving", machine.leaving);
+  const nlohmann::json labels = body.value("labels", nlohmann::json::object());
+  for (const auto& [key, value] : labels.items()) {
+    machine.labels.set(key, value.get<std::string>());
+  }
+  return (!body.contains("kind") || readKind(body["kind"].get<std::string>(), machine.kind)) &&
+         (!body.contains("address") || readAddress(body["address"].get<std::string>(), machine.address));
+}
+
 void answerPlatformResult(httplib::Response& response, const PlatformResult& result) {
   std::visit(Answerer{response}, result);
 }
--- a/emulator/platform_json.h
+++ b/emulator/platform_json.h
@@ -14,6 +14,10 @@
 TableRead readFromJson(const nlohmann::json& body);
 TableScan scanFromJson(const nlohmann::json& body);
 
+nlohmann::json machineToJson(const Machine& machine);
+// Sets the fields that `body` has; false if one is malformed.
+bool mergeMachine(const nlohmann::json& body, Machine& machine);
+
 // Answers with the status and body of a result.
 void answerPlatformResult(httplib::Response& response, const PlatformResult& result);
 
--- a/emulator/platform_model.h
+++ b/emulator/platform_model.h
@@ -26,6 +26,8 @@
   absl::Duration machine_list_lag = absl::Seconds(5);
   TableLimits table_limits;
   uint64_t seed = 1;  // decides latencies and losses
+
+  friend bool operator==(const PlatformSettings&, const PlatformSettings&) = default;
 };
 
 // What is wrong at the moment. Every field may be changed while the model runs.
--- a/emulator/table_model.h
+++ b/emulator/table_model.h
@@ -15,6 +15,8 @@
   uint32_t transaction_items = 100;  // conditions plus writes
   uint32_t read_items = 1000;        // keys of a read, items of a scan
   uint32_t value_bytes = 400 * 1024;
+
+  friend bool operator==(const TableLimits&, const TableLimits&) = default;
 };
 
 // Applies transactions one at a time, so that each takes effect at once or not at all. Versions come from one
--- a/emulator/weight_loader_model.h
+++ b/emulator/weight_loader_model.h
@@ -11,6 +11,8 @@
 struct WeightLoaderSettings {
   absl::Duration load_time = absl::Milliseconds(600);  // of one load, undisturbed
   uint32_t full_speed_loads = 2;                       // more at once share the bandwidth of this many
+
+  friend bool operator==(const WeightLoaderSettings&, const WeightLoaderSettings&) = default;
 };
 
 // Shared by all engines of a site. Loads in progress all run at one rate. Not thread-safe.
--- a/tests/emulator/servers_test.cc
+++ b/tests/emulator/servers_test.cc
@@ -134,6 +134,7 @@
   CHECK(post(client, "/v1/completions", {{"model", 5}}) == 400);
   CHECK(client.Post("/v1/completions", "{", kJson)->status == 400);
   CHECK(get(client, "/admin/state")["accepted"] == 0);
+  CHECK(get(client, "/v1/load")["incarnation"].get<uint64_t>() > 0);
 
   const nlohmann::json drain = {{"epoch", 2}, {"sequence", 1}, {"kind", "drain"}};
   CHECK(post(client, "/v1/orders", drain) == 200);
@@ -202,7 +203,7 @@
   CHECK(client.Get("/lookups/plate?number=1")->status == 200);
   const nlohmann::json runs = get(client, "/admin/runs");
   CHECK(runs["total"] == 3);
-  CHECK(runs["doubled"] == 1);
+  CHECK(runs["site"]["doubled"] == 1);
 }
 
 TEST_CASE("the platform keeps a write whose answer was lost, and its list shows the machines") {
