--- a/tests/configuration/replica_world.cc
+++ b/tests/configuration/replica_world.cc
@@ -2,6 +2,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <ctime>
 #include <utility>
 
 #include "configuration/store_format.h"
@@ -17,14 +18,12 @@
 
 ReplicaWorld::ReplicaWorld(WorldOptions options)
     : options_(options), random_(options.seed), now_(absl::FromUnixSeconds(1'800'000'000)) {
-  for (uint32_t zone = 0; zone < options.zones; ++zone) {
-    for (uint32_t place = 0; place < options.nodes_per_zone; ++place) {
-      Node node;
-      node.id = NodeId(absl::StrCat("node-", zone, "-", place));
-      node.zone = zone;
-      index_[node.id] = nodes_.size();
-      nodes_.push_back(std::move(node));
-    }
+  for (uint32_t number = 0; number < options.nodes; ++number) {
+    Node node;
+    node.zone = number % options.zones;
+    node.id = NodeId(absl::StrCat("node-", node.zone, "-", number / options.zones));
+    index_[node.id] = nodes_.size();
+    nodes_.push_back(std::move(node));
   }
   for (size_t node = 0; node < nodes_.size(); ++node) {
     restart(node);
@@ -128,7 +127,10 @@
     }
     return;
   }
-  perform(node, place.replica->handle(event, now_, random_));
+  const std::clock_t began = std::clock();
+  ReplicaActions actions = place.replica->handle(event, now_, random_);
+  counters_.handling += absl::Seconds(static_cast<double>(std::clock() - began) / CLOCKS_PER_SEC);
+  perform(node, std::move(actions));
   checkVersion(node);
 }
 
@@ -162,10 +164,11 @@
   if (cut) {
     return;
   }
+  const absl::Duration distance =
+      nodes_[node].zone == nodes_[to].zone ? absl::Milliseconds(2) : options_.zone_distance;
   const int copies = chance(network_faults.duplication) ? 2 : 1;
   for (int copy = 0; copy < copies; ++copy) {
-    const absl::Duration most =
-        chance(network_faults.long_delay) ? absl::Milliseconds(500) : absl::Milliseconds(2);
+    const absl::Duration most = chance(network_faults.long_delay) ? absl::Milliseconds(500) : distance;
     at(now_ + between(absl::Milliseconds(1), most),
        [this, to, life = nodes_[to].life, from = nodes_[node].id, bytes] {
          const Result<PeerMessage> decoded = decodePeerMessage(bytes);
--- a/tests/configuration/replica_world.h
+++ b/tests/configuration/replica_world.h
@@ -22,7 +22,8 @@
 
 struct WorldOptions {
   uint32_t zones = 3;
-  uint32_t nodes_per_zone = 3;
+  uint32_t nodes = 9;                                    // in all, dealt out evenly
+  absl::Duration zone_distance = absl::Milliseconds(2);  // the longest way between zones
   uint64_t seed = 1;
   uint64_t snapshot_interval = 8;
   bool check_documents = true;  // compare whole documents with the oracle's; slow for large sites
@@ -49,6 +50,7 @@
   uint64_t store_writes = 0;
   uint64_t messages = 0;
   uint64_t message_bytes = 0;  // without the envelope
+  absl::Duration handling;     // processor time within the replicas
 };
 
 class ReplicaWorld {
