--- a/src/cli/check_command.cc
+++ b/src/cli/check_command.cc
@@ -2,19 +2,18 @@
 
 #include <cxxopts.hpp>
 #include <exception>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 #include <string>
 #include <vector>
 
+#include "cli/exit_codes.h"
+#include "cli/text_file.h"
 #include "configuration/node_settings.h"
 #include "configuration/policy.h"
 
-namespace quincewick {
+namespace quincewick::cli {
 namespace {
 
-constexpr int kExitMisuse = 2;
 constexpr const char* kSettingsMark = "node_id:";
 
 // A settings file has its node's id at the top level; a policy never has.
@@ -34,17 +33,15 @@
 }
 
 bool checkFile(const std::string& file) {
-  std::ifstream input(file);
-  if (!input) {
-    std::cerr << file << ": can't be read\n";
+  const Result<std::string> text = readTextFile(file);
+  if (text.has_error()) {
+    std::cerr << text.error().message << "\n";
     return false;
   }
-  std::ostringstream text;
-  text << input.rdbuf();
-  if (looksLikeSettings(text.str())) {
-    return report(file, "settings", configuration::parseNodeSettings(text.str()));
+  if (looksLikeSettings(text.value())) {
+    return report(file, "settings", configuration::parseNodeSettings(text.value()));
   }
-  return report(file, "policy", configuration::parsePolicy(text.str()));
+  return report(file, "policy", configuration::parsePolicy(text.value()));
 }
 
 }  // namespace
@@ -77,4 +74,4 @@
   }
 }
 
-}  // namespace quincewick
+}  // namespace quincewick::cli
--- a/src/cli/demo_command.cc
+++ b/src/cli/demo_command.cc
@@ -4,7 +4,6 @@
 #include <glog/logging.h>
 #include <httplib.h>
 
-#include <csignal>
 #include <cstdio>
 #include <cxxopts.hpp>
 #include <nlohmann/json.hpp>
@@ -12,6 +11,7 @@
 
 #include "cli/demo_site.h"
 #include "cli/exit_codes.h"
+#include "cli/interrupt.h"
 
 namespace quincewick::cli {
 namespace {
@@ -21,12 +21,6 @@
 constexpr size_t kLongPromptCharacters = 40'000;  // nine blocks and a tail
 constexpr int kStatusOk = 200;
 
-volatile std::sig_atomic_t interrupted = 0;
-
-void onInterrupt(int /*signal*/) {
-  interrupted = 1;
-}
-
 // What one completion cost, as its caller saw it.
 struct Observation {
   absl::Duration first_token;
@@ -139,14 +133,6 @@
       port, port, kDemoKey, kDemoModel, port, kDemoActionKind, kDemoKey, port, kDemoKey, port);
 }
 
-void waitForInterrupt(absl::Duration limit) {
-  constexpr absl::Duration poll_interval = absl::Milliseconds(100);
-  const absl::Time end = absl::Now() + limit;
-  while (interrupted == 0 && absl::Now() < end) {
-    absl::SleepFor(poll_interval);
-  }
-}
-
 int runDemo(absl::Duration stay) {
   DemoSite site;
   const Result<uint16_t> port = site.start();
@@ -182,8 +168,7 @@
     if (flags.count("verbose") == 0) {
       FLAGS_minloglevel = google::GLOG_WARNING;
     }
-    std::signal(SIGINT, onInterrupt);
-    std::signal(SIGTERM, onInterrupt);
+    catchInterrupts();
     return runDemo(flags.count("once") > 0 ? absl::ZeroDuration()
                                            : absl::Seconds(flags["seconds"].as<int>()));
   } catch (const cxxopts::exceptions::exception& error) {
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -5,8 +5,12 @@
 #include <cstdio>
 #include <string_view>
 
+#include "cli/check_command.h"
 #include "cli/demo_command.h"
+#include "cli/emulate_command.h"
 #include "cli/exit_codes.h"
+#include "cli/load_command.h"
+#include "cli/serve_command.h"
 
 namespace quincewick::cli {
 namespace {
@@ -18,6 +22,10 @@
 };
 
 constexpr std::array kCommands = {
+    Command{"serve", "run one node", runServeCommand},
+    Command{"check", "check settings and policy files", runCheckCommand},
+    Command{"emulate", "run stand-ins for engines, action servers and the platform", runEmulateCommand},
+    Command{"load", "drive callers' traffic and check every answer", runLoadCommand},
     Command{"demo", "run a small deployment in this process on loopback", runDemoCommand},
 };
 
--- /dev/null
+++ b/src/cli/serve_command.cc
@@ -0,0 +1,110 @@
+#include "cli/serve_command.h"
+
+#include <glog/logging.h>
+
+#include <cstdio>
+#include <cxxopts.hpp>
+#include <optional>
+#include <string>
+
+#include "cli/exit_codes.h"
+#include "cli/interrupt.h"
+#include "cli/text_file.h"
+#include "configuration/node_settings.h"
+#include "configuration/policy.h"
+#include "node/node.h"
+
+namespace quincewick::cli {
+namespace {
+
+// Reads and parses a file; prints every fault of it.
+template <class T>
+std::optional<T> load(const std::string& path, configuration::Parsed<T> (*parse)(const std::string&)) {
+  const Result<std::string> text = readTextFile(path);
+  if (text.has_error()) {
+    std::fprintf(stderr, "quincewick serve: %s\n", text.error().message.c_str());
+    return std::nullopt;
+  }
+  configuration::Parsed<T> parsed = parse(text.value());
+  if (!parsed.ok()) {
+    std::fprintf(stderr, "%s\n", configuration::printDiagnostics(path, parsed.diagnostics).c_str());
+  }
+  return std::move(parsed.value);
+}
+
+void setLogLevel(configuration::LogLevel level) {
+  switch (level) {
+    case configuration::LogLevel::kDebug:
+      FLAGS_v = 1;
+      break;
+    case configuration::LogLevel::kInfo:
+      break;
+    case configuration::LogLevel::kWarning:
+      FLAGS_minloglevel = google::GLOG_WARNING;
+      break;
+    case configuration::LogLevel::kError:
+      FLAGS_minloglevel = google::GLOG_ERROR;
+      break;
+  }
+}
+
+int serve(const configuration::NodeSettings& settings, std::optional<configuration::Policy> initial_policy) {
+  node::Node node(settings);
+  if (initial_policy.has_value()) {
+    const Result<void> installed = node.installInitialPolicy(*std::move(initial_policy));
+    if (installed.has_error()) {
+      std::fprintf(stderr, "quincewick serve: %s\n", installed.error().message.c_str());
+      return kExitMisuse;
+    }
+  }
+  const Result<uint16_t> port = node.start();
+  if (port.has_error()) {
+    std::fprintf(stderr, "quincewick serve: %s\n", port.error().message.c_str());
+    return kExitFailure;
+  }
+  waitForInterrupt(absl::InfiniteDuration());
+  node.stop();
+  return kExitSuccess;
+}
+
+int serveFrom(const std::string& settings_file) {
+  const auto settings = load(settings_file, configuration::parseNodeSettings);
+  if (!settings.has_value()) {
+    return kExitMisuse;
+  }
+  setLogLevel(settings->log_level);
+  std::optional<configuration::Policy> initial_policy;
+  if (settings->initial_policy_file.has_value()) {
+    initial_policy = load(*settings->initial_policy_file, configuration::parsePolicy);
+    if (!initial_policy.has_value()) {
+      return kExitMisuse;
+    }
+  }
+  return serve(*settings, std::move(initial_policy));
+}
+
+}  // namespace
+
+int runServeCommand(int argc, char** argv) {
+  cxxopts::Options options("quincewick serve", "Runs one node until SIGTERM or SIGINT.");
+  options.add_options()("settings", "the node's settings file", cxxopts::value<std::string>())("help",
+                                                                                               "print this");
+  try {
+    const auto flags = options.parse(argc, argv);
+    if (flags.count("help") > 0) {
+      std::puts(options.help().c_str());
+      return kExitSuccess;
+    }
+    if (flags.count("settings") == 0) {
+      std::fputs("quincewick serve: --settings FILE is needed\n", stderr);
+      return kExitMisuse;
+    }
+    catchInterrupts();
+    return serveFrom(flags["settings"].as<std::string>());
+  } catch (const cxxopts::exceptions::exception& error) {
+    std::fprintf(stderr, "quincewick serve: %s\n", error.what());
+    return kExitMisuse;
+  }
+}
+
+}  // namespace quincewick::cli
--- a/src/engine/action_channel.h
+++ b/src/engine/action_channel.h
@@ -11,6 +11,7 @@
 
 // One call of an action server.
 struct ActionRequest {
+  TenantId tenant;
   RequestKind kind;
   IdempotencyKey key;
   std::string body;
@@ -30,6 +31,9 @@
   // Sends the call once, never again by itself. An error with Execution::kNotRun means that no byte has left;
   // with kUnknown it may have run.
   virtual Result<ActionReply> run(const Address& server, const ActionRequest& request) = 0;
+
+  // Sends a lookup, which changes nothing and may be sent again. Its body is a JSON object of plain values.
+  virtual Result<ActionReply> lookUp(const Address& server, const ActionRequest& request) = 0;
 };
 
 }  // namespace quincewick::engine
--- a/src/engine/http_action_channel.h
+++ b/src/engine/http_action_channel.h
@@ -18,6 +18,7 @@
   explicit HttpActionChannel(const HttpActionOptions& options) : options_(options) {}
 
   Result<ActionReply> run(const Address& server, const ActionRequest& request) override;
+  Result<ActionReply> lookUp(const Address& server, const ActionRequest& request) override;
 
  private:
   const HttpActionOptions options_;
--- a/src/node/action_service.cc
+++ b/src/node/action_service.cc
@@ -4,6 +4,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <string>
 #include <utility>
 #include <variant>
 
@@ -15,6 +16,14 @@
 constexpr absl::Duration kRetryAfterClaimRefused = absl::Seconds(1);
 constexpr absl::Duration kRetryAfterInProgress = absl::Seconds(2);
 
+constexpr size_t kLookupTries = 3;
+constexpr int kFirstServerErrorStatus = 500;
+
+Error serverFailed(int status) {
+  return Error{ErrorCode::kUnavailable, "action server: status " + std::to_string(status),
+               Execution::kUnknown};
+}
+
 Error retryLater(Error error, absl::Duration retry_after) {
   error.retry_after = retry_after;
   return error;
@@ -65,13 +74,20 @@
 }
 
 Result<http::ActionAnswer> ActionService::runRepeatable(const http::ActionCall& call) {
-  constexpr int maximum_tries = 3;
-  Result<engine::ActionReply> reply = dispatch(call);
-  for (int tries = 1; reply.has_error() && tries < maximum_tries; ++tries) {
-    reply = dispatch(call);
+  BOOST_OUTCOME_TRY(servers, serversFor(call));
+  const engine::ActionRequest request{call.tenant, call.kind, call.key, call.body};
+  Error last_error;
+  for (size_t tries = 0; tries < std::max(servers.size(), kLookupTries); ++tries) {
+    const BackEnd& server = servers[tries % servers.size()];
+    Result<engine::ActionReply> reply = resources_.channel.lookUp(server.address, request);
+    if (reply.has_value() && reply.value().status < kFirstServerErrorStatus) {
+      return answerOf(reply.value(), false);
+    }
+    last_error = reply.has_error() ? std::move(reply).error() : serverFailed(reply.value().status);
+    LOG(WARNING) << "event=lookup_failed trace=" << call.id << " server=" << server.id
+                 << " type=" << errorCodeName(last_error.code);
   }
-  BOOST_OUTCOME_TRY(answer, std::move(reply));
-  return answerOf(answer, false);
+  return outcome::failure(last_error);
 }
 
 Result<ActionService::ClaimOutcome> ActionService::claim(const std::string& key, const ActionClaim& claim) {
@@ -130,8 +146,24 @@
   return answerOf(reply.value(), false);
 }
 
-Result<engine::ActionReply> ActionService::dispatch(const http::ActionCall& call) {
-  std::vector<BackEnd> servers = resources_.back_ends.actionServers();
+Result<std::vector<BackEnd>> ActionService::serversFor(const http::ActionCall& call) {
+  InferenceRequest request;
+  request.id = call.id;
+  request.tenant = call.tenant;
+  request.kind = call.kind;
+  request.arrival = call.arrival;
+  BOOST_OUTCOME_TRY(decision, resources_.router.route(request));
+  const std::vector<BackEnd> ready = resources_.back_ends.actionServers();
+  const std::shared_ptr<const PolicyInForce> policy = resources_.policies.current();
+  std::vector<BackEnd> servers;
+  for (const GroupName& group : decision.groups) {
+    const routing::Selector* selector = policy->routes->groupSelector(group);
+    for (const BackEnd& server : ready) {
+      if (selector != nullptr && selector->matches(server.labels)) {
+        servers.push_back(server);
+      }
+    }
+  }
   if (servers.empty()) {
     return outcome::failure(
         retryLater(Error{ErrorCode::kUnavailable, "no action server is ready", Execution::kNotRun},
@@ -139,16 +171,21 @@
   }
   const size_t first = absl::Hash<RequestId>()(call.id) % servers.size();
   std::rotate(servers.begin(), servers.begin() + static_cast<std::ptrdiff_t>(first), servers.end());
+  return servers;
+}
+
+Result<engine::ActionReply> ActionService::dispatch(const http::ActionCall& call) {
+  BOOST_OUTCOME_TRY(servers, serversFor(call));
+  const engine::ActionRequest request{call.tenant, call.kind, call.key, call.body};
   Error last_error;
   for (const BackEnd& server : servers) {
-    Result<engine::ActionReply> reply =
-        resources_.channel.run(server.address, engine::ActionRequest{call.kind, call.key, call.body});
+    Result<engine::ActionReply> reply = resources_.channel.run(server.address, request);
     if (reply.has_value()) {
       return reply;
     }
-    LOG(WARNING) << "event=action_failed trace=" << call.id << " server=" << server.id
-                 << " ran=" << executionName(reply.error().execution);
     last_error = std::move(reply).error();
+    LOG(WARNING) << "event=action_failed trace=" << call.id << " server=" << server.id
+                 << " ran=" << executionName(last_error.execution);
     if (last_error.execution != Execution::kNotRun) {
       break;
     }
--- a/src/node/action_service.h
+++ b/src/node/action_service.h
@@ -17,6 +17,7 @@
 
 struct ActionResources {
   const PolicyHolder& policies;
+  RouterHost& router;
   platform::Platform& platform;
   engine::ActionChannel& channel;
   BackEndMonitor& back_ends;
@@ -43,6 +44,8 @@
   static Result<ClaimOutcome> claimOutcome(const std::vector<TableItem>& items, const ActionClaim& wanted);
   Result<http::ActionAnswer> runOnce(const http::ActionCall& call);
   Result<http::ActionAnswer> runRepeatable(const http::ActionCall& call);
+  // The ready servers that the call's route names, in an order that spreads the calls.
+  Result<std::vector<BackEnd>> serversFor(const http::ActionCall& call);
   // Sends to one server after another until one takes the connection: none of the others has been sent a
   // byte.
   Result<engine::ActionReply> dispatch(const http::ActionCall& call);
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -57,7 +57,7 @@
       workers_(settings.http.caller_threads * kWorkerThreadsPerCallerThread),
       completions_(CompletionServiceOptions{prefix::SaltSecret{settings.salt_secret}},
                    CompletionResources{policies_, router_, gate_, engines_, workers_, metrics_, realClock()}),
-      actions_(ActionResources{policies_, platform_, action_channel_, monitor_, metrics_}) {}
+      actions_(ActionResources{policies_, router_, platform_, action_channel_, monitor_, metrics_}) {}
 
 Node::~Node() {
   stop();
@@ -74,6 +74,11 @@
   return outcome::success();
 }
 
+Result<void> Node::installInitialPolicy(configuration::Policy policy) {
+  // Version 0 comes before every accepted version.
+  return installPolicy(ConfigurationVersion(), std::move(policy));
+}
+
 Result<uint16_t> Node::start() {
   monitor_.start();
   caller_server_ = std::make_unique<http::HttpServer>(callerServerOptions(settings_));
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -32,6 +32,9 @@
   // Puts a policy in force, unless a newer one is.
   Result<void> installPolicy(ConfigurationVersion version, configuration::Policy policy);
 
+  // Serves by this policy until an accepted one is known.
+  Result<void> installInitialPolicy(configuration::Policy policy);
+
   // Begins to serve callers. Returns the port taken.
   Result<uint16_t> start();
 
