--- a/src/configuration/configuration_replica.cc
+++ b/src/configuration/configuration_replica.cc
@@ -51,6 +51,8 @@
     accepted_here = std::holds_alternative<TableCommitted>(reply->result);
   } else if (const auto* proposal = std::get_if<ChangeProposed>(&event)) {
     proposer_.propose(*proposal, now, actions);
+  } else if (std::holds_alternative<SurveyRequested>(event)) {
+    exchange_.survey(now, actions);
   }
   const bool advanced = state_.version() > version_before;
   if (advanced) {
--- a/src/configuration/configuration_replica.h
+++ b/src/configuration/configuration_replica.h
@@ -49,6 +49,8 @@
   Result<std::vector<ObjectChange>> changesBackTo(ConfigurationVersion version) const {
     return state_.changesBackTo(version);
   }
+  // What the other nodes last said of their versions.
+  std::vector<PeerVersion> peerVersions() const { return exchange_.peerVersions(); }
   // Whether this node polls the store for its zone, as far as it knows.
   bool isRelay() const { return directory_.rank() == 0; }
 
--- a/src/configuration/peer_directory.cc
+++ b/src/configuration/peer_directory.cc
@@ -29,8 +29,10 @@
 
 void PeerDirectory::setPeers(const std::vector<PeerNode>& peers) {
   absl::btree_map<ZoneName, std::vector<RankedNode>> zones;
+  peers_.clear();
   for (const PeerNode& peer : peers) {
     if (peer.id != self_) {
+      peers_.push_back(peer);
       zones[peer.zone].push_back(rankNode(peer.id));
     }
   }
--- a/src/configuration/peer_directory.h
+++ b/src/configuration/peer_directory.h
@@ -19,6 +19,8 @@
 
   void setPeers(const std::vector<PeerNode>& peers);
 
+  // All other nodes, as they were told.
+  const std::vector<PeerNode>& peers() const { return peers_; }
   bool empty() const { return zone_peers_.empty() && remote_peers_.empty(); }
   // This node's place in its zone; 0 is the relay.
   size_t rank() const { return rank_; }
@@ -35,6 +37,7 @@
   NodeId self_;
   ZoneName zone_;
   size_t rank_ = 0;
+  std::vector<PeerNode> peers_;
   std::vector<NodeId> zone_peers_;
   std::vector<NodeId> remote_peers_;
   std::vector<NodeId> remote_relays_;
--- a/src/configuration/peer_exchange.cc
+++ b/src/configuration/peer_exchange.cc
@@ -35,6 +35,7 @@
 
 void PeerExchange::onAnnouncement(const NodeId& from, const Announcement& message, absl::Time now,
                                   ReplicaActions& actions) {
+  heard_[from] = {from, {}, message.version, now};
   const bool confirmed = message.confirmed_age != kNeverConfirmed;
   const absl::Time confirmed_at =
       confirmed ? now - absl::Milliseconds(message.confirmed_age) : absl::InfinitePast();
@@ -202,6 +203,34 @@
   }
 }
 
+void PeerExchange::survey(absl::Time now, ReplicaActions& actions) {
+  Announcement announcement = state_.announcement(now);
+  announcement.wants_answer = true;
+  for (const PeerNode& peer : directory_.peers()) {
+    actions.emplace_back(SendToPeer{peer.id, announcement});
+  }
+  // Nodes that are gone are forgotten here, where their number would show.
+  absl::btree_map<NodeId, PeerVersion> known;
+  for (const PeerNode& peer : directory_.peers()) {
+    const auto heard = heard_.find(peer.id);
+    if (heard != heard_.end()) {
+      known.insert(*heard);
+    }
+  }
+  heard_ = std::move(known);
+}
+
+std::vector<PeerVersion> PeerExchange::peerVersions() const {
+  std::vector<PeerVersion> versions;
+  for (const PeerNode& peer : directory_.peers()) {
+    const auto heard = heard_.find(peer.id);
+    versions.push_back(heard == heard_.end() ? PeerVersion{peer.id, {}, {}, absl::InfinitePast()}
+                                             : heard->second);
+    versions.back().zone = peer.zone;
+  }
+  return versions;
+}
+
 void PeerExchange::askPeers(absl::Time now, absl::BitGenRef random, ReplicaActions& actions) {
   Announcement announcement = state_.announcement(now);
   announcement.wants_answer = true;
--- a/src/configuration/peer_exchange.h
+++ b/src/configuration/peer_exchange.h
@@ -1,12 +1,14 @@
 // Spreads versions among nodes: announcements are pushed, contents are pulled.
 #pragma once
 
+#include <absl/container/btree_map.h>
 #include <absl/random/bit_gen_ref.h>
 #include <absl/time/time.h>
 
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "configuration/peer_directory.h"
 #include "configuration/replica_events.h"
@@ -30,6 +32,11 @@
   // Asks some peers for their versions.
   void askPeers(absl::Time now, absl::BitGenRef random, ReplicaActions& actions);
 
+  // Asks all peers for their versions.
+  void survey(absl::Time now, ReplicaActions& actions);
+  // What the peers have said of their versions.
+  std::vector<PeerVersion> peerVersions() const;
+
   // Peers that have answered since the start, and the greatest version heard of.
   size_t answers() const { return answers_; }
   size_t asked() const { return asked_; }
@@ -72,8 +79,9 @@
   size_t asked_ = 0;
   size_t answers_ = 0;
 
-  ConfigurationVersion target_version_;  // the greatest heard of
-  NodeId target_node_;                   // who last announced it
+  absl::btree_map<NodeId, PeerVersion> heard_;  // of nodes that the directory had at the time
+  ConfigurationVersion target_version_;         // the greatest heard of
+  NodeId target_node_;                          // who last announced it
   absl::Time target_confirmed_at_ = absl::InfinitePast();
   absl::Time pull_sent_ = absl::InfinitePast();  // of the pull that runs; past when none does
   std::optional<SnapshotPull> snapshot_pull_;
--- a/src/configuration/replica_events.h
+++ b/src/configuration/replica_events.h
@@ -41,6 +41,14 @@
   friend bool operator==(const PeerNode&, const PeerNode&) = default;
 };
 
+// What a peer last said of its version.
+struct PeerVersion {
+  NodeId node;
+  ZoneName zone;
+  ConfigurationVersion version;
+  absl::Time heard_at = absl::InfinitePast();  // the infinite past: never
+};
+
 // Names a proposal between the replica and its owner.
 using ProposalId = StrongNumber<struct ProposalIdTag>;
 
@@ -67,7 +75,11 @@
   absl::Time deadline;
 };
 
-using ReplicaEvent = std::variant<Tick, PeersChanged, PeerMessageReceived, PlatformReply, ChangeProposed>;
+// An operator wants to know the versions of all nodes: every peer is asked.
+struct SurveyRequested {};
+
+using ReplicaEvent =
+    std::variant<Tick, PeersChanged, PeerMessageReceived, PlatformReply, ChangeProposed, SurveyRequested>;
 
 // Actions.
 
