--- a/emulator/action_run_log.h
+++ b/emulator/action_run_log.h
@@ -5,9 +5,9 @@
 #include <absl/container/btree_map.h>
 #include <absl/synchronization/mutex.h>
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -19,7 +19,9 @@
   std::string tenant;
   std::string key;
 
-  friend auto operator<=>(const ActionName&, const ActionName&) = default;
+  friend bool operator<(const ActionName& left, const ActionName& right) {
+    return std::tie(left.kind, left.tenant, left.key) < std::tie(right.kind, right.tenant, right.key);
+  }
 };
 
 struct ActionTotals {
--- a/emulator/cache_store_server.cc
+++ b/emulator/cache_store_server.cc
@@ -61,7 +61,7 @@
 
 std::string CacheStoreServer::put(const nlohmann::json& entry) {
   const std::string json = entry.dump();
-  const std::string handle = absl::StrCat(absl::Hex(XXH3_64bits(json.data(), json.size()), absl::kZeroPad16));
+  std::string handle = absl::StrCat(absl::Hex(XXH3_64bits(json.data(), json.size()), absl::kZeroPad16));
   const uint64_t blocks = entry.at("blocks").size();
   const absl::MutexLock lock(&mutex_);
   if (entries_.emplace(handle, Entry{json, blocks}).second) {
--- a/emulator/engine_json.cc
+++ b/emulator/engine_json.cc
@@ -164,7 +164,7 @@
 
 uint64_t queryNumber(const httplib::Request& request, const std::string& name, uint64_t fallback) {
   uint64_t number = 0;
-  return absl::SimpleAtoi(request.get_param_value(name.c_str()), &number) ? number : fallback;
+  return absl::SimpleAtoi(request.get_param_value(name), &number) ? number : fallback;
 }
 
 }  // namespace quincewick::emulator
--- a/emulator/engine_server.cc
+++ b/emulator/engine_server.cc
@@ -176,7 +176,7 @@
   answerJson(response, answer);
 }
 
-void EngineServer::answerStream(EngineHost::CompletionPointer completion, uint64_t from,
+void EngineServer::answerStream(const EngineHost::CompletionPointer& completion, uint64_t from,
                                 httplib::Response& response) {
   auto writer = std::make_shared<EventStreamWriter>(*completion, from, faults());
   const auto provide = [this, completion, writer](size_t /*offset*/, httplib::DataSink& sink) {
@@ -322,7 +322,7 @@
     return;
   }
   httplib::Client store(settings_.cache_store->host, settings_.cache_store->port);
-  const httplib::Result found = store.Get(("/entries/" + handle).c_str());
+  const httplib::Result found = store.Get("/entries/" + handle);
   if (!found || found->status != 200) {
     answerError(response, kNotFound, ErrorCode::kNotFound, "handle", "the cache store has no such entry");
     return;
--- a/emulator/engine_server.h
+++ b/emulator/engine_server.h
@@ -35,7 +35,8 @@
   void complete(const httplib::Request& request, httplib::Response& response);
   void resume(const httplib::Request& request, httplib::Response& response);
   void answerWhole(const Completion& completion, httplib::Response& response);
-  void answerStream(EngineHost::CompletionPointer completion, uint64_t from, httplib::Response& response);
+  void answerStream(const EngineHost::CompletionPointer& completion, uint64_t from,
+                    httplib::Response& response);
   nlohmann::json endOf(const Completion& completion, const CompletionView& view);
   nlohmann::json loadReport();
   nlohmann::json state();
--- a/emulator/http_server.cc
+++ b/emulator/http_server.cc
@@ -12,7 +12,7 @@
 constexpr size_t kMaximumThreads = 2000;
 constexpr size_t kRequestsPerConnection = 1'000'000;
 constexpr int kListenBacklog = 1024;
-constexpr size_t kMaximumBodyBytes = 64 * 1024 * 1024;
+constexpr size_t kMaximumBodyBytes = size_t{64} << 20;
 constexpr absl::Duration kKeepAlive = absl::Seconds(60);
 constexpr absl::Duration kReadTimeout = absl::Seconds(30);
 constexpr absl::Duration kWriteTimeout = absl::Seconds(30);
--- a/tests/emulator/engine_model_test.cc
+++ b/tests/emulator/engine_model_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <limits>
 #include <list>
 #include <map>
 #include <set>
@@ -164,7 +165,9 @@
     }
   }
 
-  void setPace() { apply(SetPace{*rc::gen::element(0.5, 1.0, 7.0)}); }
+  void setPace() {
+    apply(SetPace{*rc::gen::element(0.5, 1.0, 7.0, std::numeric_limits<double>::infinity())});
+  }
   void crash() {
     apply(Crash{});
     for (const auto& [id, seen] : seen_) {
@@ -288,6 +291,124 @@
   CHECK(order[1] == 4);
 }
 
+TEST_CASE("time to first token follows from the uncached tokens, and each later token takes one step") {
+  const EngineSettings settings = smallSettings();
+  const absl::Duration step = settings.step_base + settings.step_per_request;
+  const absl::Duration chunk_step =
+      settings.step_base + settings.prefill_per_token * int64_t{settings.prefill_chunk_tokens};
+  EngineModel engine = makeEngine(settings);
+  std::vector<EngineAction> actions;
+  const PrefixChain prompt = promptOf({1, 1, 1, 1, 1}, 0);  // 80 tokens: two chunks
+  engine.handle(SubmitRequest{requestOf(1, prompt, 11)}, kStart, actions);
+  const absl::Time end = runToRest(engine, kStart, actions);
+  CHECK(actionsOf<FirstToken>(actions).at(0).at == kStart + 2 * chunk_step);
+  CHECK(end == kStart + 2 * chunk_step + 10 * step);
+
+  // The second time all but the last token is found; half-way its pace is halved.
+  actions.clear();
+  engine.handle(SubmitRequest{requestOf(2, prompt, 11)}, end, actions);
+  const absl::Time first = end + settings.step_base + settings.prefill_per_token;
+  engine.handle(SetPace{2.0}, first + 5 * step, actions);
+  CHECK(actionsOf<FirstToken>(actions).at(0).at == first);
+  CHECK(engine.progress(EngineRequestId(2), first + 5 * step)->tokens == 6);
+  CHECK(engine.progress(EngineRequestId(2), first + 5 * step)->next_token == first + 7 * step);
+  CHECK(absl::AbsDuration(runToRest(engine, end, actions) - (first + 15 * step)) < absl::Microseconds(10));
+}
+
+TEST_CASE("load reports show the state at the last multiple of their period") {
+  EngineSettings settings = smallSettings();
+  settings.load_report_period = absl::Milliseconds(100);
+  EngineModel engine = makeEngine(settings);
+  std::vector<EngineAction> actions;
+  const auto at = [](int milliseconds) { return kStart + absl::Milliseconds(milliseconds); };
+  engine.handle(SubmitRequest{requestOf(1, promptOf({}, 5), 100'000)}, at(30), actions);
+  CHECK(engine.currentLoad().running == 1);
+  CHECK(engine.reportedLoad(at(99)).running == 0);
+  CHECK(engine.reportedLoad(at(100)).running == 1);
+  engine.handle(CancelRequest{EngineRequestId(1)}, at(250), actions);
+  CHECK(engine.reportedLoad(at(299)).running == 1);
+  CHECK(engine.reportedLoad(at(300)).running == 0);
+}
+
+TEST_CASE("cache events come late, in order, and with gaps where they were lost") {
+  EngineSettings settings = smallSettings();
+  settings.cache_event_delay = absl::Seconds(1);
+  settings.cache_event_loss = 0.3;
+  EngineModel engine = makeEngine(settings);
+  std::vector<EngineAction> actions;
+  absl::Time now = kStart;
+  uint64_t id = 0;
+  const auto run = [&](uint8_t path) {
+    const auto bit = [&](int place) { return static_cast<uint8_t>(path >> place & 1); };
+    actions.clear();
+    engine.handle(SubmitRequest{requestOf(++id, promptOf({bit(0), bit(1), bit(2), bit(3)}, 0), 1)}, now,
+                  actions);
+    now = runToRest(engine, now, actions);
+  };
+  run(0);
+  CHECK(engine.cacheEvents(Sequence(0), 100, now).empty());
+  for (uint8_t path = 1; path < 100; ++path) {
+    run(path);
+  }
+  engine.handle(DropCacheEvents{absl::InfiniteFuture()}, now, actions);
+  const size_t before = engine.cacheEvents(Sequence(0), 100'000, now + absl::Seconds(1)).size();
+  run(3);
+  run(12);
+  const std::vector<CacheEvent> events = engine.cacheEvents(Sequence(0), 100'000, now + absl::Seconds(1));
+  CHECK(events.size() == before);
+  for (size_t index = 1; index < events.size(); ++index) {
+    CHECK(events[index - 1].sequence < events[index].sequence);
+  }
+  const auto last = static_cast<double>(events.back().sequence.value());
+  CHECK(static_cast<double>(events.size()) > 0.6 * last);
+  CHECK(static_cast<double>(events.size()) < 0.8 * last);
+  const std::vector<CacheEvent> page = engine.cacheEvents(events[4].sequence, 3, now + absl::Seconds(1));
+  REQUIRE(page.size() == 3);
+  CHECK(page[0].sequence == events[5].sequence);
+}
+
+TEST_CASE("imported blocks are used after their transfer, and refused under other weights") {
+  EngineModel engine = makeEngine(smallSettings());
+  std::vector<EngineAction> actions;
+  const PrefixChain prompt = promptOf({1, 0, 1}, 4);
+  engine.handle(ImportBlocks{prompt.blocks, kModel, kSalt, WeightsVersion(2)}, kStart, actions);
+  CHECK_FALSE(actionsOf<ImportAnswered>(actions).at(0).usable_at);
+  engine.handle(ImportBlocks{prompt.blocks, kModel, kSalt, WeightsVersion(1)}, kStart, actions);
+  const absl::Time usable_at = *actionsOf<ImportAnswered>(actions).at(1).usable_at;
+  CHECK(usable_at == kStart + 3 * smallSettings().transfer_per_block);
+  CHECK(engine.heldPrefix(prompt.blocks, kSalt, WeightsVersion(1)) == 0);
+  engine.handle(Wakeup{}, usable_at, actions);
+  CHECK(engine.heldPrefix(prompt.blocks, kSalt, WeightsVersion(1)) == 3);
+  engine.handle(SubmitRequest{requestOf(1, prompt, 1)}, usable_at, actions);
+  runToRest(engine, usable_at, actions);
+  CHECK(actionsOf<RequestFinished>(actions).at(0).cached_tokens == 3 * kBlockSize);
+}
+
+TEST_CASE("new weights serve what comes after them; what runs keeps its own") {
+  EngineModel engine = makeEngine(smallSettings());
+  std::vector<EngineAction> actions;
+  engine.handle(SubmitRequest{requestOf(1, promptOf({}, 1), 100)}, kStart, actions);
+  engine.handle(
+      EngineOrder{Epoch(1), Sequence(1), OrderKind::kLoadWeights, kModel, WeightsVersion(2), {}, ""}, kStart,
+      actions);
+  REQUIRE(actionsOf<StartWeightLoad>(actions).size() == 1);
+  engine.handle(SubmitRequest{requestOf(2, promptOf({}, 1), 1)}, kStart, actions);
+  CHECK(actionsOf<RequestRefused>(actions).at(0).reason == RefusalReason::kLoadingWeights);
+  engine.handle(WeightsLoaded{Incarnation(7), kModel, WeightsVersion(2)}, kStart, actions);
+  CHECK(engine.models()[0].weights_version == WeightsVersion(1));  // of another life of the engine
+  engine.handle(WeightsLoaded{Incarnation(1), kModel, WeightsVersion(2)}, kStart, actions);
+  EngineRequest stale = requestOf(3, promptOf({}, 1), 1);
+  stale.wanted_weights = WeightsVersion(1);
+  engine.handle(SubmitRequest{stale}, kStart, actions);
+  CHECK(actionsOf<RequestRefused>(actions).at(1).reason == RefusalReason::kWrongWeights);
+  engine.handle(SubmitRequest{requestOf(4, promptOf({}, 1), 1)}, kStart, actions);
+  const auto accepted = actionsOf<RequestAccepted>(actions);
+  CHECK(accepted.at(0).weights_version == WeightsVersion(1));
+  CHECK(accepted.at(1).weights_version == WeightsVersion(2));
+  runToRest(engine, kStart, actions);
+  CHECK(actionsOf<RequestFinished>(actions).size() == 2);
+}
+
 TEST_CASE("a block of another salt, weights version or incarnation is not used and is counted") {
   const PrefixChain prompt = promptOf({1, 1}, 3);
   EngineModel engine = makeEngine(smallSettings());
