--- a/bench/routing/ablation/simulation.h
+++ b/bench/routing/ablation/simulation.h
@@ -17,7 +17,10 @@
 struct Contender {
   std::string name;
   routing::RouterSettings router;
-  bool oracle = false;  // one node that knows every cache and every queue as it is
+  bool cache_events = true;  // whether nodes read them
+  bool load_reports = true;  // whether nodes get them
+  bool in_flight = true;     // whether nodes count their own work in flight
+  bool oracle = false;       // one node that knows every cache and every queue as it is
 };
 
 struct SimulationSettings {
--- a/src/prefix/trunk_index.cc
+++ b/src/prefix/trunk_index.cc
@@ -11,7 +11,9 @@
 // Entries that the hand looks at to find one to give up.
 constexpr size_t kHandReach = 8;
 // Doubtful beliefs older than this many gaps are void.
-constexpr uint16_t kDoubtfulEpochs = 2;
+constexpr uint16_t kDoubtfulEpochs = 256;
+// A gap of more events than this may have hidden anything: earlier beliefs are void.
+constexpr uint64_t kWideGap = 256;
 constexpr float kOneRequest = 1.0F;
 constexpr float kNoRequest = 0.0F;
 
@@ -30,6 +32,8 @@
     : settings_(settings), numbers_(0, NumberHash{&entries_}, NumberEqual{&entries_}) {
   settings_.maximum_blocks = std::max<size_t>(settings_.maximum_blocks, 1);
   settings_.sampling = std::max<uint32_t>(settings_.sampling, 1);
+  entries_.reserve(settings_.maximum_blocks);
+  numbers_.reserve(settings_.maximum_blocks);
 }
 
 TrunkIndex::EngineState& TrunkIndex::state(EngineSlot engine) {
@@ -172,7 +176,9 @@
   ++counters_.gaps;
   ++engine.epoch;
   engine.certain_since = engine.epoch;
-  if (ageOf(engine.epoch, engine.valid_since) > kDoubtfulEpochs) {
+  if (sequence - engine.next_sequence > kWideGap) {
+    engine.valid_since = engine.epoch;
+  } else if (ageOf(engine.epoch, engine.valid_since) > kDoubtfulEpochs) {
     engine.valid_since = static_cast<uint16_t>(engine.epoch - kDoubtfulEpochs);
   }
   engine.gap_begin = engine.gap_begin.value_or(engine.next_sequence);
@@ -279,39 +285,58 @@
   }
 }
 
-TrunkView TrunkIndex::view(const PrefixChain& chain, absl::Time now) const {
+TrunkView TrunkIndex::emptyView(const PrefixChain& chain, uint32_t now_tick) const {
   TrunkView result;
   result.requests.reserve(chain.blocks.size());
-  result.all_requests = countAt(all_requests_, tick(now));
+  result.all_requests = countAt(all_requests_, now_tick);
+  return result;
+}
+
+// Adds what is known of the block at `depth`; `entry` is null where nothing is. Returns the new known run.
+uint32_t TrunkIndex::addBlock(const Entry* entry, uint32_t depth, uint32_t known_blocks, uint32_t now_tick,
+                              TrunkView& result) const {
+  if (entry == nullptr) {
+    result.requests.push_back(kNoRequest);
+    return known_blocks;
+  }
+  result.requests.push_back(countAt(entry->requests, now_tick));
+  mergeBeliefs(*entry, known_blocks, depth, result);
+  return depth + 1;
+}
+
+TrunkView TrunkIndex::view(const PrefixChain& chain, absl::Time now) const {
   const uint32_t now_tick = tick(now);
+  TrunkView result = emptyView(chain, now_tick);
   uint32_t known_blocks = 0;
-  float requests = kNoRequest;
   for (uint32_t depth = 0; depth < chain.blocks.size(); ++depth) {
     const BlockKey& block = chain.blocks[depth];
     if (sampled(block)) {
-      const Entry* entry = find(block);
-      requests = entry == nullptr ? kNoRequest : countAt(entry->requests, now_tick);
-      if (entry != nullptr) {
-        mergeBeliefs(*entry, known_blocks, depth, result);
-        known_blocks = depth + 1;
-      }
+      known_blocks = addBlock(find(block), depth, known_blocks, now_tick, result);
+    } else {
+      result.requests.push_back(result.requests.empty() ? kNoRequest : result.requests.back());
     }
-    result.requests.push_back(requests);
   }
   std::sort(result.holders.begin(), result.holders.end(), byEngine);
   return result;
 }
 
 TrunkView TrunkIndex::observe(const PrefixChain& chain, absl::Time now) {
-  TrunkView result = view(chain, now);
   const uint32_t now_tick = tick(now);
+  TrunkView result = emptyView(chain, now_tick);
   addOne(all_requests_, now_tick);
-  for (const BlockKey& block : chain.blocks) {
-    Entry* entry = sampled(block) ? findOrMake(block, kOneRequest, now) : nullptr;
-    if (entry != nullptr) {
+  uint32_t known_blocks = 0;
+  for (uint32_t depth = 0; depth < chain.blocks.size(); ++depth) {
+    const BlockKey& block = chain.blocks[depth];
+    if (!sampled(block)) {
+      result.requests.push_back(result.requests.empty() ? kNoRequest : result.requests.back());
+      continue;
+    }
+    known_blocks = addBlock(find(block), depth, known_blocks, now_tick, result);
+    if (Entry* entry = findOrMake(block, kOneRequest, now)) {
       addOne(entry->requests, now_tick);
     }
   }
+  std::sort(result.holders.begin(), result.holders.end(), byEngine);
   return result;
 }
 
--- a/src/prefix/trunk_index.h
+++ b/src/prefix/trunk_index.h
@@ -158,6 +158,9 @@
   void noteGap(EngineState& engine, uint64_t sequence);
   static void fillGap(EngineState& engine);
   static void abandonGap(EngineState& engine);
+  TrunkView emptyView(const PrefixChain& chain, uint32_t now_tick) const;
+  uint32_t addBlock(const Entry* entry, uint32_t depth, uint32_t known_blocks, uint32_t now_tick,
+                    TrunkView& result) const;
   void mergeBeliefs(const Entry& entry, uint32_t known_blocks, uint32_t depth, TrunkView& result) const;
   uint32_t tick(absl::Time now) const;
   float countAt(const DecayingCount& count, uint32_t tick) const;
--- a/src/routing/engine_directory.cc
+++ b/src/routing/engine_directory.cc
@@ -42,6 +42,12 @@
                      [](const EnginePool& pool) { return pool.engines.empty(); });
 }
 
+EngineDirectory::EngineDirectory(EngineDirectorySettings settings)
+    : settings_(std::move(settings)),
+      prefill_seconds_per_token_(absl::ToDoubleSeconds(settings_.cost.prefill_per_token)),
+      distance_seconds_{0.0, absl::ToDoubleSeconds(settings_.zone_distance),
+                        absl::ToDoubleSeconds(settings_.region_distance)} {}
+
 EngineSlot EngineDirectory::allocate() {
   if (!free_.empty()) {
     const EngineSlot engine = free_.back();
@@ -162,9 +168,6 @@
   const auto uncached = static_cast<double>(pending->uncached_tokens);
   state.sums.uncached[position(pending->urgency)] -= uncached;
   pending_by_urgency_[position(pending->urgency)] -= uncached;
-  if (pending->sent <= state.measured) {
-    state.sums.reported_prompt -= static_cast<double>(pending->prompt_tokens);
-  }
   state.pending.erase(pending);
 }
 
@@ -200,8 +203,12 @@
   return std::any_of(engine.models.begin(), engine.models.end(), serves) && selector.matches(engine.labels);
 }
 
-EnginePools EngineDirectory::makePools(const EngineRequirement& requirement, const Selector& selector) const {
+EnginePools EngineDirectory::makePools(const EngineRequirement& requirement, const Selector& selector) {
   EnginePools pools;
+  for (EnginePool& pool : pools.by_distance) {
+    pool.generation = next_generation_++;
+  }
+  pools.region.generation = next_generation_++;
   for (size_t number = 0; number < states_.size(); ++number) {
     const State& state = states_[number];
     if (!meets(state, requirement, selector)) {
@@ -247,7 +254,7 @@
       std::max(0.0, static_cast<double>(state.load.queued_prefill) - state.sums.reported_prompt);
   const double elapsed = state.measured == absl::InfinitePast()
                              ? 0.0
-                             : absl::FDivDuration(now - state.measured, settings_.cost.prefill_per_token);
+                             : absl::ToDoubleSeconds(now - state.measured) / prefill_seconds_per_token_;
   const double others = std::max(0.0, others_prompt * miss_share_ - std::max(0.0, elapsed - own));
   EngineBacklog result;
   result.tokens = own_of_urgency + others * share_ahead;
@@ -258,20 +265,19 @@
 
 absl::Duration EngineDirectory::expectedFirstToken(EngineSlot engine, Urgency urgency, double uncached_tokens,
                                                    absl::Time now) const {
+  return absl::Seconds(expectedFirstTokenSeconds(engine, urgency, uncached_tokens, now));
+}
+
+double EngineDirectory::expectedFirstTokenSeconds(EngineSlot engine, Urgency urgency, double uncached_tokens,
+                                                  absl::Time now) const {
   const EngineBacklog ahead = backlog(engine, urgency, now);
-  return settings_.cost.first_token_overhead +
-         settings_.cost.prefill_per_token * (ahead.tokens + uncached_tokens) + distance(engine);
+  return absl::ToDoubleSeconds(settings_.cost.first_token_overhead) +
+         prefill_seconds_per_token_ * (ahead.tokens + uncached_tokens) +
+         distance_seconds_[at(engine).distance];
 }
 
 absl::Duration EngineDirectory::distance(EngineSlot engine) const {
-  switch (at(engine).distance) {
-    case 0:
-      return absl::ZeroDuration();
-    case 1:
-      return settings_.zone_distance;
-    default:
-      return settings_.region_distance;
-  }
+  return absl::Seconds(distance_seconds_[at(engine).distance]);
 }
 
 std::optional<EngineSlot> EngineDirectory::find(const BackEndId& engine) const {
--- a/src/routing/engine_directory.h
+++ b/src/routing/engine_directory.h
@@ -52,6 +52,7 @@
 
 // The engines of one distance that meet a requirement, ready for work. Ordered by slot.
 struct EnginePool {
+  uint64_t generation = 0;  // unique to these contents; 0: none was given
   std::vector<EngineSlot> engines;
   std::vector<uint64_t> identity_hashes;  // of their identifiers, in the same order: for rendezvous hashing
   std::vector<bool> members;              // by slot number
@@ -88,7 +89,7 @@
 
 class EngineDirectory {
  public:
-  explicit EngineDirectory(EngineDirectorySettings settings) : settings_(std::move(settings)) {}
+  explicit EngineDirectory(EngineDirectorySettings settings);
 
   struct UpsertOutcome {
     EngineSlot engine{};
@@ -132,6 +133,12 @@
   absl::Duration expectedFirstToken(EngineSlot engine, Urgency urgency, double uncached_tokens,
                                     absl::Time now) const;
 
+  // The same in seconds, for comparing many.
+  double expectedFirstTokenSeconds(EngineSlot engine, Urgency urgency, double uncached_tokens,
+                                   absl::Time now) const;
+
+  double prefillSecondsPerToken() const { return prefill_seconds_per_token_; }
+
   // Round trip from this node.
   absl::Duration distance(EngineSlot engine) const;
 
@@ -150,10 +157,13 @@
   const EngineDirectorySettings& settings() const { return settings_; }
 
  private:
+  // Before any answer: of prompts with long shared beginnings little is computed.
+  static constexpr double kInitialMissShare = 0.1;
+
   // Sums over pending work, kept up as it changes.
   struct PendingSums {
     std::array<double, kAllUrgencies.size()> uncached{};  // own work without a first token, by urgency
-    double reported_prompt = 0;  // prompt tokens of own work that the last report shows
+    double reported_prompt = 0;  // prompt tokens of own work that the last report shows, since done or not
   };
 
   struct State {
@@ -175,16 +185,19 @@
   void clearWork(State& state);
   size_t distanceClass(const ZoneName& zone) const;
   RegionName regionOf(const ZoneName& zone) const;
-  EnginePools makePools(const EngineRequirement& requirement, const Selector& selector) const;
+  EnginePools makePools(const EngineRequirement& requirement, const Selector& selector);
   static bool meets(const State& state, const EngineRequirement& requirement, const Selector& selector);
 
   EngineDirectorySettings settings_;
+  double prefill_seconds_per_token_ = 0;
+  std::array<double, EnginePools::kDistances> distance_seconds_{};
+  uint64_t next_generation_ = 1;
   std::vector<State> states_;
   std::vector<EngineSlot> free_;
   absl::btree_map<BackEndId, EngineSlot> slots_;
   absl::btree_map<EngineRequirement, EnginePools> pools_;  // cleared by each change of membership or state
   std::array<double, kAllUrgencies.size()> pending_by_urgency_{};  // of all engines
-  double miss_share_ = 1.0;
+  double miss_share_ = kInitialMissShare;
 };
 
 }  // namespace quincewick::routing
--- a/src/routing/prefix_affinity.cc
+++ b/src/routing/prefix_affinity.cc
@@ -5,8 +5,8 @@
 
 #include <algorithm>
 #include <cmath>
-
-#include "routing/rendezvous.h"
+#include <iterator>
+#include <tuple>
 
 namespace quincewick::routing {
 namespace {
@@ -54,20 +54,33 @@
   return trunk;
 }
 
-std::vector<EngineSlot> PrefixAffinity::candidates(const EnginePool& pool, const Trunk& trunk,
-                                                   const prefix::TrunkView& view,
-                                                   absl::BitGenRef random) const {
-  std::vector<EngineSlot> engines = rendezvousRank(trunk.key, pool, trunk.replicas);
-  if (pool.engines.size() <= settings_.weigh_all_limit) {
-    for (const EngineSlot engine : pool.engines) {
-      addOnce(engines, engine);
-    }
-    return engines;
+std::vector<EngineSlot> PrefixAffinity::longestHolders(const EnginePool& pool,
+                                                       const prefix::TrunkView& view) const {
+  std::vector<prefix::TrunkView::Holder> holders;
+  std::copy_if(view.holders.begin(), view.holders.end(), std::back_inserter(holders),
+               [&pool](const auto& holder) { return pool.contains(holder.engine); });
+  const size_t kept = std::min<size_t>(holders.size(), settings_.maximum_holders);
+  std::partial_sort(holders.begin(), holders.begin() + static_cast<std::ptrdiff_t>(kept), holders.end(),
+                    [](const auto& left, const auto& right) {
+                      return std::tie(right.possible_blocks, left.engine) <
+                             std::tie(left.possible_blocks, right.engine);
+                    });
+  std::vector<EngineSlot> engines;
+  for (size_t place = 0; place < kept; ++place) {
+    engines.push_back(holders[place].engine);
   }
-  for (const auto& holder : view.holders) {
-    if (engines.size() < settings_.weigh_all_limit && pool.contains(holder.engine)) {
-      addOnce(engines, holder.engine);
-    }
+  return engines;
+}
+
+std::vector<EngineSlot> PrefixAffinity::candidates(const EnginePool& pool, const Trunk& trunk,
+                                                   const prefix::TrunkView& view, absl::BitGenRef random) {
+  const std::vector<EngineSlot>& ranked = ranks_.rank(trunk.key, pool, trunk.replicas);
+  const size_t home_count = std::min<size_t>(trunk.replicas, ranked.size());
+  std::vector<EngineSlot> engines;
+  engines.reserve(home_count + settings_.maximum_holders + settings_.random_candidates);
+  engines.assign(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(home_count));
+  for (const EngineSlot engine : longestHolders(pool, view)) {
+    addOnce(engines, engine);
   }
   for (uint32_t draw = 0; draw < settings_.random_candidates; ++draw) {
     addOnce(engines, pool.engines[absl::Uniform<size_t>(random, 0, pool.engines.size())]);
@@ -76,66 +89,71 @@
 }
 
 PrefixAffinity::Candidate PrefixAffinity::weigh(const PlacementQuery& query, EngineSlot engine,
-                                                const prefix::TrunkView& view, absl::Time now) const {
+                                                const prefix::TrunkView& view, const ImportOffer& offer,
+                                                absl::Time now) const {
   const PrefixChain& prompt = query.request.prompt;
   double cached_blocks = 0;
   if (const auto* holder = holderOf(view, engine)) {
     cached_blocks = holder->certain_blocks +
                     settings_.doubtful_weight * (holder->possible_blocks - holder->certain_blocks);
   }
-  const double uncached = static_cast<double>(prompt.size()) - cached_blocks * prompt.block_size;
-  const double prefill = absl::ToDoubleSeconds(directory_.settings().cost.prefill_per_token);
+  const bool moves = offer.blocks > cached_blocks && offer.source != engine;
+  const double moved_blocks = moves ? offer.blocks - cached_blocks : 0.0;
+  const double uncached =
+      static_cast<double>(prompt.size()) - (cached_blocks + moved_blocks) * prompt.block_size;
+  const double moving_seconds = moved_blocks * absl::ToDoubleSeconds(settings_.import_per_block);
   const double weight = settings_.recompute_weight[static_cast<size_t>(query.urgency)];
-  Candidate candidate;
-  candidate.scored.engine = engine;
-  candidate.scored.expected_cached_blocks = static_cast<uint32_t>(cached_blocks);
-  candidate.scored.expected_first_token = directory_.expectedFirstToken(engine, query.urgency, uncached, now);
-  candidate.cost =
-      absl::ToDoubleSeconds(candidate.scored.expected_first_token) + (weight - 1.0) * uncached * prefill;
+  const double effort_seconds = uncached * directory_.prefillSecondsPerToken() + moving_seconds;
+  Candidate candidate{engine, cached_blocks, moved_blocks};
+  candidate.first_token_seconds =
+      directory_.expectedFirstTokenSeconds(engine, query.urgency, uncached, now) + moving_seconds;
+  candidate.cost = candidate.first_token_seconds + (weight - 1.0) * effort_seconds;
   return candidate;
 }
 
+ScoredEngine PrefixAffinity::scored(const Candidate& candidate) {
+  return {candidate.engine, absl::Seconds(candidate.first_token_seconds),
+          static_cast<uint32_t>(candidate.cached_blocks)};
+}
+
+PrefixAffinity::ImportOffer PrefixAffinity::importOffer(const PlacementQuery& query,
+                                                        const prefix::TrunkView& view) const {
+  const absl::Duration recompute_block =
+      directory_.settings().cost.prefill_per_token * query.request.prompt.block_size;
+  ImportOffer offer;
+  if (!settings_.import || settings_.import_per_block >= recompute_block) {
+    return offer;
+  }
+  for (const auto& holder : view.holders) {
+    if (holder.certain_blocks > offer.blocks && directory_.ready(holder.engine)) {
+      offer = {holder.engine, holder.certain_blocks};
+    }
+  }
+  return offer;
+}
+
 void PrefixAffinity::weighPool(const PlacementQuery& query, const EnginePool& pool,
                                const prefix::TrunkView& view, absl::Time now, absl::BitGenRef random,
-                               std::vector<Candidate>& weighed) const {
+                               std::vector<Candidate>& weighed) {
   const Trunk trunk = trunkOf(query, view);
+  const ImportOffer offer = importOffer(query, view);
   bool home = true;
   for (const EngineSlot engine : candidates(pool, trunk, view, random)) {
-    Candidate candidate = weigh(query, engine, view, now);
+    Candidate candidate = weigh(query, engine, view, offer, now);
     candidate.cost -= home ? absl::ToDoubleSeconds(settings_.home_bonus) : 0.0;
     home = false;
     weighed.push_back(candidate);
   }
 }
 
-std::optional<ImportPlan> PrefixAffinity::importPlan(const PlacementQuery& query, const ScoredEngine& chosen,
-                                                     const prefix::TrunkView& view) const {
-  const auto longest = std::max_element(
-      view.holders.begin(), view.holders.end(),
-      [](const auto& left, const auto& right) { return left.certain_blocks < right.certain_blocks; });
-  const bool source_is_better = longest != view.holders.end() && longest->engine != chosen.engine &&
-                                longest->certain_blocks > chosen.expected_cached_blocks &&
-                                directory_.ready(longest->engine);
-  if (!settings_.import || !source_is_better) {
-    return std::nullopt;
-  }
-  const absl::Duration recompute_block =
-      directory_.settings().cost.prefill_per_token * query.request.prompt.block_size;
-  if (settings_.import_per_block >= recompute_block) {
-    return std::nullopt;
-  }
-  return ImportPlan{longest->engine, chosen.expected_cached_blocks,
-                    longest->certain_blocks - chosen.expected_cached_blocks};
-}
-
 EngineChoice PrefixAffinity::choose(const PlacementQuery& query, absl::Time now, absl::BitGenRef random) {
   const prefix::TrunkView view = index_.observe(query.request.prompt, now);
   std::vector<Candidate> weighed;
   weighPool(query, query.pool, view, now, random, weighed);
   const auto cheaper = [](const Candidate& left, const Candidate& right) { return left.cost < right.cost; };
   const auto nearest = std::min_element(weighed.begin(), weighed.end(), cheaper);
-  const bool spill =
-      query.farther != nullptr && nearest->scored.expected_first_token > settings_.spill_threshold;
+  const bool spill = query.farther != nullptr &&
+                     nearest->first_token_seconds > absl::ToDoubleSeconds(settings_.spill_threshold);
   if (spill) {
     weighPool(query, *query.farther, view, now, random, weighed);
   }
@@ -143,11 +161,16 @@
   std::partial_sort(weighed.begin(), weighed.begin() + static_cast<std::ptrdiff_t>(kept), weighed.end(),
                     cheaper);
   EngineChoice choice;
-  choice.chosen = weighed.front().scored;
+  choice.chosen = scored(weighed.front());
+  choice.alternatives.reserve(kept - 1);
   for (size_t place = 1; place < kept; ++place) {
-    choice.alternatives.push_back(weighed[place].scored);
+    choice.alternatives.push_back(scored(weighed[place]));
+  }
+  if (weighed.front().moved_blocks > 0) {
+    const ImportOffer offer = importOffer(query, view);
+    const uint32_t first = choice.chosen.expected_cached_blocks;
+    choice.import = ImportPlan{offer.source, first, offer.blocks - first};
   }
-  choice.import = importPlan(query, choice.chosen, view);
   return choice;
 }
 
--- a/src/routing/prefix_affinity.h
+++ b/src/routing/prefix_affinity.h
@@ -4,8 +4,7 @@
 // but
 //    not deeper than other requests went. All requests through a trunk belong together.
 // 2. Candidates are the engines believed to hold the prompt's beginning, the trunk's first engines by
-//    rendezvous hashing (more of them the more of the traffic it draws), and a few at random. In a small pool
-//    all are candidates.
+//    rendezvous hashing (more of them the more of the traffic it draws), and a few at random.
 // 3. The candidate with the least cost is chosen: expected wait + uncached tokens x prefill cost x the weight
 //    of recomputation. The weight is over 1 since what is computed again delays others and evicts their
 //    blocks.
@@ -17,18 +16,19 @@
 
 #include "prefix/trunk_index.h"
 #include "routing/placement_policy.h"
+#include "routing/rendezvous.h"
 
 namespace quincewick::routing {
 
 struct PrefixAffinitySettings {
   uint32_t hash_candidates = 2;   // engines of a trunk by rendezvous hashing, at least
   uint32_t maximum_replicas = 8;  // and at most
-  uint32_t random_candidates = 2;
-  size_t weigh_all_limit = 32;   // pools up to this size are weighed whole
-  double engine_share = 1.0;     // of an average engine's work that one trunk may bring
+  uint32_t maximum_holders = 8;   // engines weighed since they hold most of the prompt
+  uint32_t random_candidates = 4;
+  double engine_share = 2.0;     // of an average engine's work that one trunk may bring
   float shared_requests = 1.0F;  // recent requests through a block that make it shared
   double doubtful_weight = 0.5;  // of doubtful blocks, against certain ones
-  std::array<double, kAllUrgencies.size()> recompute_weight = {1.5, 2.0, 4.0};  // by urgency
+  std::array<double, kAllUrgencies.size()> recompute_weight = {8.0, 8.0, 8.0};  // by urgency
   absl::Duration home_bonus = absl::Milliseconds(5);  // for the first engine by hashing
   absl::Duration spill_threshold = absl::Milliseconds(500);
   bool import = false;                                      // whether KV blocks may be moved
@@ -48,24 +48,34 @@
     uint64_t key = 0;
     uint32_t replicas = 1;
   };
+  // The longest run of blocks that could be moved to another engine, and who holds it.
+  struct ImportOffer {
+    EngineSlot source{};
+    uint32_t blocks = 0;  // 0: none
+  };
   struct Candidate {
-    ScoredEngine scored;
+    EngineSlot engine{};
+    double cached_blocks = 0;
+    double moved_blocks = 0;
+    double first_token_seconds = 0;
     double cost = 0;  // seconds
   };
 
   Trunk trunkOf(const PlacementQuery& query, const prefix::TrunkView& view) const;
+  std::vector<EngineSlot> longestHolders(const EnginePool& pool, const prefix::TrunkView& view) const;
   std::vector<EngineSlot> candidates(const EnginePool& pool, const Trunk& trunk,
-                                     const prefix::TrunkView& view, absl::BitGenRef random) const;
+                                     const prefix::TrunkView& view, absl::BitGenRef random);
+  static ScoredEngine scored(const Candidate& candidate);
   Candidate weigh(const PlacementQuery& query, EngineSlot engine, const prefix::TrunkView& view,
-                  absl::Time now) const;
+                  const ImportOffer& offer, absl::Time now) const;
   void weighPool(const PlacementQuery& query, const EnginePool& pool, const prefix::TrunkView& view,
-                 absl::Time now, absl::BitGenRef random, std::vector<Candidate>& weighed) const;
-  std::optional<ImportPlan> importPlan(const PlacementQuery& query, const ScoredEngine& chosen,
-                                       const prefix::TrunkView& view) const;
+                 absl::Time now, absl::BitGenRef random, std::vector<Candidate>& weighed);
+  ImportOffer importOffer(const PlacementQuery& query, const prefix::TrunkView& view) const;
 
   const EngineDirectory& directory_;
   prefix::TrunkIndex& index_;
   PrefixAffinitySettings settings_;
+  RankCache ranks_;
 };
 
 }  // namespace quincewick::routing
--- a/src/routing/rendezvous.cc
+++ b/src/routing/rendezvous.cc
@@ -9,9 +9,10 @@
   count = std::min(count, pool.engines.size());
   std::vector<std::pair<uint64_t, size_t>> best;  // weight and place in the pool, the greatest first
   best.reserve(count + 1);
-  for (size_t place = 0; place < pool.engines.size(); ++place) {
+  uint64_t least = 0;  // weight that an engine must have to get among the best
+  for (size_t place = 0; place < pool.engines.size() && count > 0; ++place) {
     const uint64_t weight = rendezvousWeight(key, pool.identity_hashes[place]);
-    if (best.size() == count && (count == 0 || weight <= best.back().first)) {
+    if (weight < least) {
       continue;
     }
     const auto behind = std::find_if(best.begin(), best.end(),
@@ -20,6 +21,7 @@
     if (best.size() > count) {
       best.pop_back();
     }
+    least = best.size() == count ? best.back().first : 0;
   }
   std::vector<EngineSlot> ranked;
   ranked.reserve(best.size());
@@ -29,4 +31,14 @@
   return ranked;
 }
 
+const std::vector<EngineSlot>& RankCache::rank(uint64_t key, const EnginePool& pool, size_t count) {
+  Entry& entry = entries_[key % kEntries];
+  const bool known = pool.generation != 0 && entry.generation == pool.generation && entry.key == key &&
+                     entry.ranked.size() >= std::min(count, pool.engines.size());
+  if (!known) {
+    entry = {key, pool.generation, rendezvousRank(key, pool, std::min(count, kMaximumRanked))};
+  }
+  return entry.ranked;
+}
+
 }  // namespace quincewick::routing
