--- a/src/membership/settings.h
+++ b/src/membership/settings.h
@@ -23,11 +23,11 @@
   // Members of the zone that get news at each tick while there is any.
   uint32_t gossip_fanout = 3;
   // Each piece of news is sent factor * ceil(log2(zone size + 1)) times by each node.
-  uint32_t retransmission_factor = 2;
+  uint32_t retransmission_factor = 3;
   // Nodes of each zone that talk to other zones.
   uint32_t delegates = 2;
   // A delegate greets every other zone once in this period.
-  absl::Duration exchange_period = absl::Seconds(1);
+  absl::Duration exchange_period = absl::Seconds(2);
   // A zone that was not heard of for this long counts as unreachable.
   absl::Duration zone_timeout = absl::Seconds(8);
   // A node starts to compare its view with a peer's at most once in this period.
--- a/src/peer/envelope.h
+++ b/src/peer/envelope.h
@@ -31,7 +31,7 @@
 // The greatest payload of a datagram, in bytes.
 inline constexpr size_t kMaximumDatagramPayload = 1080;
 // The greatest body of a request or a response over HTTP, in bytes.
-inline constexpr size_t kMaximumBodySize = 4 * 1024 * 1024;
+inline constexpr size_t kMaximumBodySize = size_t{4} * 1024 * 1024;
 // The greatest id of a node, in bytes.
 inline constexpr size_t kMaximumNodeIdSize = 63;
 // The MAC's size, in bytes: HMAC-SHA-256, truncated to half.
