Retries within a budget, hedges, ejection of outliers, and answers kept for callers who come back

Cause: the request path retried without limit, kept sending to failing engines, waited on slow ones, and a broken connection lost the answer. Change: BackEndHealth brings RetryBudget, HedgePolicy and OutlierDetector into the path (a stream under way is always continued, whatever the budget); KeptAnswers and GET /v1/streams/ID with Last-Event-ID give the rest of an answer, from what is kept and then from an engine; event ids name the serving node; callers' keys through AccessControl. Conclusion: what stays open is a return to another node than the serving one, which needs the peers' channel.

--- a/loadgen/answer_check.cc
+++ b/loadgen/answer_check.cc
@@ -108,7 +108,9 @@
   if (has_finish_reason_) {
     violate(Violation::kEndMarker);
   }
-  if (!id.empty() && id != std::to_string(tokens_)) {
+  // An id is the token's offset, or REQUEST:OFFSET.
+  const std::string offset = id.substr(id.rfind(':') + 1);
+  if (!id.empty() && offset != std::to_string(tokens_)) {
     violate(Violation::kOutOfOrder);
   }
   if (text != emulator::answerToken(seed_, tokens_)) {
--- a/src/cli/demo_site.cc
+++ b/src/cli/demo_site.cc
@@ -4,7 +4,7 @@
 
 #include <utility>
 
-#include "node/sha256.h"
+#include "configuration/access_control.h"
 
 namespace quincewick::cli {
 namespace {
@@ -34,7 +34,7 @@
 
 configuration::Policy demoPolicy() {
   configuration::Policy policy;
-  policy.tenants[TenantId("demo")].caller_keys = {{node::sha256Hex(kDemoKey), std::nullopt}};
+  policy.tenants[TenantId("demo")].caller_keys = {{configuration::hashKey(kDemoKey), std::nullopt}};
   policy.models[ModelName(kDemoModel)].weights_version = WeightsVersion(1);
   policy.request_kinds[RequestKind("chat")].urgency = Urgency::kUrgent;
   policy.request_kinds[RequestKind(kDemoActionKind)].type = configuration::RequestType::kAction;
--- a/src/http/caller_api.cc
+++ b/src/http/caller_api.cc
@@ -1,17 +1,15 @@
 #include "http/caller_api.h"
 
-#include <absl/strings/numbers.h>
-#include <absl/strings/str_format.h>
 #include <absl/time/clock.h>
 #include <glog/logging.h>
 
 #include <nlohmann/json.hpp>
-#include <random>
 #include <utility>
 
 #include "http/completion_request.h"
 #include "http/completion_response.h"
 #include "http/error_body.h"
+#include "streams/stream_position.h"
 
 namespace quincewick::http {
 namespace {
@@ -28,11 +26,6 @@
   absl::Time arrival;
 };
 
-RequestId makeRequestId() {
-  thread_local std::mt19937_64 generator{std::random_device{}()};
-  return RequestId(absl::StrFormat("req-%016x%016x", generator(), generator()));
-}
-
 std::string bearerKey(const httplib::Request& request) {
   constexpr std::string_view prefix = "Bearer ";
   const std::string value = request.get_header_value("Authorization");
@@ -161,7 +154,7 @@
   void reconnect(const httplib::Request& request, httplib::Response& response) {
     withCaller(request, response, [&](const CallContext& context) -> Result<void> {
       const RequestId original(request.matches[1].str());
-      BOOST_OUTCOME_TRY(last_offset, lastEventId(request));
+      BOOST_OUTCOME_TRY(last_offset, lastEventId(request, original));
       BOOST_OUTCOME_TRY(reader, backend_.reconnect(original, context.tenant, last_offset));
       const AnswerHeader header{CompletionShape::kChat, original, ModelName(),
                                 absl::ToUnixSeconds(context.arrival)};
@@ -205,7 +198,7 @@
   void withCaller(const httplib::Request& request, httplib::Response& response, Handler handle) {
     CallContext context;
     context.arrival = absl::Now();
-    context.id = makeRequestId();
+    context.id = backend_.newRequestId();
     response.set_header("X-Request-Id", context.id.value());
     const Result<void> result = [&]() -> Result<void> {
       BOOST_OUTCOME_TRY(tenant, backend_.authenticate(bearerKey(request)));
@@ -220,16 +213,18 @@
     }
   }
 
-  static Result<std::optional<uint64_t>> lastEventId(const httplib::Request& request) {
+  // The offset of the last token that the caller holds; nothing: it holds none.
+  static Result<std::optional<uint64_t>> lastEventId(const httplib::Request& request,
+                                                     const RequestId& original) {
     const std::string text = request.get_header_value("Last-Event-ID");
     if (text.empty()) {
       return std::optional<uint64_t>();
     }
-    uint64_t offset = 0;
-    if (!absl::SimpleAtoi(text, &offset)) {
-      return fail(ErrorCode::kInvalidArgument, "Last-Event-ID must be a token's offset");
+    BOOST_OUTCOME_TRY(position, streams::parseEventId(text));
+    if (position.request != original) {
+      return fail(ErrorCode::kInvalidArgument, "Last-Event-ID is of another stream");
     }
-    return std::optional<uint64_t>(offset);
+    return std::optional<uint64_t>(position.offset);
   }
 
   CallerBackend& backend_;
@@ -255,7 +250,7 @@
   server.Post("/v1/completions", [api](const httplib::Request& request, httplib::Response& response) {
     api->complete(CompletionShape::kText, request, response);
   });
-  server.Get(R"(/v1/streams/([\w-]+))", [api](const httplib::Request& request, httplib::Response& response) {
+  server.Get(R"(/v1/streams/([^/]+))", [api](const httplib::Request& request, httplib::Response& response) {
     api->reconnect(request, response);
   });
   server.Post(R"(/v1/actions/([\w-]+))", [api](const httplib::Request& request, httplib::Response& response) {
--- a/src/http/caller_backend.h
+++ b/src/http/caller_backend.h
@@ -69,10 +69,14 @@
   // Maps a caller's key to its tenant. kUnauthenticated for a wrong, expired or unknown one.
   virtual Result<TenantId> authenticate(std::string_view key) = 0;
 
+  // Unique among all nodes; names this node, so that others can find its answers.
+  virtual RequestId newRequestId() = 0;
+
   // Waits until the first event of the answer is there, or the request is refused or has failed.
   virtual Result<std::shared_ptr<AnswerReader>> complete(const CompletionCall& call) = 0;
 
-  // Returns the rest of an answer after `last_offset`. kNotFound if this site no longer holds it.
+  // Returns the rest of an answer after the token at `last_offset`, or all of it. kNotFound if this site no
+  // longer holds it.
   virtual Result<std::shared_ptr<AnswerReader>> reconnect(const RequestId& request, const TenantId& tenant,
                                                           std::optional<uint64_t> last_offset) = 0;
 
--- a/src/http/completion_response.cc
+++ b/src/http/completion_response.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "http/error_body.h"
+#include "streams/stream_position.h"
 
 namespace quincewick::http {
 namespace {
@@ -49,14 +50,15 @@
 }
 
 std::string tokenText(const AnswerHeader& header, const TokenEvent& token) {
-  return "id: " + std::to_string(token.offset) + "\ndata: " + dump(chunk(header, token.text, nullptr)) +
-         "\n\n";
+  const std::string id = streams::formatEventId({header.request, token.offset});
+  return "id: " + id + "\ndata: " + dump(chunk(header, token.text, nullptr)) + "\n\n";
 }
 
 std::string endText(const AnswerHeader& header, const EndEvent& end) {
   Json body = chunk(header, "", finishReasonName(end.reason));
   body["usage"] = usageJson(end.usage);
-  return "id: " + std::to_string(end.token_count) + "\ndata: " + dump(body) + "\n\ndata: [DONE]\n\n";
+  // No id of its own: a caller that lost the connection here comes back with the last token's.
+  return "data: " + dump(body) + "\n\ndata: [DONE]\n\n";
 }
 
 std::string cutText(const AnswerHeader& header, const CutEvent& cut) {
--- a/src/http/completion_response.h
+++ b/src/http/completion_response.h
@@ -16,8 +16,9 @@
   int64_t created_unix_seconds = 0;
 };
 
-// One stream event as server-sent event text. A token's event id is its offset, so that a caller that
-// reconnects can name the last one it has; the end is followed by "data: [DONE]"; a cut is an "error" event.
+// One stream event as server-sent event text. A token's event id names the request and the offset, so that a
+// caller can come back to any node with the last one it has; the end is followed by "data: [DONE]"; a cut is
+// an "error" event.
 std::string serverSentEvent(const AnswerHeader& header, const StreamEvent& event);
 
 // A whole answer as one JSON object.
--- a/src/node/action_service.cc
+++ b/src/node/action_service.cc
@@ -8,7 +8,7 @@
 #include <utility>
 #include <variant>
 
-#include "node/sha256.h"
+#include "configuration/access_control.h"
 
 namespace quincewick::node {
 namespace {
@@ -125,7 +125,7 @@
 
 Result<http::ActionAnswer> ActionService::runOnce(const http::ActionCall& call) {
   const std::string key = actionClaimKey(call.tenant, call.kind, call.key);
-  ActionClaim own_claim{sha256Hex(call.body), call.id, std::nullopt};
+  ActionClaim own_claim{configuration::hashKey(call.body), call.id, std::nullopt};
   BOOST_OUTCOME_TRY(claimed, claim(key, own_claim));
   if (claimed.held_by_other.has_value()) {
     resources_.metrics.actionFinished(true);
--- a/src/node/answer_session.cc
+++ b/src/node/answer_session.cc
@@ -48,12 +48,23 @@
       director_(std::move(director)),
       resources_(std::move(resources)),
       deadline_(deadline),
+      options_(options),
       stream_(options) {}
 
 void AnswerSession::open() {
   feed(streams::RequestOpened{});
 }
 
+void AnswerSession::resumeFrom(streams::Transcript transcript, uint64_t from_offset) {
+  {
+    absl::MutexLock lock(&mutex_);
+    stream_ = streams::AnswerStream(options_, std::move(transcript));
+    // Attempts of the earlier life may still be known to engines by their ids.
+    life_ = absl::ToUnixNanos(resources_.clock());
+  }
+  feed(streams::CallerResumed{from_offset});
+}
+
 void AnswerSession::allowHedge() {
   feed(streams::HedgeAllowed{});
 }
@@ -113,13 +124,17 @@
 }
 
 void AnswerSession::reportAnswerOver() {
+  streams::Transcript transcript;
+  std::optional<EndEvent> end;
   {
     absl::MutexLock lock(&mutex_);
     if (std::exchange(over_reported_, true)) {
       return;
     }
+    transcript = stream_.transcript();
+    end = stream_.end();
   }
-  director_->onAnswerOver();
+  director_->onAnswerOver(transcript, end);
 }
 
 void AnswerSession::reportAttemptOver(AttemptNumber attempt, const std::optional<Usage>& usage,
@@ -187,7 +202,7 @@
                                                     const AttemptTarget& target) const {
   engine::EngineRequest request = template_;
   request.attempt = attempt;
-  request.request = RequestId(absl::StrCat(template_.request.value(), "-", attempt.value()));
+  request.request = RequestId(absl::StrCat(template_.request.value(), "-", life_, "-", attempt.value()));
   request.cache_salt = target.cache_salt;
   request.incarnation = target.incarnation;
   request.weights_version = target.weights_version;
--- a/src/node/answer_session.h
+++ b/src/node/answer_session.h
@@ -25,6 +25,8 @@
   Incarnation incarnation;
   WeightsVersion weights_version;
   std::string cache_salt;
+  absl::Time sent;
+  absl::Duration expected_first_token;
 };
 
 // Chooses engines for the attempts of one request and learns how each went. Called without locks held, by
@@ -46,8 +48,8 @@
   virtual void onAttemptOver(const AttemptTarget& target, const std::optional<Usage>& usage,
                              const std::optional<Error>& error) = 0;
 
-  // The whole answer is over, or its caller is gone. Called once.
-  virtual void onAnswerOver() = 0;
+  // The whole answer is over, or its caller is gone. Called once, with what there is of the answer.
+  virtual void onAnswerOver(const streams::Transcript& transcript, const std::optional<EndEvent>& end) = 0;
 };
 
 // What an answer needs from the node. All outlive the session.
@@ -67,6 +69,9 @@
   // Starts the first attempt.
   void open();
 
+  // Takes up an answer whose caller had gone, for one who holds all tokens before `from_offset`.
+  void resumeFrom(streams::Transcript transcript, uint64_t from_offset);
+
   // Waits until there is something for the caller, at most until `until`. False if there is nothing yet.
   bool waitForEvent(absl::Time until);
 
@@ -76,6 +81,8 @@
   // Waits for the first event. An answer that failed before any token yields its error.
   Result<void> awaitFirstEvent();
 
+  Urgency urgency() const { return template_.urgency; }
+
   std::vector<StreamEvent> next(absl::Duration patience) override;
   void abandon() override;
 
@@ -107,8 +114,10 @@
   const std::shared_ptr<AttemptDirector> director_;
   const SessionResources resources_;
   const absl::Time deadline_;
+  const streams::AnswerOptions options_;
 
   absl::Mutex mutex_;
+  int64_t life_ = 0;  // tells the attempts of a resumed answer from earlier ones; set before any begins
   streams::AnswerStream stream_ ABSL_GUARDED_BY(mutex_);
   std::map<AttemptNumber, AttemptState> attempts_ ABSL_GUARDED_BY(mutex_);
   std::vector<StreamEvent> ready_ ABSL_GUARDED_BY(mutex_);  // not yet fetched by the reader
--- a/src/node/back_end_monitor.cc
+++ b/src/node/back_end_monitor.cc
@@ -25,9 +25,14 @@
 }  // namespace
 
 BackEndMonitor::BackEndMonitor(const BackEndMonitorOptions& options, platform::Platform& platform,
-                               engine::EngineChannel& engines, RouterHost& router,
+                               engine::EngineChannel& engines, RouterHost& router, BackEndHealth& health,
                                std::function<absl::Time()> clock)
-    : options_(options), platform_(platform), engines_(engines), router_(router), clock_(std::move(clock)) {}
+    : options_(options),
+      platform_(platform),
+      engines_(engines),
+      router_(router),
+      health_(health),
+      clock_(std::move(clock)) {}
 
 BackEndMonitor::~BackEndMonitor() {
   {
@@ -87,6 +92,7 @@
   std::set<BackEndId> listed;
   std::vector<BackEnd> leaving;
   std::vector<BackEndId> gone;
+  std::vector<BackEndId> engines;
   {
     absl::MutexLock lock(&mutex_);
     for (const Machine& machine : list.machines) {
@@ -115,7 +121,11 @@
       }
       return remove;
     });
+    for (const auto& [id, watched] : watched_) {
+      engines.push_back(id);
+    }
   }
+  health_.setEngines(engines);
   for (const BackEnd& engine : leaving) {
     LOG(INFO) << "event=engine_leaving engine=" << engine.id;
     router_.handle(routing::EngineUpserted{engine});
@@ -139,6 +149,7 @@
     }
     if (claimed) {
       poll(engine);
+      passOnHealth();
     } else if (pauseFor(kPollGranularity)) {
       return;
     }
@@ -158,6 +169,14 @@
   return false;
 }
 
+void BackEndMonitor::passOnHealth() {
+  for (const BackEndHealth::Change& change : health_.takeChanges()) {
+    LOG(WARNING) << "event=" << (change.ejected ? "engine_ejected" : "engine_readmitted")
+                 << " engine=" << change.engine;
+    router_.handle(routing::EngineEjectionChanged{change.engine, change.ejected});
+  }
+}
+
 void BackEndMonitor::poll(const BackEnd& engine) {
   const absl::Time measured = clock_();
   const Result<engine::EngineReport> report = engines_.report(engine.address);
--- a/src/node/back_end_monitor.h
+++ b/src/node/back_end_monitor.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "engine/engine_channel.h"
+#include "node/back_end_health.h"
 #include "node/router_host.h"
 #include "platform/platform.h"
 
@@ -30,7 +31,8 @@
 class BackEndMonitor {
  public:
   BackEndMonitor(const BackEndMonitorOptions& options, platform::Platform& platform,
-                 engine::EngineChannel& engines, RouterHost& router, std::function<absl::Time()> clock);
+                 engine::EngineChannel& engines, RouterHost& router, BackEndHealth& health,
+                 std::function<absl::Time()> clock);
   ~BackEndMonitor();
   BackEndMonitor(const BackEndMonitor&) = delete;
   BackEndMonitor& operator=(const BackEndMonitor&) = delete;
@@ -61,12 +63,15 @@
   void readCacheEvents(const BackEnd& engine);
   void takeReport(const BackEnd& engine, const engine::EngineReport& report, absl::Time measured);
   void takeFailure(const BackEnd& engine);
+  // Tells the router of engines that were taken out of use, or given back.
+  void passOnHealth();
   bool pauseFor(absl::Duration duration);
 
   const BackEndMonitorOptions options_;
   platform::Platform& platform_;
   engine::EngineChannel& engines_;
   RouterHost& router_;
+  BackEndHealth& health_;
   const std::function<absl::Time()> clock_;
 
   absl::Mutex mutex_;
--- a/src/node/completion_service.cc
+++ b/src/node/completion_service.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "node/answer_session.h"
 #include "node/request_director.h"
 
 namespace quincewick::node {
@@ -115,13 +114,9 @@
   return makeRequest(*policy, call);
 }
 
-Result<std::shared_ptr<http::AnswerReader>> CompletionService::complete(const http::CompletionCall& call) {
-  BOOST_OUTCOME_TRY(request, describe(call));
-  BOOST_OUTCOME_TRY(decision, resources_.router.route(request));
-  request.urgency = decision.urgency;
-  request.deadline = decision.deadline;
-  BOOST_OUTCOME_TRYV(admit(request, call.maximum_tokens));
-
+std::shared_ptr<AnswerSession> CompletionService::makeSession(const http::CompletionCall& call,
+                                                              InferenceRequest request,
+                                                              routing::RouteDecision decision) {
   engine::EngineRequest attempt;
   attempt.request = call.id;
   attempt.model = call.model;
@@ -129,23 +124,66 @@
   attempt.prompt = call.prompt;
   attempt.maximum_tokens = call.maximum_tokens;
   attempt.urgency = request.urgency;
-  const std::string salt = prefix::cacheSalt(request.root, options_.salt_secret);
-  const Urgency urgency = request.urgency;
+  std::string salt = prefix::cacheSalt(request.root, options_.salt_secret);
+  auto keep_answer = [this, call](const streams::Transcript& transcript, const std::optional<EndEvent>& end) {
+    resources_.kept_answers.keep(call, transcript, end);
+  };
   auto director = std::make_shared<RequestDirector>(
-      std::move(request), std::move(decision), salt,
-      DirectorResources{resources_.router, resources_.gate, resources_.metrics, resources_.clock});
+      std::move(request), std::move(decision), std::move(salt),
+      DirectorResources{resources_.router, resources_.gate, resources_.health, resources_.metrics,
+                        resources_.clock, std::move(keep_answer)});
   auto run_blocking = [this](std::function<void()> task) { resources_.workers.submit(std::move(task)); };
-  auto session =
-      std::make_shared<AnswerSession>(streams::AnswerOptions(), std::move(attempt), director,
-                                      SessionResources{resources_.engines, run_blocking, resources_.clock},
-                                      call.arrival + options_.longest_answer);
+  return std::make_shared<AnswerSession>(
+      streams::AnswerOptions(), std::move(attempt), std::move(director),
+      SessionResources{resources_.engines, std::move(run_blocking), resources_.clock},
+      call.arrival + options_.longest_answer);
+}
+
+Result<std::shared_ptr<AnswerSession>> CompletionService::begin(const http::CompletionCall& call) {
+  BOOST_OUTCOME_TRY(request, describe(call));
+  BOOST_OUTCOME_TRY(decision, resources_.router.route(request));
+  request.urgency = decision.urgency;
+  request.deadline = decision.deadline;
+  BOOST_OUTCOME_TRYV(admit(request, call.maximum_tokens));
+  resources_.metrics.requestAdmitted(request.urgency);
+  return makeSession(call, std::move(request), std::move(decision));
+}
+
+Result<std::shared_ptr<http::AnswerReader>> CompletionService::complete(const http::CompletionCall& call) {
+  BOOST_OUTCOME_TRY(session, begin(call));
   session->open();
-  const Result<void> first = session->awaitFirstEvent();
+  const Result<void> first = awaitFirstEvent(*session, call, session->urgency());
   if (first.has_error()) {
     session->abandon();
     return outcome::failure(first.error());
   }
-  resources_.metrics.requestAnswered(urgency);
+  return std::shared_ptr<http::AnswerReader>(std::move(session));
+}
+
+Result<void> CompletionService::awaitFirstEvent(AnswerSession& session, const http::CompletionCall& call,
+                                                Urgency urgency) {
+  const admission::HedgeCandidate candidate{call.kind, urgency, true};
+  const std::optional<absl::Duration> delay = resources_.health.hedgeDelay(candidate);
+  if (delay.has_value() && !session.waitForEvent(resources_.clock() + *delay) &&
+      resources_.health.tryHedge(candidate)) {
+    session.allowHedge();
+  }
+  return session.awaitFirstEvent();
+}
+
+Result<std::shared_ptr<http::AnswerReader>> CompletionService::resume(streams::RecentAnswer answer,
+                                                                      uint64_t from_offset) {
+  if (from_offset > answer.transcript.tokenCount()) {
+    return fail(ErrorCode::kInvalidArgument, "the answer has no such offset", Execution::kRan);
+  }
+  if (answer.end.has_value()) {
+    return std::shared_ptr<http::AnswerReader>(
+        std::make_shared<FinishedAnswerReader>(answer.transcript, *answer.end, from_offset));
+  }
+  BOOST_OUTCOME_TRY(call, decodeCall(answer.request));
+  call.arrival = resources_.clock();
+  BOOST_OUTCOME_TRY(session, begin(call));
+  session->resumeFrom(std::move(answer.transcript), from_offset);
   return std::shared_ptr<http::AnswerReader>(std::move(session));
 }
 
--- a/src/node/completion_service.h
+++ b/src/node/completion_service.h
@@ -10,6 +10,9 @@
 #include "engine/engine_channel.h"
 #include "http/caller_backend.h"
 #include "node/admission_gate.h"
+#include "node/answer_session.h"
+#include "node/back_end_health.h"
+#include "node/kept_answers.h"
 #include "node/node_metrics.h"
 #include "node/policy_holder.h"
 #include "node/router_host.h"
@@ -30,6 +33,8 @@
   AdmissionGate& gate;
   engine::EngineChannel& engines;
   WorkerPool& workers;
+  BackEndHealth& health;
+  KeptAnswers& kept_answers;
   NodeMetrics& metrics;
   std::function<absl::Time()> clock;
 };
@@ -43,11 +48,20 @@
   // Blocks until the answer's first event. An error is the final answer to the request.
   Result<std::shared_ptr<http::AnswerReader>> complete(const http::CompletionCall& call);
 
-  // Which route and engine the request would get now, and why, in plain text lines for operators.
+  // The rest of a kept answer, after the tokens before `from_offset`: what is held of it, then the engines'.
+  Result<std::shared_ptr<http::AnswerReader>> resume(streams::RecentAnswer answer, uint64_t from_offset);
+
+  // The request as decisions see it, for operators.
   Result<InferenceRequest> describe(const http::CompletionCall& call);
 
  private:
   Result<InferenceRequest> makeRequest(const PolicyInForce& policy, const http::CompletionCall& call) const;
+  // Admits the call and makes its session, not yet opened.
+  Result<std::shared_ptr<AnswerSession>> begin(const http::CompletionCall& call);
+  std::shared_ptr<AnswerSession> makeSession(const http::CompletionCall& call, InferenceRequest request,
+                                             routing::RouteDecision decision);
+  // Waits for the first event and lets a second attempt run when it is late.
+  Result<void> awaitFirstEvent(AnswerSession& session, const http::CompletionCall& call, Urgency urgency);
   Result<void> admit(const InferenceRequest& request, uint32_t maximum_tokens);
 
   const CompletionServiceOptions options_;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "http/caller_api.h"
+#include "streams/stream_position.h"
 
 namespace quincewick::node {
 namespace {
@@ -53,10 +54,13 @@
       action_channel_(engine::HttpActionOptions()),
       router_(routerSettings(settings), realClock(), randomSeed()),
       gate_(admission::AdmissionConfiguration(), realClock(), randomSeed()),
-      monitor_(BackEndMonitorOptions(), platform_, engines_, router_, realClock()),
+      health_(realClock()),
+      kept_answers_(streams::StreamStoreOptions(), realClock()),
+      monitor_(BackEndMonitorOptions(), platform_, engines_, router_, health_, realClock()),
       workers_(settings.http.caller_threads * kWorkerThreadsPerCallerThread),
       completions_(CompletionServiceOptions{prefix::SaltSecret{settings.salt_secret}},
-                   CompletionResources{policies_, router_, gate_, engines_, workers_, metrics_, realClock()}),
+                   CompletionResources{policies_, router_, gate_, engines_, workers_, health_, kept_answers_,
+                                       metrics_, realClock()}),
       actions_(ActionResources{policies_, router_, platform_, action_channel_, monitor_, metrics_}) {}
 
 Node::~Node() {
@@ -69,6 +73,7 @@
   if (installed) {
     LOG(INFO) << "event=policy_in_force version=" << version;
     gate_.reconfigure(admission);
+    health_.configure(policies_.current()->policy.retries);
     router_.handle(routing::RoutesChanged{policies_.current()->routes});
   }
   return outcome::success();
@@ -113,7 +118,7 @@
   if (policy == nullptr) {
     return fail(ErrorCode::kUnavailable, "no policy is in force yet");
   }
-  return authenticateCaller(*policy, key, absl::Now());
+  return policy->access.authenticateCaller(key, absl::Now());
 }
 
 Result<std::shared_ptr<http::AnswerReader>> Node::complete(const http::CompletionCall& call) {
@@ -125,10 +130,16 @@
   return answer;
 }
 
-Result<std::shared_ptr<http::AnswerReader>> Node::reconnect(const RequestId& /*request*/,
-                                                            const TenantId& /*tenant*/,
-                                                            std::optional<uint64_t> /*last_offset*/) {
-  return fail(ErrorCode::kNotFound, "this answer is no longer held", Execution::kUnknown);
+RequestId Node::newRequestId() {
+  thread_local std::mt19937_64 generator{std::random_device{}()};
+  return streams::makeRequestId(settings_.node_id, generator());
+}
+
+Result<std::shared_ptr<http::AnswerReader>> Node::reconnect(const RequestId& request, const TenantId& tenant,
+                                                            std::optional<uint64_t> last_offset) {
+  BOOST_OUTCOME_TRY(answer, kept_answers_.take(request, tenant));
+  const uint64_t from_offset = last_offset.has_value() ? *last_offset + 1 : 0;
+  return completions_.resume(std::move(answer), from_offset);
 }
 
 Result<http::ActionAnswer> Node::runAction(const http::ActionCall& call) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -45,6 +45,7 @@
 
   // http::CallerBackend
   Result<TenantId> authenticate(std::string_view key) override;
+  RequestId newRequestId() override;
   Result<std::shared_ptr<http::AnswerReader>> complete(const http::CompletionCall& call) override;
   Result<std::shared_ptr<http::AnswerReader>> reconnect(const RequestId& request, const TenantId& tenant,
                                                         std::optional<uint64_t> last_offset) override;
@@ -64,6 +65,8 @@
   engine::HttpActionChannel action_channel_;
   RouterHost router_;
   AdmissionGate gate_;
+  BackEndHealth health_;
+  KeptAnswers kept_answers_;
   BackEndMonitor monitor_;
   WorkerPool workers_;
   CompletionService completions_;
--- a/src/node/node_metrics.cc
+++ b/src/node/node_metrics.cc
@@ -23,7 +23,7 @@
 NodeMetrics::NodeMetrics()
     : registry_(std::make_shared<prometheus::Registry>()),
       answered_(
-          counterFamily(*registry_, "quincewick_requests_answered_total", "Completions begun, by urgency")),
+          counterFamily(*registry_, "quincewick_requests_admitted_total", "Completions started, by urgency")),
       refused_(counterFamily(*registry_, "quincewick_requests_refused_total",
                              "Requests answered by an error, by type and whether they ran")),
       attempts_lost_(counterFamily(*registry_, "quincewick_attempts_lost_total",
@@ -37,7 +37,7 @@
                                .Help("From a request's arrival to its first token, by urgency")
                                .Register(*registry_)) {}
 
-void NodeMetrics::requestAnswered(Urgency urgency) {
+void NodeMetrics::requestAdmitted(Urgency urgency) {
   answered_.Add({{"urgency", std::string(urgencyName(urgency))}}).Increment();
 }
 
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -21,7 +21,7 @@
  public:
   NodeMetrics();
 
-  void requestAnswered(Urgency urgency);
+  void requestAdmitted(Urgency urgency);
   void requestRefused(const Error& error);
   void firstToken(Urgency urgency, absl::Duration time_to_first_token);
   // Tokens of prompts, and how many of them engines found in their caches.
--- a/src/node/policy_holder.h
+++ b/src/node/policy_holder.h
@@ -2,14 +2,11 @@
 #pragma once
 
 #include <absl/base/thread_annotations.h>
-#include <absl/container/flat_hash_map.h>
 #include <absl/synchronization/mutex.h>
-#include <absl/time/time.h>
 
 #include <memory>
-#include <string>
-#include <string_view>
 
+#include "configuration/access_control.h"
 #include "configuration/policy.h"
 #include "routing/route_table.h"
 #include "types/error.h"
@@ -17,24 +14,14 @@
 
 namespace quincewick::node {
 
-// Whose key it is, and until when.
-struct CallerKey {
-  TenantId tenant;
-  absl::Time expires = absl::InfiniteFuture();
-};
-
 // One version of the policy. Immutable; shared by the requests that began under it.
 struct PolicyInForce {
   ConfigurationVersion version;
   configuration::Policy policy;
   std::shared_ptr<const routing::RouteTable> routes;
-  absl::flat_hash_map<std::string, CallerKey> caller_keys;  // by the key's hash
+  configuration::AccessControl access;
 };
 
-// The tenant that a caller's key belongs to. kUnauthenticated for a wrong or an expired one, without telling
-// which.
-Result<TenantId> authenticateCaller(const PolicyInForce& policy, std::string_view key, absl::Time now);
-
 // Thread-safe.
 class PolicyHolder {
  public:
--- a/src/node/request_director.h
+++ b/src/node/request_director.h
@@ -11,6 +11,7 @@
 
 #include "node/admission_gate.h"
 #include "node/answer_session.h"
+#include "node/back_end_health.h"
 #include "node/node_metrics.h"
 #include "node/router_host.h"
 
@@ -20,8 +21,11 @@
 struct DirectorResources {
   RouterHost& router;
   AdmissionGate& gate;
+  BackEndHealth& health;
   NodeMetrics& metrics;
   std::function<absl::Time()> clock;
+  // Takes what there is of the answer when its caller's connection ends.
+  std::function<void(const streams::Transcript&, const std::optional<EndEvent>&)> keep_answer;
 };
 
 // A request that admission has started. Thread-safe.
@@ -35,9 +39,13 @@
   void onFirstToken(const AttemptTarget& target) override;
   void onAttemptOver(const AttemptTarget& target, const std::optional<Usage>& usage,
                      const std::optional<Error>& error) override;
-  void onAnswerOver() override;
+  void onAnswerOver(const streams::Transcript& transcript, const std::optional<EndEvent>& end) override;
 
  private:
+  // Fails when a further attempt may not be sent.
+  Result<void> permitAttempt(bool is_first);
+  Result<routing::Placement> place(const std::vector<BackEndId>& tried);
+
   const InferenceRequest request_;
   const routing::RouteDecision decision_;
   const std::string cache_salt_;
--- a/tests/loadgen/driver_test.cc
+++ b/tests/loadgen/driver_test.cc
@@ -67,6 +67,8 @@
     return TenantId(std::string(key));
   }
 
+  RequestId newRequestId() override { return RequestId("request"); }
+
   Result<std::shared_ptr<http::AnswerReader>> complete(const http::CompletionCall& call) override {
     std::vector<StreamEvent> events = rightAnswer(call);
     if (isFaulty(fault_ == Fault::kSwap) && events.size() > 2) {
--- a/tests/node/answer_session_test.cc
+++ b/tests/node/answer_session_test.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <atomic>
 
+#include "node/kept_answers.h"
 #include "node/worker_pool.h"
 
 namespace quincewick::node {
@@ -128,8 +129,15 @@
                      const std::optional<Error>&) override {
     ++attempts_over;
   }
-  void onAnswerOver() override { ++answers_over; }
+  void onAnswerOver(const streams::Transcript& transcript, const std::optional<EndEvent>& end) override {
+    kept = transcript;
+    kept_end = end;
+    ++answers_over;
+  }
 
+  // Written before answers_over is raised.
+  streams::Transcript kept;
+  std::optional<EndEvent> kept_end;
   std::atomic<int> attempts_over = 0;
   std::atomic<int> answers_over = 0;
 
@@ -138,7 +146,7 @@
 };
 
 struct SessionFixture {
-  explicit SessionFixture(std::vector<ScriptedEngine> engines)
+  explicit SessionFixture(std::vector<ScriptedEngine> engines, bool open = true)
       : director(std::make_shared<InOrderDirector>(static_cast<uint16_t>(engines.size()))) {
     channel.engines = std::move(engines);
     engine::EngineRequest request;
@@ -148,7 +156,9 @@
         SessionResources{channel, [this](std::function<void()> task) { workers.submit(std::move(task)); },
                          [] { return absl::Now(); }},
         absl::Now() + absl::Hours(1));
-    session->open();
+    if (open) {
+      session->open();
+    }
   }
 
   // Reads until the last event; returns the text, or nothing if the answer was cut.
@@ -221,5 +231,55 @@
   CHECK(fixture.director->answers_over == 1);
 }
 
+TEST_CASE("a caller who comes back gets the rest, continued at an engine from what was kept") {
+  const uint64_t offset_held_by_caller = GENERATE(0, 3, 7);
+  streams::Transcript kept;
+  for (uint64_t offset = 0; offset < 7; ++offset) {
+    kept.append(tokenText(offset));
+  }
+  SessionFixture fixture({{}}, false);
+  fixture.session->resumeFrom(kept, offset_held_by_caller);
+  std::string expected;
+  for (uint64_t offset = offset_held_by_caller; offset < kAnswerTokens; ++offset) {
+    expected += tokenText(offset);
+  }
+  CHECK(fixture.readAll() == expected);
+  CHECK(fixture.channel.runs().at(0).resume_from == 7);
+}
+
+TEST_CASE("what is kept of an abandoned answer is a beginning of it, without an end") {
+  SessionFixture fixture({{kEndless, std::nullopt, kEndless}});
+  REQUIRE(fixture.session->awaitFirstEvent().has_value());
+  fixture.session->abandon();
+  REQUIRE(fixture.director->answers_over == 1);
+  CHECK_FALSE(fixture.director->kept_end.has_value());
+  REQUIRE(fixture.director->kept.tokenCount() > 0);
+  CHECK(fixture.director->kept.token(0) == tokenText(0));
+}
+
+TEST_CASE("a finished answer is given again from any offset without an engine") {
+  streams::Transcript transcript;
+  transcript.append("a");
+  transcript.append("b");
+  FinishedAnswerReader reader(transcript, EndEvent{2, FinishReason::kStop, Usage{}}, 1);
+  const std::vector<StreamEvent> events = reader.next(absl::ZeroDuration());
+  REQUIRE(events.size() == 2);
+  CHECK(std::get<TokenEvent>(events[0]).text == "b");
+  CHECK(std::get<EndEvent>(events[1]).token_count == 2);
+}
+
+TEST_CASE("a kept request survives its encoding, and a damaged one is refused") {
+  http::CompletionCall call;
+  call.id = RequestId("node~1");
+  call.prompt = "prompt";
+  call.urgency = Urgency::kUrgent;
+  const std::string bytes = encodeCall(call);
+  const Result<http::CompletionCall> decoded = decodeCall(bytes);
+  REQUIRE(decoded.has_value());
+  CHECK(decoded.value().prompt == call.prompt);
+  CHECK(decoded.value().urgency == call.urgency);
+  CHECK(decodeCall(bytes.substr(0, bytes.size() / 2)).has_error());
+}
+
 }  // namespace
 }  // namespace quincewick::node
