One node of many: membership, configuration, ledger and operators' API in the real node

Cause: nodes ran side by side and knew nothing of each other; actions were claimed by one table transaction each, which stops with the store; operators could not reach a node. Change: PeerNetwork (authenticated datagrams and HTTP on one port), MembershipHost, LedgerHost and ConfigurationHost in Node; actions go through the ledger; OperatorService behind 'ctl'; planned stop by DrainCoordinator; an answer's caller may come back to any node, which takes what is kept from the serving one. Conclusion: what the modules promise can now be tried on real processes.

--- a/src/cli/demo_site.cc
+++ b/src/cli/demo_site.cc
@@ -15,7 +15,8 @@
 constexpr size_t kEngineCount = 3;
 constexpr absl::Duration kStartLimit = absl::Seconds(10);
 constexpr absl::Duration kStartPollInterval = absl::Milliseconds(20);
-// A demonstration on loopback keeps no secret; real sites set their own.
+// A demonstration on loopback keeps no secrets; real sites set their own.
+constexpr const char* kDemoPeerSecret = "0f6a1c9be2d84375a9b0c7d8e1f203140f6a1c9be2d84375a9b0c7d8e1f20314";
 constexpr const char* kDemoSaltSecret = "6465b1c3f0a94e7798ce1f5ad20b3c886465b1c3f0a94e7798ce1f5ad20b3c88";
 
 Address anyPort() {
@@ -56,6 +57,7 @@
   settings.listen.peers = anyPort();
   settings.platform.address = platform;
   settings.salt_secret = kDemoSaltSecret;
+  settings.peer_keys = {{1, kDemoPeerSecret}};
   settings.http.caller_threads = 16;
   return settings;
 }
@@ -109,11 +111,11 @@
   return outcome::success();
 }
 
-Result<void> DemoSite::waitForEngines() {
+Result<void> DemoSite::waitUntilReady() {
   const absl::Time limit = absl::Now() + kStartLimit;
-  while (node_->answeringEngines() < kEngineCount) {
+  while (!node_->ready() || node_->answeringEngines() < kEngineCount) {
     if (absl::Now() > limit) {
-      return fail(ErrorCode::kDeadlineExceeded, "the node found too few engines");
+      return fail(ErrorCode::kDeadlineExceeded, "the node has no policy or too few engines");
     }
     absl::SleepFor(kStartPollInterval);
   }
@@ -122,11 +124,10 @@
 
 Result<uint16_t> DemoSite::start() {
   BOOST_OUTCOME_TRYV(startStandIns());
-  node_ = std::make_unique<node::Node>(demoSettings(platform_address_));
-  BOOST_OUTCOME_TRYV(node_->installPolicy(ConfigurationVersion(1), demoPolicy()));
-  BOOST_OUTCOME_TRY(port, node_->start());
-  BOOST_OUTCOME_TRYV(waitForEngines());
-  return port;
+  node_ = std::make_unique<node::Node>(demoSettings(platform_address_), demoPolicy());
+  BOOST_OUTCOME_TRY(ports, node_->start());
+  BOOST_OUTCOME_TRYV(waitUntilReady());
+  return ports.callers;
 }
 
 uint64_t DemoSite::actionRuns() {
--- a/src/cli/demo_site.h
+++ b/src/cli/demo_site.h
@@ -36,7 +36,7 @@
  private:
   Result<void> startStandIns();
   Result<void> startEngine(const std::string& name);
-  Result<void> waitForEngines();
+  Result<void> waitUntilReady();
 
   std::unique_ptr<emulator::PlatformServer> platform_;
   std::unique_ptr<emulator::CacheStoreServer> cache_store_;
--- a/src/cli/serve_command.cc
+++ b/src/cli/serve_command.cc
@@ -49,20 +49,14 @@
 }
 
 int serve(const configuration::NodeSettings& settings, std::optional<configuration::Policy> initial_policy) {
-  node::Node node(settings);
-  if (initial_policy.has_value()) {
-    const Result<void> installed = node.installInitialPolicy(*std::move(initial_policy));
-    if (installed.has_error()) {
-      std::fprintf(stderr, "quincewick serve: %s\n", installed.error().message.c_str());
-      return kExitMisuse;
-    }
-  }
-  const Result<uint16_t> port = node.start();
-  if (port.has_error()) {
-    std::fprintf(stderr, "quincewick serve: %s\n", port.error().message.c_str());
+  node::Node node(settings, std::move(initial_policy));
+  const Result<node::NodePorts> ports = node.start();
+  if (ports.has_error()) {
+    std::fprintf(stderr, "quincewick serve: %s\n", ports.error().message.c_str());
     return kExitFailure;
   }
   waitForInterrupt(absl::InfiniteDuration());
+  node.drain(membership::DrainSettings());
   node.stop();
   return kExitSuccess;
 }
--- a/src/engine/http_action_channel.cc
+++ b/src/engine/http_action_channel.cc
@@ -20,10 +20,26 @@
   return client;
 }
 
+constexpr int kFirstServerErrorStatus = 500;
+
+// A server that fails may have run the action. Only its own word that it has not counts.
+Error serverError(int status, const std::string& body) {
+  constexpr bool allow_exceptions = false;
+  const nlohmann::json json = nlohmann::json::parse(body, nullptr, allow_exceptions);
+  const nlohmann::json::json_pointer ran("/error/ran");
+  const bool not_run =
+      json.is_object() && json.contains(ran) && json[ran] == executionName(Execution::kNotRun);
+  return Error{ErrorCode::kUnavailable, "action server: status " + std::to_string(status),
+               not_run ? Execution::kNotRun : Execution::kUnknown};
+}
+
 Result<ActionReply> replyOf(httplib::Result result) {
   if (!result) {
     return outcome::failure(transportError("action server", result.error()));
   }
+  if (result->status >= kFirstServerErrorStatus) {
+    return outcome::failure(serverError(result->status, result->body));
+  }
   return ActionReply{result->status, std::move(result->body)};
 }
 
--- a/src/node/action_service.cc
+++ b/src/node/action_service.cc
@@ -1,29 +1,21 @@
 #include "node/action_service.h"
 
 #include <absl/hash/hash.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
 #include <glog/logging.h>
+#include <xxhash.h>
 
 #include <algorithm>
 #include <string>
 #include <utility>
-#include <variant>
-
-#include "configuration/access_control.h"
 
 namespace quincewick::node {
 namespace {
 
-constexpr absl::Duration kRetryAfterClaimRefused = absl::Seconds(1);
-constexpr absl::Duration kRetryAfterInProgress = absl::Seconds(2);
+constexpr absl::Duration kRetryAfterNoServer = absl::Seconds(1);
 
 constexpr size_t kLookupTries = 3;
-constexpr int kFirstServerErrorStatus = 500;
-
-Error serverFailed(int status) {
-  return Error{ErrorCode::kUnavailable, "action server: status " + std::to_string(status),
-               Execution::kUnknown};
-}
-
 Error retryLater(Error error, absl::Duration retry_after) {
   error.retry_after = retry_after;
   return error;
@@ -33,22 +25,61 @@
   return http::ActionAnswer{reply.status, reply.body, is_repeat};
 }
 
-Error claimRefused() {
-  return retryLater(Error{ErrorCode::kUnavailable, "the action could not be claimed", Execution::kNotRun},
-                    kRetryAfterClaimRefused);
+// A reply as the ledger keeps it.
+std::string encodeReply(const engine::ActionReply& reply) {
+  return absl::StrCat(reply.status, " ", reply.body);
 }
 
-// What a repeat of a claimed key is told.
-Result<http::ActionAnswer> answerFromClaim(const ActionClaim& claim, const std::string& body_hash) {
-  if (claim.body_hash != body_hash) {
-    return fail(ErrorCode::kConflict, "the idempotency key was used with another body");
+engine::ActionReply decodeReply(const std::string& text) {
+  engine::ActionReply reply;
+  const size_t space = text.find(' ');
+  if (space == std::string::npos || !absl::SimpleAtoi(text.substr(0, space), &reply.status)) {
+    // The outcome was too long to keep: that it ran is known, what it returned is not.
+    reply.body = R"({"result":null,"note":"it ran; its answer was too long to keep"})";
+    return reply;
   }
-  if (claim.reply.has_value()) {
-    return answerOf(*claim.reply, true);
+  reply.body = text.substr(space + 1);
+  return reply;
+}
+
+// The kind belongs to what a key was used for: the same key for another kind is a conflict.
+ledger::BodyHash hashOf(const http::ActionCall& call) {
+  const std::string named = absl::StrCat(call.kind.value().size(), ":", call.kind.value(), call.body);
+  const XXH128_hash_t hash = XXH3_128bits(named.data(), named.size());
+  return ledger::BodyHash{hash.high64, hash.low64};
+}
+
+Error errorOf(const ledger::ActionAnswer& answer) {
+  Error error{ErrorCode::kUnavailable, "the action could not be claimed", answer.execution,
+              answer.retry_after};
+  switch (answer.status) {
+    case ledger::AnswerStatus::kInProgress:
+      error.code = ErrorCode::kOutcomeUnknown;
+      error.message = "the action is in progress";
+      break;
+    case ledger::AnswerStatus::kUnknown:
+      error.code = ErrorCode::kOutcomeUnknown;
+      error.message = "the action may have run and will not be run again under this key";
+      break;
+    case ledger::AnswerStatus::kConflict:
+      error.code = ErrorCode::kConflict;
+      error.message = "the idempotency key was used with another body";
+      break;
+    case ledger::AnswerStatus::kInvalidKey:
+      error.code = ErrorCode::kInvalidArgument;
+      error.message = "the idempotency key is dated in the future";
+      break;
+    case ledger::AnswerStatus::kFull:
+      error.message = "the ledger has no room for another key";
+      break;
+    case ledger::AnswerStatus::kNotRun:
+      error.message = "no action server could be reached";
+      break;
+    case ledger::AnswerStatus::kDone:
+    case ledger::AnswerStatus::kUnavailable:
+      break;
   }
-  const Error error{ErrorCode::kOutcomeUnknown, "the action is in progress or its outcome was lost",
-                    Execution::kUnknown};
-  return outcome::failure(retryLater(error, kRetryAfterInProgress));
+  return error;
 }
 
 }  // namespace
@@ -80,70 +111,34 @@
   for (size_t tries = 0; tries < std::max(servers.size(), kLookupTries); ++tries) {
     const BackEnd& server = servers[tries % servers.size()];
     Result<engine::ActionReply> reply = resources_.channel.lookUp(server.address, request);
-    if (reply.has_value() && reply.value().status < kFirstServerErrorStatus) {
+    if (reply.has_value()) {
       return answerOf(reply.value(), false);
     }
-    last_error = reply.has_error() ? std::move(reply).error() : serverFailed(reply.value().status);
+    last_error = std::move(reply).error();
     LOG(WARNING) << "event=lookup_failed trace=" << call.id << " server=" << server.id
                  << " type=" << errorCodeName(last_error.code);
   }
   return outcome::failure(last_error);
 }
 
-Result<ActionService::ClaimOutcome> ActionService::claim(const std::string& key, const ActionClaim& claim) {
-  const TableTransaction transaction{{{key, kAbsentItemVersion}}, {{key, encodeActionClaim(claim)}}};
-  const PlatformResult result = resources_.platform.call(transaction);
-  if (const auto* committed = std::get_if<TableCommitted>(&result)) {
-    return ClaimOutcome{committed->versions.front(), std::nullopt};
-  }
-  if (const auto* conflict = std::get_if<TableConflict>(&result)) {
-    return claimOutcome(conflict->items, claim);
-  }
-  const auto* error = std::get_if<Error>(&result);
-  if (error != nullptr && error->code == ErrorCode::kOutcomeUnknown) {
-    const PlatformResult read_back = resources_.platform.call(TableRead{{key}});
-    if (const auto* items = std::get_if<TableItems>(&read_back)) {
-      return claimOutcome(items->items, claim);
-    }
-  }
-  // Not claimed for all that is known, so nothing is sent. Should the claim have been written all the same,
-  // it is nobody's: repeats are told that the outcome is unknown.
-  return outcome::failure(claimRefused());
-}
-
-Result<ActionService::ClaimOutcome> ActionService::claimOutcome(const std::vector<TableItem>& items,
-                                                                const ActionClaim& wanted) {
-  if (items.empty() || items.front().version == kAbsentItemVersion) {
-    return outcome::failure(claimRefused());
-  }
-  BOOST_OUTCOME_TRY(held, decodeActionClaim(items.front().value));
-  if (held.claimant == wanted.claimant) {
-    return ClaimOutcome{items.front().version, std::nullopt};
-  }
-  return ClaimOutcome{items.front().version, std::move(held)};
+Result<http::ActionAnswer> ActionService::runOnce(const http::ActionCall& call) {
+  const ledger::ActionKey key{call.tenant, call.key};
+  const LedgerAnswer answer =
+      resources_.ledger.submit(key, hashOf(call), [this, call] { return dispatchOnce(call); });
+  if (answer.answer.status != ledger::AnswerStatus::kDone) {
+    return outcome::failure(errorOf(answer.answer));
+  }
+  resources_.metrics.actionFinished(!answer.dispatched);
+  return answerOf(decodeReply(answer.answer.outcome), !answer.dispatched);
 }
 
-Result<http::ActionAnswer> ActionService::runOnce(const http::ActionCall& call) {
-  const std::string key = actionClaimKey(call.tenant, call.kind, call.key);
-  ActionClaim own_claim{configuration::hashKey(call.body), call.id, std::nullopt};
-  BOOST_OUTCOME_TRY(claimed, claim(key, own_claim));
-  if (claimed.held_by_other.has_value()) {
-    resources_.metrics.actionFinished(true);
-    return answerFromClaim(*claimed.held_by_other, own_claim.body_hash);
-  }
-  const TableCondition still_own{key, claimed.version};
-  Result<engine::ActionReply> reply = dispatch(call);
-  if (reply.has_error()) {
-    if (reply.error().execution == Execution::kNotRun) {
-      // Certainly not sent: the claim is given back, so that a repeat may run.
-      resources_.platform.call(TableTransaction{{still_own}, {{key, std::nullopt}}});
-    }
-    return outcome::failure(std::move(reply).error());
+DispatchOutcome ActionService::dispatchOnce(const http::ActionCall& call) {
+  const Result<engine::ActionReply> reply = dispatch(call);
+  if (reply.has_value()) {
+    return {ledger::DispatchResult::kDone, encodeReply(reply.value())};
   }
-  own_claim.reply = reply.value();
-  resources_.platform.call(TableTransaction{{still_own}, {{key, encodeActionClaim(own_claim)}}});
-  resources_.metrics.actionFinished(false);
-  return answerOf(reply.value(), false);
+  const bool not_sent = reply.error().execution == Execution::kNotRun;
+  return {not_sent ? ledger::DispatchResult::kNotSent : ledger::DispatchResult::kUncertain, ""};
 }
 
 Result<std::vector<BackEnd>> ActionService::serversFor(const http::ActionCall& call) {
@@ -167,7 +162,7 @@
   if (servers.empty()) {
     return outcome::failure(
         retryLater(Error{ErrorCode::kUnavailable, "no action server is ready", Execution::kNotRun},
-                   kRetryAfterClaimRefused));
+                   kRetryAfterNoServer));
   }
   const size_t first = absl::Hash<RequestId>()(call.id) % servers.size();
   std::rotate(servers.begin(), servers.begin() + static_cast<std::ptrdiff_t>(first), servers.end());
--- a/src/node/back_end_monitor.cc
+++ b/src/node/back_end_monitor.cc
@@ -62,6 +62,21 @@
   return ready;
 }
 
+std::vector<BackEnd> BackEndMonitor::backEnds() {
+  absl::MutexLock lock(&mutex_);
+  std::vector<BackEnd> all;
+  for (const auto& [id, watched] : watched_) {
+    all.push_back(watched.back_end);
+    if (!watched.answering) {
+      all.back().state = BackEndState::kGone;
+    }
+  }
+  for (const auto& [id, server] : action_servers_) {
+    all.push_back(server);
+  }
+  return all;
+}
+
 size_t BackEndMonitor::answeringEngines() {
   absl::MutexLock lock(&mutex_);
   size_t count = 0;
--- a/src/node/back_end_monitor.h
+++ b/src/node/back_end_monitor.h
@@ -42,6 +42,9 @@
   // Action servers that may get work, in the order of their identifiers.
   std::vector<BackEnd> actionServers();
 
+  // All that are known: action servers, and engines with what they last reported.
+  std::vector<BackEnd> backEnds();
+
   // Engines that answered their last poll.
   size_t answeringEngines();
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -11,34 +11,48 @@
 #include "engine/http_engine_channel.h"
 #include "http/caller_backend.h"
 #include "http/http_server.h"
+#include "membership/drain_coordinator.h"
 #include "node/action_service.h"
 #include "node/admission_gate.h"
 #include "node/back_end_monitor.h"
 #include "node/completion_service.h"
+#include "node/configuration_host.h"
+#include "node/ledger_host.h"
+#include "node/membership_host.h"
 #include "node/node_metrics.h"
+#include "node/operator_service.h"
+#include "node/peer_network.h"
 #include "node/policy_holder.h"
+#include "node/policy_operations.h"
 #include "node/router_host.h"
 #include "node/worker_pool.h"
 #include "platform/http_platform.h"
 
 namespace quincewick::node {
 
-// Owns all parts and their threads. start() and stop() are called by one owner; the rest is thread-safe.
+// Where a node serves, once it has started.
+struct NodePorts {
+  uint16_t callers = 0;
+  uint16_t operators = 0;
+  uint16_t peers = 0;
+};
+
+// Owns all parts and their threads. start(), drain() and stop() are called by one owner; the rest is
+// thread-safe.
 class Node : public http::CallerBackend {
  public:
-  explicit Node(const configuration::NodeSettings& settings);
+  // `initial_policy`: served by until an accepted policy is known.
+  Node(const configuration::NodeSettings& settings, std::optional<configuration::Policy> initial_policy);
   ~Node() override;
 
-  // Puts a policy in force, unless a newer one is.
-  Result<void> installPolicy(ConfigurationVersion version, configuration::Policy policy);
-
-  // Serves by this policy until an accepted one is known.
-  Result<void> installInitialPolicy(configuration::Policy policy);
+  // Joins the other nodes and begins to serve callers and operators.
+  Result<NodePorts> start();
 
-  // Begins to serve callers. Returns the port taken.
-  Result<uint16_t> start();
+  // A planned stop: tells peers and callers, refuses new work after the announcement period, and waits until
+  // nothing is in flight or the limit for streams has passed.
+  void drain(const membership::DrainSettings& settings);
 
-  // Refuses new requests, lets those in flight end, then stops.
+  // Stops at once.
   void stop();
 
   size_t answeringEngines() { return monitor_.answeringEngines(); }
@@ -55,9 +69,22 @@
   std::string metricsText() override;
 
  private:
+  Result<void> openNetwork(Incarnation incarnation);
+  void makeHosts(Incarnation incarnation);
+  Result<uint16_t> startCallerServer();
+  Result<uint16_t> startOperatorServer();
+  std::vector<PeerSubscription> subscriptions();
+  void sendToPeer(const NodeId& to, peer::PeerModule module, std::string bytes);
+  void onMembersChanged(const std::vector<MemberView>& members);
+  void onPolicyInForce(ConfigurationVersion version, const configuration::Policy& policy);
+  // Gives a kept answer to the node that its caller came back to.
+  Result<std::string> giveAnswer(const std::string& request);
+  Result<streams::RecentAnswer> takeAnswer(const RequestId& request, const TenantId& tenant);
   Result<void> refuseWhileLeaving() const;
+  uint32_t inFlight();
 
   const configuration::NodeSettings settings_;
+  const std::optional<configuration::Policy> initial_policy_;
   NodeMetrics metrics_;
   PolicyHolder policies_;
   platform::HttpPlatform platform_;
@@ -70,9 +97,22 @@
   BackEndMonitor monitor_;
   WorkerPool workers_;
   CompletionService completions_;
-  ActionService actions_;
-  std::atomic<bool> leaving_ = false;
+
+  std::atomic<bool> hosts_ready_ = false;  // peers' messages before that are dropped
+  std::atomic<bool> unready_ = false;      // leaving: balancers should turn away
+  std::atomic<bool> refusing_ = false;     // leaving: nothing new is taken
+  std::atomic<uint32_t> actions_in_flight_ = 0;
+
+  // Made by start(), in this order; the network ends first.
+  std::unique_ptr<MembershipHost> membership_;
+  std::unique_ptr<ConfigurationHost> configuration_;
+  std::unique_ptr<PolicyOperations> policy_operations_;
+  std::unique_ptr<LedgerHost> ledger_;
+  std::unique_ptr<ActionService> actions_;
+  std::unique_ptr<OperatorService> operator_service_;
+  std::unique_ptr<PeerNetwork> network_;
   std::unique_ptr<http::HttpServer> caller_server_;
+  std::unique_ptr<http::HttpServer> operator_server_;
 };
 
 }  // namespace quincewick::node
--- a/src/node/node_metrics.cc
+++ b/src/node/node_metrics.cc
@@ -32,6 +32,14 @@
       prompt_tokens_(
           counterFamily(*registry_, "quincewick_prompt_tokens_total",
                         "Prompt tokens of finished answers, by whether the engine had them cached")),
+      peer_bytes_(prometheus::BuildGauge()
+                      .Name("quincewick_peer_datagram_bytes")
+                      .Help("Bytes of datagrams to and from other nodes since the start")
+                      .Register(*registry_)),
+      configuration_version_(prometheus::BuildGauge()
+                                 .Name("quincewick_configuration_version")
+                                 .Help("The version of the policy in force")
+                                 .Register(*registry_)),
       first_token_seconds_(prometheus::BuildSummary()
                                .Name("quincewick_first_token_seconds")
                                .Help("From a request's arrival to its first token, by urgency")
@@ -67,6 +75,15 @@
   actions_.Add({{"repeat", is_repeat ? "yes" : "no"}}).Increment();
 }
 
+void NodeMetrics::setPeerTraffic(uint64_t bytes_sent, uint64_t bytes_received) {
+  peer_bytes_.Add({{"direction", "sent"}}).Set(static_cast<double>(bytes_sent));
+  peer_bytes_.Add({{"direction", "received"}}).Set(static_cast<double>(bytes_received));
+}
+
+void NodeMetrics::setConfigurationVersion(ConfigurationVersion version) {
+  configuration_version_.Add({}).Set(static_cast<double>(version.value()));
+}
+
 std::string NodeMetrics::text() const {
   return prometheus::TextSerializer().Serialize(registry_->Collect());
 }
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -4,6 +4,7 @@
 #include <absl/time/time.h>
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
+#include <prometheus/gauge.h>
 #include <prometheus/registry.h>
 #include <prometheus/summary.h>
 
@@ -11,6 +12,7 @@
 #include <string>
 
 #include "types/error.h"
+#include "types/identifiers.h"
 #include "types/token_event.h"
 #include "types/urgency.h"
 
@@ -29,6 +31,10 @@
   void attemptLost(const Error& error);
   void actionFinished(bool is_repeat);
 
+  // Bytes of datagrams to and from other nodes since the start.
+  void setPeerTraffic(uint64_t bytes_sent, uint64_t bytes_received);
+  void setConfigurationVersion(ConfigurationVersion version);
+
   std::string text() const;
 
  private:
@@ -38,6 +44,8 @@
   prometheus::Family<prometheus::Counter>& attempts_lost_;
   prometheus::Family<prometheus::Counter>& actions_;
   prometheus::Family<prometheus::Counter>& prompt_tokens_;
+  prometheus::Family<prometheus::Gauge>& peer_bytes_;
+  prometheus::Family<prometheus::Gauge>& configuration_version_;
   prometheus::Family<prometheus::Summary>& first_token_seconds_;
 };
 
