--- a/src/membership/membership_protocol.h
+++ b/src/membership/membership_protocol.h
@@ -166,7 +166,7 @@
   void correctSender(const MemberRecord& sender);
   Message makeMessage(const MemberRecord& to, MessageBody body) const;
   void fillBeats(Message& message, const ZoneName& receiver_zone) const;
-  std::vector<ZoneDigest> chosenZoneDigests() const;
+  ZoneDigests chosenZoneDigests() const;
 
   // Choices.
   std::optional<MemberRecord> chooseContact(const ZoneName& zone);
@@ -176,6 +176,8 @@
   bool isIsolated() const;
   absl::Duration suspicionTimeout() const;
   uint32_t transmissionLimit() const;
+  // A time between half and one and a half of the period.
+  absl::Duration jittered(absl::Duration period);
 
   MembershipSettings settings_;
   MemberTable table_;
--- a/src/membership/messages.cc
+++ b/src/membership/messages.cc
@@ -111,6 +111,9 @@
 
 template <class Archive>
 void serialize(Archive& archive, ZoneDigests& digests) {
+  auto complete = static_cast<uint8_t>(digests.complete);
+  archive(complete);
+  digests.complete = complete != 0;
   archiveList(archive, digests.zones);
 }
 
--- a/src/membership/messages.h
+++ b/src/membership/messages.h
@@ -64,6 +64,7 @@
 // Opens a comparison of views: the receiver sends pages of the zones where its own digest differs.
 struct ZoneDigests {
   std::vector<ZoneDigest> zones;
+  bool complete = false;  // all zones that the sender knows are there; else others say nothing
 };
 
 // The sender's whole knowledge of the ids in (after, up_to] of the zone, as the message's updates; an empty
--- a/tests/membership/membership_protocol_test.cc
+++ b/tests/membership/membership_protocol_test.cc
@@ -31,7 +31,9 @@
         suspicions += change->record.state == MemberState::kSuspect ? 1 : 0;
       }
       if (const auto* change = std::get_if<ZoneReachabilityChanged>(&action)) {
-        lost_zones[node] += change->reachable ? 0 : 1;
+        if (!change->reachable) {
+          ++lost_zones[node];
+        }
       }
     });
   }
@@ -150,6 +152,14 @@
   REQUIRE(site->settle(absl::Seconds(10)) == "");
 }
 
+TEST_CASE("more zones than one message can tell of are all reached, and stay so") {
+  auto site = startedSite(36, 3, 9);
+  REQUIRE(site->settle(kSettleTime) == "");
+  BeliefCount beliefs(*site);
+  site->network().runFor(absl::Minutes(1));
+  CHECK(beliefs.lost_zones.empty());
+}
+
 TEST_CASE("a restarted herd finds itself again while the platform is down only if somebody is known") {
   auto site = startedSite(2, 5, 2);
   REQUIRE(site->settle(kSettleTime) == "");
--- a/tests/membership/messages_test.cc
+++ b/tests/membership/messages_test.cc
@@ -32,7 +32,7 @@
     case 3:
       return IndirectAnswer{number, NodeId(anyName())};
     case 4:
-      return ZoneDigests{{{ZoneName(anyName()), number}, {ZoneName(anyName()), 1}}};
+      return ZoneDigests{{{ZoneName(anyName()), number}, {ZoneName(anyName()), 1}}, true};
     case 5:
       return ZonePage{ZoneName(anyName()), NodeId(anyName()), NodeId()};
     default:
