--- a/src/configuration/policy_objects.cc
+++ b/src/configuration/policy_objects.cc
@@ -157,6 +157,7 @@
     changes[key] = std::nullopt;
   }
   std::vector<ObjectChange> list;
+  list.reserve(changes.size());
   for (auto& [key, text] : changes) {
     list.push_back({key, std::move(text)});
   }
--- a/src/types/cereal_time.h
+++ b/src/types/cereal_time.h
@@ -14,20 +14,20 @@
 }
 
 template <class Archive>
-void load_minimal(const Archive& /*archive*/, Time& time,
-                  const int64_t& nanoseconds) {  // NOLINT(readability-identifier-naming)
+void load_minimal(const Archive& /*archive*/, Time& time,  // NOLINT(readability-identifier-naming)
+                  const int64_t& nanoseconds) {
   time = FromUnixNanos(nanoseconds);
 }
 
 template <class Archive>
-int64_t save_minimal(const Archive& /*archive*/,
-                     const Duration& duration) {  // NOLINT(readability-identifier-naming)
+int64_t save_minimal(const Archive& /*archive*/,  // NOLINT(readability-identifier-naming)
+                     const Duration& duration) {
   return ToInt64Nanoseconds(duration);
 }
 
 template <class Archive>
-void load_minimal(const Archive& /*archive*/, Duration& duration,
-                  const int64_t& nanoseconds) {  // NOLINT(readability-identifier-naming)
+void load_minimal(const Archive& /*archive*/, Duration& duration,  // NOLINT(readability-identifier-naming)
+                  const int64_t& nanoseconds) {
   duration = Nanoseconds(nanoseconds);
 }
 
--- a/src/types/strong_id.h
+++ b/src/types/strong_id.h
@@ -22,7 +22,7 @@
   const std::string& value() const { return value_; }
   bool empty() const { return value_.empty(); }
 
-  friend auto operator<=>(const StrongString&, const StrongString&) = default;
+  friend auto operator<=>(const StrongString&, const StrongString&) = default;  // NOLINT
   friend bool operator==(const StrongString&, const StrongString&) = default;
 
   template <class Hasher>
@@ -51,7 +51,7 @@
   // The number after this one, for counters that only rise.
   constexpr StrongNumber next() const { return StrongNumber(value_ + 1); }
 
-  friend constexpr auto operator<=>(const StrongNumber&, const StrongNumber&) = default;
+  friend constexpr auto operator<=>(const StrongNumber&, const StrongNumber&) = default;  // NOLINT
   friend constexpr bool operator==(const StrongNumber&, const StrongNumber&) = default;
 
   template <class Hasher>
