--- a/emulator/engine_server.cc
+++ b/emulator/engine_server.cc
@@ -181,6 +181,7 @@
   auto writer = std::make_shared<EventStreamWriter>(*completion, from, faults());
   const auto provide = [this, completion, writer](size_t /*offset*/, httplib::DataSink& sink) {
     const CompletionView view = host_.waitBeyond(*completion, writer->next(), absl::Now() + kWriteInterval);
+    waitWhilePaused();
     if (stopping() || view.state == CompletionState::kLost) {
       return false;
     }
--- a/emulator/http_server.cc
+++ b/emulator/http_server.cc
@@ -46,7 +46,8 @@
     port = -1;
   }
   if (port <= 0) {
-    return fail(ErrorCode::kUnavailable, "can't listen on " + address.host);
+    return fail(ErrorCode::kUnavailable,
+                "can't listen on " + address.host + ":" + std::to_string(address.port));
   }
   // The library's own backlog is 5; a second call on the bound socket raises it.
   ::listen(svr_sock_, kListenBacklog);
--- a/emulator/stand_in.cc
+++ b/emulator/stand_in.cc
@@ -102,10 +102,7 @@
     server_.cut(request);
     return true;
   }
-  const absl::Time give_up = absl::Now() + kLongestPause;
-  while (!stopping_ && absl::Now() < give_up && faults_.isActive(FaultKind::kPause, absl::Now())) {
-    absl::SleepFor(kPausePoll);
-  }
+  waitWhilePaused();
   if (faults_.isActive(FaultKind::kOutage, absl::Now())) {
     answerError(response, kServiceUnavailable, ErrorCode::kUnavailable, "outage", "the service is down");
     return true;
@@ -163,6 +160,13 @@
   return nlohmann::json::parse(request.body);
 }
 
+void StandIn::waitWhilePaused() {
+  const absl::Time give_up = absl::Now() + kLongestPause;
+  while (!stopping_ && absl::Now() < give_up && faults_.isActive(FaultKind::kPause, absl::Now())) {
+    absl::SleepFor(kPausePoll);
+  }
+}
+
 void StandIn::addAdminRoutes() {
   server_.Post("/admin/faults", guarded([this](const httplib::Request& request, httplib::Response& response) {
                  const Result<Fault> fault = faultFromJson(bodyOf(request));
--- a/emulator/stand_in.h
+++ b/emulator/stand_in.h
@@ -58,6 +58,8 @@
   FaultBoard& faults() { return faults_; }
   bool stopping() const { return stopping_; }
   void sleepUnlessStopping(absl::Duration duration) const;
+  // Returns when no fault pauses this stand-in: a paused process sends nothing.
+  void waitWhilePaused();
 
   // Called by the timer thread when due and after each `poke`; returns when it is due next.
   virtual absl::Time tick(absl::Time now) = 0;
--- a/tests/emulator/servers_test.cc
+++ b/tests/emulator/servers_test.cc
@@ -293,6 +293,34 @@
   CHECK(after["running"] == 0);
 }
 
+TEST_CASE("a paused engine stands still until the pause ends, and its stream is whole") {
+  EngineServer engine(fastEngine());
+  httplib::Client client("127.0.0.1", engine.start(kAnyPort).value());
+  httplib::Request request;
+  request.method = "POST";
+  request.path = "/v1/completions";
+  request.body = completionBody("a", "prompt", 60).dump();
+  request.set_header("Content-Type", kJson);
+  std::string body;
+  bool stood_still = false;
+  request.content_receiver = [&](const char* data, size_t size, uint64_t, uint64_t) {
+    body.append(data, size);
+    if (!stood_still) {
+      engine.inject(faultOf(FaultKind::kPause));
+      const auto next = [](const EngineModel& model) { return model.nextWakeup(); };
+      for (int attempt = 0; attempt < 1'000'000 && !stood_still; ++attempt) {
+        stood_still = engine.host().read(next) == absl::InfiniteFuture();
+      }
+      engine.clearFaults();
+    }
+    return true;
+  };
+  REQUIRE(client.send(request));
+  CHECK(stood_still);
+  CHECK(parseEvents(body).text == answerText(answerSeed("base", "prompt"), 60));
+  CHECK(parseEvents(body).done);
+}
+
 TEST_CASE("a cut zone is kept away while others are served") {
   EngineServer engine(fastEngine());
   const uint16_t port = engine.start(kAnyPort).value();
