--- a/emulator/action_server.cc
+++ b/emulator/action_server.cc
@@ -1,5 +1,8 @@
 #include "emulator/action_server.h"
 
+#include <absl/strings/str_format.h>
+#include <unistd.h>
+
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
 #include <xxhash.h>
--- a/loadgen/action_audit.cc
+++ b/loadgen/action_audit.cc
@@ -51,12 +51,17 @@
   if (!json.is_object() || !json.contains("runs") || !json["runs"].is_array()) {
     return fail(ErrorCode::kInternal, "an action server's list of runs is malformed");
   }
+  const bool is_named = json.contains("log") && json["log"].is_string();
+  if (is_named && !runs.logs.insert(json["log"].get<std::string>()).second) {
+    return outcome::success();
+  }
   for (const Json& run : json["runs"]) {
     if (!run.is_object() || !run.contains("kind") || !run.contains("key") || !run.contains("count") ||
         !run["kind"].is_string() || !run["key"].is_string() || !run["count"].is_number_unsigned()) {
       return fail(ErrorCode::kInternal, "an action server's run is malformed");
     }
-    runs[{run["kind"].get<std::string>(), run["key"].get<std::string>()}] += run["count"].get<uint64_t>();
+    runs.counts[{run["kind"].get<std::string>(), run["key"].get<std::string>()}] +=
+        run["count"].get<uint64_t>();
   }
   return outcome::success();
 }
@@ -70,8 +75,8 @@
     }
   }
   for (const auto& [key, answers] : by_key) {
-    const auto found = runs.find(key);
-    auditKey(found == runs.end() ? 0 : found->second, answers);
+    const auto found = runs.counts.find(key);
+    auditKey(found == runs.counts.end() ? 0 : found->second, answers);
   }
 }
 
--- a/loadgen/action_audit.h
+++ b/loadgen/action_audit.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
 
 #include <cstdint>
 #include <string>
@@ -15,9 +16,13 @@
 namespace quincewick::loadgen {
 
 // How often each (kind, key) ran, over all action servers.
-using ActionRuns = absl::btree_map<std::pair<std::string, std::string>, uint64_t>;
+struct ActionRuns {
+  absl::btree_map<std::pair<std::string, std::string>, uint64_t> counts;
+  absl::btree_set<std::string> logs;  // that were added
+};
 
-// Adds one server's answer to GET /admin/runs: {"runs": [{"kind", "key", "count"}]}.
+// Adds one server's answer to GET /admin/runs: {"log", "runs": [{"kind", "key", "count"}]}. Servers that
+// share a log give the same "log", and count once.
 Result<void> addActionRuns(std::string_view body, ActionRuns& runs);
 
 // Sets `violation` on the outcomes of actions that ran twice (on the first outcome of the key only), were
--- a/src/cli/load_command.cc
+++ b/src/cli/load_command.cc
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "cli/exit_codes.h"
 #include "loadgen/driver.h"
 #include "loadgen/report.h"
 #include "loadgen/summary.h"
@@ -18,9 +19,6 @@
 namespace quincewick::cli {
 namespace {
 
-constexpr int kExitSuccess = 0;
-constexpr int kExitViolation = 1;
-constexpr int kExitMisuse = 2;
 constexpr double kLargestRate = 100'000.0;
 constexpr double kLongestSeconds = 86'400.0;
 constexpr uint32_t kMostWorkers = 4096;
@@ -172,12 +170,12 @@
   const Result<void> written = writeAll(chosen, result);
   if (written.has_error()) {
     std::cerr << "quincewick load: " << written.error().message << "\n";
-    return kExitViolation;
+    return kExitFailure;
   }
   const uint64_t violations = loadgen::violationCount(result);
   if (violations > 0) {
     std::cerr << "quincewick load: " << violations << " broken promises, see 'violations' in the result\n";
-    return kExitViolation;
+    return kExitFailure;
   }
   return kExitSuccess;
 }
--- a/tests/loadgen/answer_check_test.cc
+++ b/tests/loadgen/answer_check_test.cc
@@ -134,13 +134,20 @@
       answered("lost", OutcomeClass::kComplete, Execution::kRan),
       answered("denied", OutcomeClass::kRefused, Execution::kNotRun),
       answered("unknown", OutcomeClass::kFailed, Execution::kUnknown),
-      answered("refused", OutcomeClass::kRefused, Execution::kNotRun)};
+      answered("refused", OutcomeClass::kRefused, Execution::kNotRun),
+      answered("shared", OutcomeClass::kComplete, Execution::kRan)};
   ActionRuns runs;
   REQUIRE(addActionRuns(R"({"runs":[{"kind":"pay","key":"right","count":1},{"kind":"pay","key":"twice",
       "count":1},{"kind":"pay","key":"denied","count":1},{"kind":"pay","key":"unknown","count":1}]})",
                         runs)
               .has_value());
-  REQUIRE(addActionRuns(R"({"runs":[{"kind":"pay","key":"twice","count":1}]})", runs).has_value());
+  for (int server = 0; server < 2; ++server) {  // both share one log
+    REQUIRE(
+        addActionRuns(R"({"log":"a","runs":[{"kind":"pay","key":"refused","count":0}]})", runs).has_value());
+    REQUIRE(
+        addActionRuns(R"({"log":"b","runs":[{"kind":"pay","key":"shared","count":1}]})", runs).has_value());
+  }
+  REQUIRE(addActionRuns(R"({"log":"c","runs":[{"kind":"pay","key":"twice","count":1}]})", runs).has_value());
   REQUIRE(addActionRuns(R"({"runs":[{"kind":"pay"}]})", runs).has_error());
   auditActions(workload, runs, outcomes);
   CHECK_FALSE(outcomes[0].violation.has_value());
@@ -150,6 +157,7 @@
   CHECK(outcomes[4].violation == Violation::kFalseNotRun);
   CHECK_FALSE(outcomes[5].violation.has_value());
   CHECK_FALSE(outcomes[6].violation.has_value());
+  CHECK_FALSE(outcomes[7].violation.has_value());
 }
 
 }  // namespace
