quincewick simulate: hollow nodes with the real decision code on virtual time

The design size (410 nodes, 12,000 engines) can't be run as processes on one machine, and failures must be repeatable to the byte. Adds node::ControlPlane (pure composition, membership so far), the platform and engine models on the event queue, and a request path of each node made of the real router, admission and answer streams; engine owners that poll loads and cache events and spread load digests; callers of a seeded workload; a fault injector; a report whose repeatable part comes first. Token events are fed to the streams in runs, not as simulated events. Memory is measured by what a node's objects give back when they are destroyed.

An admission timer that fires exactly at an expiry does not refuse (it does after it), so the simulator wakes one millisecond later. Not simulated yet: actions, configuration, shared limits, fleet orders, resumption at an engine.

--- a/simulation/network_model.h
+++ b/simulation/network_model.h
@@ -38,6 +38,11 @@
   // Whether anything passes from one zone to the other now.
   bool reachable(ZoneIndex from, ZoneIndex to) const;
 
+  // Whether the zone is cut off, by itself or with its region. The platform can't be reached from there.
+  bool isolated(ZoneIndex zone) const {
+    return zone_cuts_[zone] > 0 || region_cuts_[zone_regions_[zone]] > 0;
+  }
+
   // Cuts add up: a zone or region is joined again when each of its cuts has been healed.
   void cutZone(ZoneIndex zone) { ++zone_cuts_[zone]; }
   void healZone(ZoneIndex zone) { --zone_cuts_[zone]; }
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -11,6 +11,7 @@
 #include "cli/exit_codes.h"
 #include "cli/load_command.h"
 #include "cli/serve_command.h"
+#include "cli/simulate_command.h"
 
 namespace quincewick::cli {
 namespace {
@@ -27,6 +28,7 @@
     Command{"emulate", "run stand-ins for engines, action servers and the platform", runEmulateCommand},
     Command{"load", "drive callers' traffic and check every answer", runLoadCommand},
     Command{"demo", "run a small deployment in this process on loopback", runDemoCommand},
+    Command{"simulate", "run a site of hollow nodes on virtual time", runSimulateCommand},
 };
 
 void printUsage(std::FILE* out) {
