A proposal is judged by a read that began after it: the test that was missing

Cause: a variant that judged a proposal by an older poll passed all tests, though it refuses a route to a group that another node has just had accepted.

--- a/tests/configuration/configuration_replica_test.cc
+++ b/tests/configuration/configuration_replica_test.cc
@@ -208,6 +208,29 @@
   CHECK(world.violations() == std::vector<std::string>{});
 }
 
+TEST_CASE("a proposal is judged by what the store held after it came, not by an older poll") {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    WorldOptions options;
+    options.seed = seed;
+    ReplicaWorld world(options);
+    world.run(absl::Seconds(2));
+    size_t relay = 0;  // of zone 0, to which every third node belongs
+    while (!world.replica(relay).isRelay()) {
+      relay += options.zones;
+    }
+    world.cutZone(0);
+    world.store_faults.delay = absl::Milliseconds(400);
+    world.propose(1, {{ObjectKey("groups/g"), "{back_ends: \"a=b\"}"}});
+    for (int step = 0; step < 5000 && world.accepted().empty(); ++step) {
+      world.run(absl::Milliseconds(1));
+    }
+    world.propose(relay, {{ObjectKey("routes/r"), "{selector: \"\", groups: [g]}"}});
+    world.run(absl::Seconds(4));
+    CHECK(world.accepted().size() == 2);
+    CHECK(world.violations() == std::vector<std::string>{});
+  }
+}
+
 TEST_CASE("decoders survive any bytes") {
   rc::prop("garbage and mutated messages are errors or messages", [](std::string bytes) {
     const Result<PeerMessage> message = decodePeerMessage(bytes);
