Load: workloads for the shipped deployments; plots only of what has points

Cause: the workload files named tenants, keys, models and kinds that the deployments' policies do not have, so every request was refused as unknown; and gnuplot stopped at a plot without a point, leaving the rest undrawn. Change: both files follow deployments/*.policy.yaml, and a test reads them; plots without points are left out; a conversion that clang-tidy refused in the fleet controller is explicit.

--- a/loadgen/report.cc
+++ b/loadgen/report.cc
@@ -62,21 +62,34 @@
   Plot first_token = {"first-token", "Time to first token, 95th percentile of each second", "s", {}};
   size_t column = kFirstKindColumn;
   for (const std::string& kind : kindNames(result)) {
-    first_token.lines.emplace_back(column++, kind);
+    const Json::json_pointer count("/kinds/" + kind + "/time_to_first_token_seconds/count");
+    if (result[count] > 0) {
+      first_token.lines.emplace_back(column, kind);
+    }
+    ++column;
   }
   constexpr size_t hit_rate_column = 2;
   constexpr size_t waste_column = 3;
   constexpr size_t request_column = 4;
   constexpr size_t error_column = 5;
-  return {first_token,
-          {"hit-rate",
-           "Prefix hit rate and tokens computed again, as shares of prompt tokens",
-           "share",
-           {{hit_rate_column, "hit rate"}, {waste_column, "computed again"}}},
-          {"requests",
-           "Requests and errors",
-           "a second",
-           {{request_column, "requests"}, {error_column, "refusals, cuts and failures"}}}};
+  // gnuplot refuses a plot without a single point.
+  std::vector<Plot> list;
+  if (!first_token.lines.empty()) {
+    list.push_back(std::move(first_token));
+  }
+  if (result.contains("prefix_hit_rate")) {
+    list.push_back({"hit-rate",
+                    "Prefix hit rate and tokens computed again, as shares of prompt tokens",
+                    "share",
+                    {{hit_rate_column, "hit rate"}, {waste_column, "computed again"}}});
+  }
+  if (!result["timeline"].empty()) {
+    list.push_back({"requests",
+                    "Requests and errors",
+                    "a second",
+                    {{request_column, "requests"}, {error_column, "refusals, cuts and failures"}}});
+  }
+  return list;
 }
 
 std::string gnuplotQuoted(const std::string& text) {
--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -217,8 +217,8 @@
   }
   // Others are repeated once in a round of their owner's refreshes.
   constexpr double missed_rounds = 3.0;
-  const double owned_by_each =
-      std::ceil(static_cast<double>(tracker_.all().size()) / std::max<double>(1.0, members_.size()));
+  const double owned_by_each = std::ceil(static_cast<double>(tracker_.all().size()) /
+                                         std::max(1.0, static_cast<double>(members_.size())));
   const absl::Duration others_limit =
       settings_.tracker.silence_limit + refreshInterval() * (owned_by_each * missed_rounds);
   for (const BackEndId& id : tracker_.expire(owned, others_limit, now)) {
--- a/tests/loadgen/workload_generator_test.cc
+++ b/tests/loadgen/workload_generator_test.cc
@@ -1,6 +1,7 @@
 #include "loadgen/workload_generator.h"
 
 #include <catch2/catch.hpp>
+#include <filesystem>
 #include <map>
 #include <set>
 
@@ -121,6 +122,17 @@
   CHECK(text_of_key.size() > 100);
 }
 
+TEST_CASE("the deployments' workload files are valid") {
+  const std::filesystem::path folder =
+      std::filesystem::path(__FILE__).parent_path().parent_path().parent_path() / "workloads";
+  for (const char* name : {"budapest.yaml", "dakar.yaml"}) {
+    const Result<Workload> workload = readWorkloadFile((folder / name).string());
+    REQUIRE(workload.has_value());
+    CHECK(workload.value().tenants.size() == 8);
+    CHECK(workload.value().kinds.size() == 4);
+  }
+}
+
 TEST_CASE("wrong files are refused at the right place") {
   const auto refusal = [](std::string_view from, std::string_view to) {
     std::string text(kText);
