--- a/tests/loadgen/workload_generator_test.cc
+++ b/tests/loadgen/workload_generator_test.cc
@@ -1,7 +1,6 @@
 #include "loadgen/workload_generator.h"
 
 #include <catch2/catch.hpp>
-#include <filesystem>
 #include <map>
 #include <set>
 
@@ -123,10 +122,8 @@
 }
 
 TEST_CASE("the deployments' workload files are valid") {
-  const std::filesystem::path folder =
-      std::filesystem::path(__FILE__).parent_path().parent_path().parent_path() / "workloads";
   for (const char* name : {"budapest.yaml", "dakar.yaml"}) {
-    const Result<Workload> workload = readWorkloadFile((folder / name).string());
+    const Result<Workload> workload = readWorkloadFile(std::string(QUINCEWICK_WORKLOADS "/") + name);
     REQUIRE(workload.has_value());
     CHECK(workload.value().tenants.size() == 8);
     CHECK(workload.value().kinds.size() == 4);
