--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -10,7 +10,8 @@
 // The library listens with a backlog of 5, which a burst of connections overflows.
 constexpr int kListenBacklog = 1024;
 constexpr size_t kKeepAliveRequests = 1'000'000;
-constexpr time_t kKeepAliveSeconds = 60;
+// Also how long a stop may wait for an idle connection.
+constexpr time_t kKeepAliveSeconds = 5;
 
 std::unique_ptr<httplib::Server> makeServer(const std::optional<TlsFiles>& tls) {
   if (tls.has_value()) {
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -108,7 +108,7 @@
 std::vector<PeerSubscription> Node::subscriptions() {
   const auto when_ready = [this](auto handle) {
     return [this, handle](const NodeId& from, const std::string& bytes) {
-      if (hosts_ready_) {
+      if (const UseGate::Use use(hosts_); use) {
         handle(from, bytes);
       }
     };
@@ -165,7 +165,8 @@
                         network_->send(to, address, peer::PeerModule::kMembership, std::move(bytes));
                       },
                       [this](const std::vector<MemberView>& members) { onMembersChanged(members); }});
-  hosts_ready_ = true;
+  hosts_.open();
+  onMembersChanged(membership_->members());
   // What was in force before the hooks could act on it.
   const ConfigurationView view = configuration_->view();
   if (view.ready) {
@@ -186,7 +187,8 @@
 }
 
 void Node::sendToPeer(const NodeId& to, peer::PeerModule module, std::string bytes) {
-  if (!hosts_ready_) {
+  const UseGate::Use use(hosts_);
+  if (!use) {
     return;
   }
   const std::optional<Address> address = membership_->addressOf(to);
@@ -196,7 +198,8 @@
 }
 
 void Node::onMembersChanged(const std::vector<MemberView>& members) {
-  if (!hosts_ready_) {
+  const UseGate::Use use(hosts_);
+  if (!use) {
     return;
   }
   std::vector<configuration::PeerNode> peers;
@@ -210,7 +213,8 @@
 }
 
 void Node::onPolicyInForce(ConfigurationVersion version, const configuration::Policy& policy) {
-  if (!hosts_ready_) {
+  const UseGate::Use use(hosts_);
+  if (!use) {
     return;
   }
   const Result<bool> installed = policies_.install(version, policy);
@@ -230,6 +234,11 @@
 }
 
 void Node::drain(const membership::DrainSettings& settings) {
+  drainUntilIdle(settings);
+  refusing_ = true;
+}
+
+void Node::drainUntilIdle(const membership::DrainSettings& settings) {
   membership::DrainCoordinator coordinator(settings);
   membership::DrainEvent event = membership::StopRequested{};
   while (true) {
@@ -265,12 +274,15 @@
   if (operator_server_ != nullptr) {
     operator_server_->stop();
   }
-  hosts_ready_ = false;
-  if (network_ != nullptr) {
-    // Hosts still call into the network: it goes after them, but hears no one any more.
-    membership_.reset();
-    configuration_.reset();
-  }
+  hosts_.close();
+  // Their threads end before the network that they send by.
+  operator_service_.reset();
+  policy_operations_.reset();
+  membership_.reset();
+  configuration_.reset();
+  actions_.reset();
+  ledger_.reset();
+  network_.reset();
 }
 
 Result<void> Node::refuseWhileLeaving() const {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -25,6 +25,7 @@
 #include "node/policy_holder.h"
 #include "node/policy_operations.h"
 #include "node/router_host.h"
+#include "node/use_gate.h"
 #include "node/worker_pool.h"
 #include "platform/http_platform.h"
 
@@ -80,6 +81,7 @@
   // Gives a kept answer to the node that its caller came back to.
   Result<std::string> giveAnswer(const std::string& request);
   Result<streams::RecentAnswer> takeAnswer(const RequestId& request, const TenantId& tenant);
+  void drainUntilIdle(const membership::DrainSettings& settings);
   Result<void> refuseWhileLeaving() const;
   uint32_t inFlight();
 
@@ -98,9 +100,9 @@
   WorkerPool workers_;
   CompletionService completions_;
 
-  std::atomic<bool> hosts_ready_ = false;  // peers' messages before that are dropped
-  std::atomic<bool> unready_ = false;      // leaving: balancers should turn away
-  std::atomic<bool> refusing_ = false;     // leaving: nothing new is taken
+  UseGate hosts_;  // open while the hosts below exist; messages at other times are dropped
+  std::atomic<bool> unready_ = false;   // leaving: balancers should turn away
+  std::atomic<bool> refusing_ = false;  // leaving: nothing new is taken
   std::atomic<uint32_t> actions_in_flight_ = 0;
 
   // Made by start(), in this order; the network ends first.
--- a/src/node/peer_network.cc
+++ b/src/node/peer_network.cc
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr size_t kBulkThreads = 4;
+constexpr int kFreePortTries = 20;
 constexpr uint32_t kRpcThreads = 4;
 constexpr absl::Duration kBulkTimeout = absl::Seconds(2);
 
@@ -66,15 +67,27 @@
                                                        const std::vector<PeerSubscription>& subscriptions) {
   BOOST_OUTCOME_TRY(keys, makeKeyRing(settings.peer_keys));
   std::unique_ptr<PeerNetwork> network(new PeerNetwork(settings.node_id, incarnation, std::move(keys)));
-  BOOST_OUTCOME_TRY(messenger, peer::PeerMessenger::open(settings.listen.peers, network->authenticator_,
-                                                         datagramSubscriptions(subscriptions)));
-  network->messenger_ = std::move(messenger);
-  BOOST_OUTCOME_TRY(server, peer::PeerRpcServer::open(network->localAddress(), network->authenticator_,
-                                                      requestRoutes(subscriptions), kRpcThreads));
-  network->rpc_server_ = std::move(server);
+  // The system's choice of a free UDP port may be a TCP port in use: then another is tried.
+  const int tries = settings.listen.peers.port == 0 ? kFreePortTries : 1;
+  Result<void> listening = network->listen(settings.listen.peers, subscriptions);
+  for (int count = 1; listening.has_error() && count < tries; ++count) {
+    listening = network->listen(settings.listen.peers, subscriptions);
+  }
+  BOOST_OUTCOME_TRYV(std::move(listening));
   return network;
 }
 
+Result<void> PeerNetwork::listen(const Address& address, const std::vector<PeerSubscription>& subscriptions) {
+  messenger_.reset();
+  BOOST_OUTCOME_TRY(messenger,
+                    peer::PeerMessenger::open(address, authenticator_, datagramSubscriptions(subscriptions)));
+  messenger_ = std::move(messenger);
+  BOOST_OUTCOME_TRY(server, peer::PeerRpcServer::open(localAddress(), authenticator_,
+                                                      requestRoutes(subscriptions), kRpcThreads));
+  rpc_server_ = std::move(server);
+  return outcome::success();
+}
+
 void PeerNetwork::send(const NodeId& to, const Address& address, peer::PeerModule module, std::string bytes) {
   if (bytes.size() <= peer::kMaximumDatagramPayload) {
     messenger_->send(to, address, module, std::move(bytes));
--- a/src/node/peer_network.h
+++ b/src/node/peer_network.h
@@ -48,6 +48,8 @@
   peer::UdpCounters counters() const { return messenger_->counters(); }
 
  private:
+  Result<void> listen(const Address& address, const std::vector<PeerSubscription>& subscriptions);
+
   PeerNetwork(NodeId self, Incarnation incarnation, peer::KeyRing keys);
 
   peer::Authenticator authenticator_;
