--- a/emulator/stand_in.cc
+++ b/emulator/stand_in.cc
@@ -57,7 +57,7 @@
 }
 
 Result<uint16_t> StandIn::start(const Address& address) {
-  const Result<uint16_t> port = server_.start(address);
+  Result<uint16_t> port = server_.start(address);
   if (port) {
     timer_ = std::thread([this] { runTimer(); });
   }
