--- a/src/ledger/action_ledger.cc
+++ b/src/ledger/action_ledger.cc
@@ -18,6 +18,7 @@
       replica_(self, options),
       coordinator_(self, options, calls_),
       view_keeper_(self, options, calls_),
+      sweeper_(options, calls_),
       out_(self.node) {}
 
 std::vector<LedgerAction> ActionLedger::handle(const LedgerEvent& event, absl::Time now,
@@ -46,7 +47,7 @@
 }
 
 void ActionLedger::on(const PlatformReply& event, absl::Time now, absl::BitGenRef /*random*/) {
-  if (coordinator_.on(event, currentView(), now, out_)) {
+  if (coordinator_.on(event, currentView(), now, out_) || sweeper_.on(event, now, out_)) {
     return;
   }
   std::optional<ViewRecord> found;
@@ -59,6 +60,7 @@
   view_keeper_.tick(peers_, replica_, now, random, out_);
   replica_.tick(peers_, now, out_);
   coordinator_.tick(currentView(), now, out_);
+  sweeper_.tick(view_keeper_.isPromiser(peers_, replica_), now, out_);
 }
 
 void ActionLedger::receive(const NodeId& from, const Message& message, absl::Time now) {
--- a/src/ledger/action_ledger.h
+++ b/src/ledger/action_ledger.h
@@ -10,6 +10,7 @@
 #include "ledger/coordinator.h"
 #include "ledger/events.h"
 #include "ledger/journal.h"
+#include "ledger/journal_sweeper.h"
 #include "ledger/outbox.h"
 #include "ledger/peer_table.h"
 #include "ledger/replica.h"
@@ -56,6 +57,7 @@
   Replica replica_;
   Coordinator coordinator_;
   ViewKeeper view_keeper_;
+  JournalSweeper sweeper_;
   Outbox out_;
 };
 
--- a/src/ledger/coordinator.cc
+++ b/src/ledger/coordinator.cc
@@ -149,6 +149,10 @@
     dispatch(claim, now, out);
     return;
   }
+  if (!claim.journal_required && journal_.failing(now)) {
+    dispatch(claim, now, out);
+    return;
+  }
   claim.phase = Phase::kJournaling;
   const absl::Duration patience =
       claim.journal_required ? options_.journal_timeout : options_.journal_patience;
--- a/src/ledger/journal.cc
+++ b/src/ledger/journal.cc
@@ -8,8 +8,12 @@
 namespace quincewick::ledger {
 namespace {
 
-constexpr size_t kMaximumBatch = 32;
-constexpr size_t kMaximumBatchesInFlight = 4;
+constexpr size_t kMaximumBatch = 64;
+// Claims that come while this one is under way make the next, larger batch.
+constexpr size_t kMaximumBatchesInFlight = 1;
+// Endings are in no hurry and gather for longer.
+constexpr absl::Duration kSettlementInterval = absl::Milliseconds(100);
+constexpr absl::Duration kFailureMemory = absl::Seconds(2);
 constexpr size_t kMaximumSettlements = 4096;
 constexpr absl::Duration kRetryDelay = absl::Milliseconds(50);
 
@@ -22,10 +26,14 @@
 
 }  // namespace
 
+std::string journalPrefix(const LedgerOptions& options) {
+  return absl::StrCat("ledger/", options.group, "/claim/");
+}
+
 std::string Journal::tableKey(const ActionKey& key) const {
   // The length keeps keys of tenants whose names contain a slash apart.
-  return absl::StrCat("ledger/", options_.group, "/claim/", key.tenant.value().size(), "/",
-                      key.tenant.value(), "/", key.key.value());
+  return absl::StrCat(journalPrefix(options_), key.tenant.value().size(), "/", key.tenant.value(), "/",
+                      key.key.value());
 }
 
 void Journal::claim(const ActionRecord& record, uint64_t replaced, absl::Time deadline) {
@@ -57,6 +65,7 @@
   } else {
     const auto* error = std::get_if<Error>(&reply.result);
     next_send_ = now + kRetryDelay;
+    failing_until_ = now + kFailureMemory;
     failed(std::move(batch), error == nullptr || error->execution != Execution::kNotRun ||
                                  error->code == ErrorCode::kOutcomeUnknown);
   }
@@ -71,6 +80,7 @@
     }
     Batch late = std::move(batch->second);
     batch = in_flight_.erase(batch);
+    failing_until_ = now + kFailureMemory;
     failed(std::move(late), true);
   }
   while (!waiting_.empty()) {
@@ -88,7 +98,7 @@
   }
   if (now >= next_send_) {
     sendClaims(now, out);
-    sendSettlements(out);
+    sendSettlements(now, out);
   }
 }
 
@@ -110,7 +120,11 @@
   }
 }
 
-void Journal::sendSettlements(Outbox& out) {
+void Journal::sendSettlements(absl::Time now, Outbox& out) {
+  if (now < next_settlement_) {
+    return;
+  }
+  next_settlement_ = now + kSettlementInterval;
   TableTransaction transaction;
   while (!settlements_.empty() && transaction.writes.size() < kMaximumBatch) {
     const Settlement& settlement = settlements_.front();
--- a/src/ledger/journal.h
+++ b/src/ledger/journal.h
@@ -25,6 +25,9 @@
   PlatformCallId last_;
 };
 
+// What the table's keys of all entries start with.
+std::string journalPrefix(const LedgerOptions& options);
+
 enum class JournalStatus : uint8_t {
   kRecorded,   // the entry is in the table under this claim
   kForeign,    // the table holds the key under another claim; its entry is attached
@@ -53,6 +56,8 @@
   void settle(const ActionRecord& record);
   // Returns whether the reply was the journal's.
   bool on(const PlatformReply& reply, absl::Time now);
+  // True when the table failed lately, so that waiting for it is of no use.
+  bool failing(absl::Time now) const { return now < failing_until_; }
   // Sends what is waiting and gives up what is late.
   void tick(absl::Time now, Outbox& out);
   std::vector<JournalResult> takeResults() { return std::exchange(results_, {}); }
@@ -75,7 +80,7 @@
 
   std::string tableKey(const ActionKey& key) const;
   void sendClaims(absl::Time now, Outbox& out);
-  void sendSettlements(Outbox& out);
+  void sendSettlements(absl::Time now, Outbox& out);
   void committed(const Batch& batch, const TableCommitted& result);
   void conflicted(Batch batch, const TableConflict& result);
   void failed(Batch batch, bool may_be_stored);
@@ -88,6 +93,8 @@
   absl::btree_map<ClaimId, uint64_t> versions_;  // of entries whose claims aren't settled yet
   std::vector<JournalResult> results_;
   absl::Time next_send_ = absl::InfinitePast();
+  absl::Time next_settlement_ = absl::InfinitePast();
+  absl::Time failing_until_ = absl::InfinitePast();
 };
 
 }  // namespace quincewick::ledger
--- a/src/ledger/messages.h
+++ b/src/ledger/messages.h
@@ -66,7 +66,7 @@
   BodyHash body;
   ClaimId owner;
   RecordState state = RecordState::kClaimed;
-  std::string outcome;    // of kDone; empty when it was too long to keep
+  std::string outcome;    // of kDone; empty when it was too long to keep or there was no room
   absl::Time changed_at;  // by the clock of the member that changed it
 
   friend bool operator==(const ActionRecord&, const ActionRecord&) = default;
--- a/src/ledger/record_table.cc
+++ b/src/ledger/record_table.cc
@@ -57,21 +57,25 @@
   return ClaimVote{Verdict::kGranted, nullptr};
 }
 
-void RecordTable::complete(ActionRecord ended, absl::Time now) {
-  if (ended.outcome.size() > limits_.maximum_outcome_bytes) {
+bool RecordTable::complete(ActionRecord ended, absl::Time now) {
+  const bool fits = bytes_ + ended.outcome.size() <= limits_.maximum_bytes;
+  if (ended.outcome.size() > limits_.maximum_outcome_bytes || !fits) {
     ended.outcome.clear();
   }
   ended.changed_at = now;
   const auto found = records_.find(ended.key);
   if (ended.state == RecordState::kWithdrawn) {
     withdraw(found, ended.owner);
-    return;
+    return true;
   }
   if (found == records_.end()) {
+    if (bytes_ + memoryOf(ended) > limits_.maximum_bytes) {
+      return false;
+    }
     store(std::move(ended));
-    return;
+    return true;
   }
-  ActionRecord& held = found->second;
+  const ActionRecord& held = found->second;
   const bool same_claim = held.owner == ended.owner;
   const bool settles = settledRank(ended.state) > settledRank(held.state);
   const bool releases = held.state == RecordState::kClaimed && ended.state == RecordState::kReleased;
@@ -80,6 +84,7 @@
     erase(found);
     store(std::move(ended));
   }
+  return true;
 }
 
 void RecordTable::withdraw(absl::btree_map<ActionKey, ActionRecord>::iterator entry, const ClaimId& owner) {
--- a/src/ledger/record_table.h
+++ b/src/ledger/record_table.h
@@ -34,8 +34,9 @@
   const ActionRecord* find(const ActionKey& key) const;
   // Records the claim unless another one holds the key.
   ClaimVote claim(const ActionRecord& wanted, absl::Time now);
-  // Records how the claim ended. A record of another claim, or one that is settled, stays as it is.
-  void complete(ActionRecord ended, absl::Time now);
+  // Records how the claim ended. A record of another claim, or one that is settled, stays as it is. Returns
+  // false when the key has no record and there is no room for one.
+  bool complete(ActionRecord ended, absl::Time now);
   // The claim's owner is gone for good: nobody can tell any more whether it dispatched.
   void markUnknown(const ActionKey& key, absl::Time now);
   // Takes over a record from another member; of two the more settled one stays.
--- a/src/ledger/replica.cc
+++ b/src/ledger/replica.cc
@@ -106,7 +106,9 @@
     bringUpToDate(from, request.epoch, out);
     return;
   }
-  records_.complete(request.record, now);
+  if (!records_.complete(request.record, now)) {
+    return;  // those who voted for the claim have its record
+  }
   out.send(from, CompleteReply{request.epoch, request.record.owner, self_.incarnation});
 }
 
--- a/src/ledger/view_keeper.h
+++ b/src/ledger/view_keeper.h
@@ -30,6 +30,8 @@
   void on(const NodeId& from, const PromiseReply& reply, const Replica& replica, absl::Time now, Outbox& out);
   void tick(const PeerTable& peers, const Replica& replica, absl::Time now, absl::BitGenRef random,
             Outbox& out);
+  // True on the one member that keeps the journal in order.
+  bool isPromiser(const PeerTable& peers, const Replica& replica) const;
   // Tells all reachable nodes of the record.
   static void announce(const ViewRecord& record, const PeerTable& peers, Outbox& out);
 
@@ -58,7 +60,6 @@
   ViewRecord successor(std::vector<Member> members, const Replica& replica, absl::Time now) const;
   void gossip(const PeerTable& peers, const Replica& replica, absl::Time now, absl::BitGenRef random,
               Outbox& out);
-  bool isPromiser(const PeerTable& peers, const Replica& replica) const;
   void beginPromise(const Replica& replica, absl::Time now, Outbox& out);
   OperationId nextOperation();
 
--- a/tests/ledger/action_ledger_test.cc
+++ b/tests/ledger/action_ledger_test.cc
@@ -82,6 +82,61 @@
   CHECK(cluster.violation().empty());
 }
 
+TEST_CASE("outcomes are forgotten after the retention, in memory and in the table") {
+  ClusterOptions options;
+  options.ledger.retention = absl::Seconds(30);
+  Cluster cluster(options);
+  cluster.run(absl::Seconds(3));
+  for (uint64_t number = 0; number < 300; ++number) {
+    cluster.submit(number % 5, Cluster::undatedKey(number));
+  }
+  cluster.run(absl::Seconds(5));
+  CHECK(cluster.tableSize() == 301);  // with the view
+  CHECK(cluster.ledger(0).recordCount() == 300);
+  cluster.run(absl::Seconds(60));
+  CHECK(cluster.tableSize() == 1);
+  CHECK(cluster.ledger(0).recordCount() == 0);
+  CHECK(cluster.ledger(0).recordBytes() == 0);
+  CHECK(cluster.violation().empty());
+}
+
+TEST_CASE("a full ledger refuses new keys and keeps the old ones") {
+  ClusterOptions options;
+  options.ledger.maximum_record_bytes = 5000;
+  Cluster cluster(options);
+  cluster.run(absl::Seconds(3));
+  const ActionKey first = cluster.datedKey(0);
+  CHECK(submitAndWait(cluster, 0, first) == AnswerStatus::kDone);
+  for (uint64_t number = 1; number < 20; ++number) {
+    cluster.submit(1, cluster.datedKey(number));
+    cluster.run(absl::Milliseconds(100));
+  }
+  cluster.run(absl::Seconds(3));
+  CHECK(submitAndWait(cluster, 2, cluster.datedKey(100)) == AnswerStatus::kFull);
+  CHECK(submitAndWait(cluster, 3, first) == AnswerStatus::kDone);
+  CHECK(cluster.ledger(0).recordBytes() <= 5000);
+  CHECK(cluster.violation().empty());
+}
+
+TEST_CASE("messages survive the round trip, and garbage is refused without harm") {
+  rc::prop("garbage", [](const std::string& bytes) { RC_ASSERT(!decode(bytes)); });
+  rc::prop("broken message", [](uint64_t place, uint8_t byte) {
+    TakeoverReply reply;
+    ActionRecord record;
+    record.key = Cluster::undatedKey(1);
+    record.state = RecordState::kDone;
+    record.outcome = "outcome";
+    reply.records.push_back(record);
+    std::string bytes = encode(reply);
+    const Result<Message> whole = decode(bytes);
+    RC_ASSERT(std::get<TakeoverReply>(whole.value()).records == reply.records);
+    RC_ASSERT(!decode(bytes + "x"));
+    RC_ASSERT(!decode(bytes.substr(0, place % bytes.size())));
+    bytes[place % bytes.size()] = static_cast<char>(byte);
+    static_cast<void>(decode(bytes));  // may be another valid message, but must come back
+  });
+}
+
 // One step of a random schedule.
 struct Step {
   uint8_t kind = 0;
--- a/tests/ledger/cluster.h
+++ b/tests/ledger/cluster.h
@@ -31,6 +31,7 @@
   absl::Duration clock_spread =
       absl::Milliseconds(400);  // between any two nodes; within twice the clock error
   absl::Duration membership_interval = absl::Milliseconds(200);
+  double store_calls_per_second = 0;  // more are refused as rate-limited; 0: no limit
 };
 
 class Cluster {
@@ -55,6 +56,7 @@
     absl::Time at;
     std::optional<ActionAnswer> answer;
     absl::Time answered_at;
+    std::optional<absl::Time> dispatched_at;
   };
 
   explicit Cluster(const ClusterOptions& options) : options_(options), random_(options.seed) {
@@ -97,7 +99,7 @@
 
   uint64_t submit(size_t node, const ActionKey& key, uint64_t body = 0) {
     const uint64_t id = submissions_.size();
-    submissions_.push_back(Submission{key, BodyHash{body, body}, node, now_, std::nullopt, {}});
+    submissions_.push_back(Submission{key, BodyHash{body, body}, node, now_, std::nullopt, {}, std::nullopt});
     if (nodes_[node].ledger) {
       deliver(node, nodes_[node].life, SubmitAction{SubmissionId(id), key, BodyHash{body, body}});
     }
@@ -130,6 +132,7 @@
   uint64_t messages() const { return messages_; }
   uint64_t messageBytes() const { return message_bytes_; }
   uint64_t tableWrites() const { return table_writes_; }
+  size_t tableSize() const { return table_.size(); }
   uint64_t tableReads() const { return table_reads_; }
 
  private:
@@ -258,6 +261,11 @@
         after(half, [this, node, life, call, error] { deliver(node, life, PlatformReply{call.id, error}); });
         return;
       }
+      if (rateLimited()) {
+        const Error error{ErrorCode::kResourceExhausted, "rate-limited"};
+        after(half, [this, node, life, call, error] { deliver(node, life, PlatformReply{call.id, error}); });
+        return;
+      }
       const PlatformResult result =
           answer_lost
               ? (execute(call.request), PlatformResult(Error{ErrorCode::kOutcomeUnknown, "no answer"}))
@@ -266,6 +274,22 @@
     });
   }
 
+  // A token bucket that holds a tenth of a second's calls.
+  bool rateLimited() {
+    if (options_.store_calls_per_second == 0) {
+      return false;
+    }
+    const double room = options_.store_calls_per_second / 10;
+    store_tokens_ = std::min(
+        room, store_tokens_ + absl::ToDoubleSeconds(now_ - last_refill_) * options_.store_calls_per_second);
+    last_refill_ = now_;
+    if (store_tokens_ < 1) {
+      return true;
+    }
+    store_tokens_ -= 1;
+    return false;
+  }
+
   TableItem item(const std::string& key) const {
     const auto found = table_.find(key);
     return found == table_.end() ? TableItem{key, "", kAbsentItemVersion} : found->second;
@@ -317,6 +341,7 @@
   }
 
   void carryOut(size_t node, uint64_t life, const DispatchAction& dispatch) {
+    submissions_[dispatch.submission.value()].dispatched_at = now_;
     if (chance() < faults.dispatch_not_sent) {
       after(absl::Milliseconds(1), [this, node, life, dispatch] {
         deliver(node, life, DispatchFinished{dispatch.claim, DispatchResult::kNotSent, ""});
@@ -394,6 +419,8 @@
   std::vector<Node> nodes_;
   std::map<std::string, TableItem> table_;
   uint64_t last_version_ = 0;
+  double store_tokens_ = 0;
+  absl::Time last_refill_ = absl::FromUnixSeconds(1800000000);
   std::vector<Submission> submissions_;
   std::map<ActionKey, uint64_t> runs_;
   std::map<ActionKey, std::string> outcomes_;
