--- a/src/ledger/messages.h
+++ b/src/ledger/messages.h
@@ -31,7 +31,7 @@
   IdempotencyKey key;
 
   friend bool operator==(const ActionKey&, const ActionKey&) = default;
-  friend auto operator<=>(const ActionKey&, const ActionKey&) = default;
+  friend auto operator<=>(const ActionKey&, const ActionKey&) = default;  // NOLINT
   template <class Archive>
   void serialize(Archive& archive) {
     archive(tenant, key);
@@ -45,7 +45,7 @@
   uint64_t sequence = 0;
 
   friend bool operator==(const ClaimId&, const ClaimId&) = default;
-  friend auto operator<=>(const ClaimId&, const ClaimId&) = default;
+  friend auto operator<=>(const ClaimId&, const ClaimId&) = default;  // NOLINT
   template <class Archive>
   void serialize(Archive& archive) {
     archive(node, incarnation, sequence);
@@ -83,7 +83,7 @@
   ZoneName zone;
 
   friend bool operator==(const Member&, const Member&) = default;
-  friend auto operator<=>(const Member&, const Member&) = default;
+  friend auto operator<=>(const Member&, const Member&) = default;  // NOLINT
   template <class Archive>
   void serialize(Archive& archive) {
     archive(node, incarnation, zone);
--- a/src/streams/answer_stream.h
+++ b/src/streams/answer_stream.h
@@ -16,9 +16,11 @@
   uint32_t maximum_attempts = 4;     // engines tried between two visits of the caller, the first included
   uint32_t maximum_resumes = 3;      // resumptions of one attempt at its own engine
   uint32_t maximum_reconnects = 16;  // times a caller may come back
-  uint64_t unsent_limit_bytes = 64 * 1024;    // handed over to the caller's connection and not yet drained
-  uint64_t backlog_limit_bytes = 256 * 1024;  // not yet drained at all; above it the engine isn't read
-  uint64_t answer_limit_bytes = 8 * 1024 * 1024;  // a longer answer is cut
+  uint64_t unsent_limit_bytes =
+      64 * uint64_t{1024};  // handed over to the caller's connection and not yet drained
+  uint64_t backlog_limit_bytes =
+      256 * uint64_t{1024};  // not yet drained at all; above it the engine isn't read
+  uint64_t answer_limit_bytes = 8 * uint64_t{1024} * 1024;  // a longer answer is cut
 };
 
 // One answer. A token passes only when its attempt is the live one and its offset is the next one, so
--- a/src/streams/stream_store.h
+++ b/src/streams/stream_store.h
@@ -27,7 +27,7 @@
 
 struct StreamStoreOptions {
   absl::Duration maximum_age = absl::Seconds(60);
-  uint64_t maximum_bytes = 8 * 1024 * 1024;
+  uint64_t maximum_bytes = 8 * uint64_t{1024} * 1024;
 };
 
 // Bounded by age and by bytes; the oldest go first. An answer is taken out when its caller comes back and put
