--- a/src/admission/admission_controller.cc
+++ b/src/admission/admission_controller.cc
@@ -96,7 +96,7 @@
   running.has_first_token = true;
   const absl::Duration expected = std::max(running.expected_first_token, kSmallestFirstToken);
   const double slowdown = absl::FDivDuration(now - running.started, expected);
-  window_.recordFirstToken(slowdown, static_cast<double>(running_.size()), now);
+  window_.recordFirstToken(running.urgency, slowdown, static_cast<double>(running_.size()), now);
 }
 
 void AdmissionController::on(RequestFinished& event, absl::Time now, absl::BitGenRef /*random*/,
@@ -212,7 +212,6 @@
     const Urgency urgency = next.request.urgency;
     chosen->owed = chosen->queue.size() == 0 ? 0 : std::max(0.0, chosen->owed - next.cost);
     creditWaitingClasses(next.cost);
-    ++chosen->in_flight;
     running_.emplace(next.request.id,
                      RunningRequest{urgency, next.cost, next.expected_first_token, now, false});
     drain_.recordStart(urgency, next.cost, now);
@@ -221,13 +220,17 @@
 }
 
 // A class that is owed its minimum share comes first, then the most urgent that fits its part of the window.
+// A class that has been owed for long may use the part kept free for others.
 AdmissionController::ClassQueue* AdmissionController::nextToStart() {
   if (static_cast<double>(running_.size()) + 1 > std::max(1.0, window_.limit())) {
     return nullptr;
   }
-  for (ClassQueue& candidate : queues_) {
+  for (const Urgency urgency : kAllUrgencies) {
+    ClassQueue& candidate = queueOf(urgency);
     const WaitingRequest* head = candidate.queue.front();
-    if (head != nullptr && candidate.owed >= head->cost) {
+    const bool owed = head != nullptr && candidate.owed >= head->cost;
+    const bool owed_for_long = owed && candidate.owed >= kLargestCreditInHeads * head->cost;
+    if (owed_for_long || (owed && fits(urgency))) {
       return &candidate;
     }
   }
@@ -252,15 +255,8 @@
 }
 
 bool AdmissionController::fits(Urgency urgency) const {
-  const double limit = std::max(1.0, window_.limit());
-  if (static_cast<double>(running_.size()) + 1 > limit) {
-    return false;
-  }
-  double occupied = 0;
-  for (size_t level = static_cast<size_t>(urgency); level < kAllUrgencies.size(); ++level) {
-    occupied += static_cast<double>(queues_[level].in_flight);
-  }
-  return occupied + 1 <= std::max(1.0, limit * classOf(urgency).window_share);
+  const double share = classOf(urgency).window_share;
+  return static_cast<double>(running_.size()) + 1 <= std::max(1.0, window_.limit() * share);
 }
 
 void AdmissionController::release(const RequestId& id, FinishKind kind, absl::Time now) {
@@ -270,7 +266,6 @@
   }
   const RunningRequest running = found->second;
   running_.erase(found);
-  --queueOf(running.urgency).in_flight;
   if (kind == FinishKind::kCompleted) {
     drain_.recordFinish(running.cost, now - running.started);
   } else if (kind == FinishKind::kOverloaded) {
--- a/src/admission/admission_controller.h
+++ b/src/admission/admission_controller.h
@@ -22,8 +22,8 @@
 
 // How one urgency class is served.
 struct ClassConfiguration {
-  // Of the window: requests of this class start only while the requests in flight of this class and all less
-  // urgent ones fill less than this. The rest stays free for more urgent classes.
+  // Of the window: requests of this class start only while less than this is in flight, of all classes. The
+  // rest stays free for more urgent classes, so that they find a place at once.
   double window_share = 1;
   // Of the engine work started while this class waits: it gets at least this much, however busy more urgent
   // classes are.
@@ -35,8 +35,8 @@
 struct AdmissionConfiguration {
   std::array<ClassConfiguration, kAllUrgencies.size()> classes = {
       ClassConfiguration{1.0, 0, absl::Seconds(5)},
-      ClassConfiguration{0.9, 0.1, absl::Seconds(15)},
-      ClassConfiguration{0.75, 0.05, absl::Minutes(5)},
+      ClassConfiguration{0.85, 0.1, absl::Seconds(15)},
+      ClassConfiguration{0.8, 0.05, absl::Minutes(5)},
   };
   size_t maximum_waiting = 1024;            // on this node, all classes together
   size_t maximum_waiting_per_tenant = 256;  // in each class
@@ -128,7 +128,6 @@
   struct ClassQueue {
     FairQueue queue;
     double owed = 0;  // engine work that this class may start ahead of more urgent ones
-    size_t in_flight = 0;
   };
   struct RunningRequest {
     Urgency urgency = Urgency::kStandard;
--- a/src/admission/limit_account.cc
+++ b/src/admission/limit_account.cc
@@ -1,6 +1,7 @@
 #include "admission/limit_account.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace quincewick::admission {
 namespace {
@@ -8,6 +9,10 @@
 constexpr double kShareBesidesLarge = 0.5;
 // Who asked for a large amount is expected back this long after the time it was told.
 constexpr absl::Duration kLargePatience = absl::Seconds(2);
+constexpr absl::Duration kDenialFading = absl::Seconds(1);
+// Each denial beyond so many within the last second or so makes the next asker wait so much longer.
+constexpr double kFreeDenials = 40;
+constexpr absl::Duration kWaitPerDenial = absl::Milliseconds(20);
 
 absl::Duration timeToEarn(double amount, double per_second) {
   return per_second > 0 ? absl::Seconds(std::max(0.0, amount) / per_second) : absl::InfiniteDuration();
@@ -77,4 +82,10 @@
   taken_.add(-amount, now);
 }
 
+absl::Duration LimitAccount::recordDenial(absl::Time now) {
+  denials = denials * std::exp(-absl::FDivDuration(now - last_denial, kDenialFading)) + 1;
+  last_denial = now;
+  return std::max(0.0, denials - kFreeDenials) * kWaitPerDenial;
+}
+
 }  // namespace quincewick::admission
--- a/src/admission/limit_account.h
+++ b/src/admission/limit_account.h
@@ -72,8 +72,14 @@
     absl::Time heard;
   };
 
+  // One ask was denied: returns how long the asker must wait at least, so that the asks of all nodes that
+  // wait stay few.
+  absl::Duration recordDenial(absl::Time now);
+
   LimitBalance tokens;
   LimitBalance requests;
+  double denials = 0;  // lately, fading
+  absl::Time last_denial = absl::InfinitePast();
   absl::Time accrued_until = absl::InfinitePast();
   absl::Time last_ask;
   absl::btree_map<NodeId, NodePermits> permits;
--- a/src/admission/shared_limit_home.cc
+++ b/src/admission/shared_limit_home.cc
@@ -204,7 +204,8 @@
   }
   const LimitBalance::Taken taken = takeRates(account, limit, permitted, grant, seconds, now);
   if (grant.requests == 0) {
-    grant.retry_after_milliseconds = retryAfterMilliseconds(taken.retry_after);
+    const absl::Duration wait = std::max(taken.retry_after, account.recordDenial(now));
+    grant.retry_after_milliseconds = retryAfterMilliseconds(wait);
     return grant;
   }
   if (limit.concurrent_requests != kUnlimited) {
--- a/tests/admission/limit_cluster.h
+++ b/tests/admission/limit_cluster.h
@@ -50,6 +50,7 @@
     for (size_t index = 0; index < nodes; ++index) {
       boot(index);
     }
+    membersChanged();
   }
 
   NetworkFaults network;
@@ -66,6 +67,7 @@
   uint64_t messages = 0;
   uint64_t bytes = 0;
   std::vector<uint64_t> bytes_sent_by_node = std::vector<uint64_t>(1024);
+  std::vector<uint64_t> messages_sent_by_node = std::vector<uint64_t>(1024);
   bool count_bytes = false;
 
   size_t size() const { return nodes_.size(); }
@@ -112,6 +114,7 @@
     at(now + restart_after, [this, node] {
       if (!alive(node)) {
         boot(node);
+        membersChanged();
       }
     });
   }
@@ -176,7 +179,6 @@
     node.limits = std::make_unique<SharedLimits>(configuration_, node.id, node.zone,
                                                  Incarnation(node.incarnation), clockOf(node));
     deliver(index, TenantLimitsChanged{limits_}, [] {});
-    membersChanged();
     at(now, [this, index, incarnation = node.incarnation] { tick(index, incarnation); });
   }
 
@@ -253,6 +255,7 @@
   void transmit(size_t from, size_t to, LimitMessage message) {
     if (from != to) {
       ++messages;
+      ++messages_sent_by_node[from];
       if (count_bytes) {
         const size_t size = encodeLimitMessage(message).size();
         bytes += size;
