Admission: two findings of the linter

Cause: clang-tidy over the admission sources and benches named an iterator passed by value and a vector grown in a loop. Change: a reference and a reserve. No change of behaviour.

--- a/bench/admission/overload/overload_simulation.cc
+++ b/bench/admission/overload/overload_simulation.cc
@@ -301,6 +301,7 @@
 // Divides `work` evenly among the tenants, none getting more than it offered.
 std::map<TenantId, double> fairShares(const std::map<TenantId, double>& offered, double work) {
   std::vector<std::pair<double, TenantId>> by_size;
+  by_size.reserve(offered.size());
   for (const auto& [tenant, size] : offered) {
     by_size.emplace_back(size, tenant);
   }
--- a/src/admission/fair_queue.cc
+++ b/src/admission/fair_queue.cc
@@ -84,7 +84,7 @@
 }
 
 WaitingRequest FairQueue::take(const TenantId& tenant, TenantState& state,
-                               std::deque<WaitingRequest>::iterator entry) {
+                               const std::deque<WaitingRequest>::iterator& entry) {
   WaitingRequest taken = std::move(*entry);
   state.waiting.erase(entry);
   state.backlog -= taken.cost;
--- a/src/admission/fair_queue.h
+++ b/src/admission/fair_queue.h
@@ -65,7 +65,8 @@
   };
   using Order = absl::btree_set<std::pair<double, TenantId>>;
 
-  WaitingRequest take(const TenantId& tenant, TenantState& state, std::deque<WaitingRequest>::iterator entry);
+  WaitingRequest take(const TenantId& tenant, TenantState& state,
+                      const std::deque<WaitingRequest>::iterator& entry);
   void deactivate(const TenantId& tenant, TenantState& state);
   void forgetIdle();
 
