Simulation: configuration and shared limits in the composed node

Change: node::ControlPlane composes the configuration replica and the shared limits; operators change a tenant at the asked rate and may race; what was accepted is read from the store's table as each write takes effect, also when its answer is lost, and the observer of reverted versions is fed from it. Each request passes its tenant's limit. Messages above a datagram's size go over a connection.

--- a/bench/capacity/capacity_bench.cc
+++ b/bench/capacity/capacity_bench.cc
@@ -29,10 +29,10 @@
 }
 
 int measure() {
-  const Size sizes[] = {{12, 348, 3, 48, 324, absl::Seconds(20), absl::Seconds(40)},
-                        {50, 1450, 4, 200, 1350, absl::Seconds(20), absl::Seconds(40)},
-                        {130, 3770, 8, 520, 130, absl::Seconds(12), absl::Seconds(22)},
-                        {410, 12'000, 12, 1600, 100, absl::Seconds(12), absl::Seconds(22)}};
+  const Size sizes[] = {{12, 348, 3, 1600, 324, absl::Seconds(25), absl::Seconds(40)},
+                        {50, 1450, 4, 1600, 100, absl::Seconds(25), absl::Seconds(40)},
+                        {130, 3770, 8, 1600, 100, absl::Seconds(25), absl::Seconds(35)},
+                        {410, 12'000, 12, 1600, 100, absl::Seconds(40), absl::Seconds(60)}};
   for (const Size& size : sizes) {
     const SimulationOptions options = optionsOf(size);
     const Result<SimulationReport> report = runSimulation(options);
--- a/simulation/control_site.cc
+++ b/simulation/control_site.cc
@@ -11,16 +11,6 @@
 
 constexpr uint16_t kPeerPort = 7946;
 
-peer::PeerModule moduleOf(const node::ControlEvent& event) {
-  if (const auto* message = std::get_if<node::PeerMessage>(&event)) {
-    return message->module;
-  }
-  if (const auto* tick = std::get_if<node::ModuleTick>(&event)) {
-    return tick->module;
-  }
-  return peer::PeerModule::kMembership;
-}
-
 }  // namespace
 
 Address nodeAddress(NodeIndex node) {
@@ -85,7 +75,9 @@
     });
     return;
   }
-  ModuleCost& cost = meter_.cost(node, moduleOf(event));
+  const auto* reply = std::get_if<PlatformReply>(&event);
+  const peer::PeerModule module = reply == nullptr ? node::moduleOf(event) : state.plane->ownerOf(reply->id);
+  ModuleCost& cost = meter_.cost(node, module);
   const double before = threadCpuSeconds();
   std::vector<node::ControlAction> actions = state.plane->handle(event, queue_.now(), state.random);
   cost.cpu_seconds += threadCpuSeconds() - before;
@@ -119,8 +111,14 @@
   cost.bytes += message.bytes.size() + datagram_overhead_;
   const NodeIndex receiver = indexOf(message.to);
   const uint64_t life = nodes_[receiver].life;
-  const auto delays =
-      network_.datagramDelays(topology_.zoneOfNode(node), topology_.zoneOfNode(receiver), network_random_);
+  const ZoneIndex from = topology_.zoneOfNode(node);
+  const ZoneIndex to = topology_.zoneOfNode(receiver);
+  absl::InlinedVector<absl::Duration, 2> delays;
+  if (message.bytes.size() <= peer::kMaximumDatagramPayload) {
+    delays = network_.datagramDelays(from, to, network_random_);
+  } else if (network_.reachable(from, to)) {
+    delays.push_back(network_.connectionDelay(from, to, network_random_));
+  }
   for (const absl::Duration delay : delays) {
     node::PeerMessage received{topology_.nodes[node], message.module, message.bytes};
     queue_.scheduleAfter(delay, [this, receiver, life, received = std::move(received)]() mutable {
--- a/simulation/fault_injector.cc
+++ b/simulation/fault_injector.cc
@@ -26,7 +26,7 @@
 }
 
 Result<void> FaultInjector::check(const Fault& fault) const {
-  const bool supported = fault.kind != FaultKind::kRacingOperators && fault.kind != FaultKind::kRollout;
+  const bool supported = fault.kind != FaultKind::kRollout;
   if (!supported) {
     return fail(ErrorCode::kInvalidArgument,
                 "this fault can't be simulated yet: " + std::string(faultKindName(fault.kind)));
@@ -127,6 +127,7 @@
     case FaultKind::kStoreLostAnswers:
       return changeStore(fault);
     case FaultKind::kRacingOperators:
+      return targets_.operators.race(fault.count + 1);
     case FaultKind::kRollout:
       return;  // refused by check()
   }
--- a/simulation/fault_injector.h
+++ b/simulation/fault_injector.h
@@ -11,6 +11,7 @@
 #include "simulation/event_queue.h"
 #include "simulation/fault_schedule.h"
 #include "simulation/network_model.h"
+#include "simulation/operators.h"
 #include "simulation/platform_host.h"
 #include "simulation/promise_observer.h"
 #include "simulation/request_path.h"
@@ -28,6 +29,7 @@
   RequestPath& path;
   EngineOwners& owners;
   PromiseObserver& observer;
+  Operators& operators;
 };
 
 class FaultInjector {
--- a/simulation/fault_schedule.h
+++ b/simulation/fault_schedule.h
@@ -34,7 +34,7 @@
   kStoreSlow,         // the platform's store takes `factor` times as long
   kStoreLostAnswers,  // a share of the store's answers is lost after the write took effect
   kCacheEventLoss,    // a share of the engines' cache events is lost
-  kRacingOperators,   // two operators submit conflicting changes at two nodes at once
+  kRacingOperators,   // `count` + 1 operators submit conflicting changes at once
   kPlannedStop,       // nodes are told to stop, drain and leave; they return after `for`
   kRollout,           // a new weights version is ordered for one model
 };
--- a/simulation/platform_host.cc
+++ b/simulation/platform_host.cc
@@ -80,6 +80,7 @@
     reply.result = Error{ErrorCode::kUnavailable, "the platform can't be reached"};
   } else {
     emulator::PlatformAnswer answer = model_.call(call.request, queue_.now());
+    tellOfWrites(call.request, answer);
     ready_at = answer.lost ? ready_at : answer.ready_at;
     reply.result = std::move(answer.result);
     ++traffic_.operations;
@@ -90,4 +91,22 @@
   });
 }
 
+void PlatformHost::tellOfWrites(const PlatformRequest& request, const emulator::PlatformAnswer& answer) {
+  const auto* transaction = std::get_if<TableTransaction>(&request);
+  const auto* error = std::get_if<Error>(&answer.result);
+  const bool not_carried_out = error != nullptr && !answer.lost;
+  if (transaction == nullptr || not_carried_out) {
+    return;
+  }
+  const PlatformResult result = table_copy_.transact(*transaction);
+  if (!on_write_ || !std::holds_alternative<TableCommitted>(result)) {
+    return;
+  }
+  for (const TableWrite& write : transaction->writes) {
+    if (write.value) {
+      on_write_(write);
+    }
+  }
+}
+
 }  // namespace quincewick::simulation
--- a/simulation/platform_host.h
+++ b/simulation/platform_host.h
@@ -21,6 +21,8 @@
 class PlatformHost {
  public:
   using ReplyHandler = absl::AnyInvocable<void(PlatformReply)>;
+  // Told of each table write that took effect, whatever became of its answer.
+  using WriteHandler = absl::AnyInvocable<void(const TableWrite&)>;
 
   // The queue and the network must outlive the host.
   PlatformHost(EventQueue& queue, const NetworkModel& network, const emulator::PlatformSettings& settings)
@@ -30,15 +32,22 @@
   // gets kUnavailable, one whose answer is lost kOutcomeUnknown, both after the adapter's time limit.
   void call(ZoneIndex zone, PlatformCall call, ReplyHandler handler);
 
+  void setWriteHandler(WriteHandler handler) { on_write_ = std::move(handler); }
+
   emulator::PlatformModel& model() { return model_; }
   const PlatformTraffic& traffic() const { return traffic_; }
   void resetTraffic() { traffic_ = PlatformTraffic(); }
 
  private:
+  void tellOfWrites(const PlatformRequest& request, const emulator::PlatformAnswer& answer);
+
   EventQueue& queue_;
   const NetworkModel& network_;
   emulator::PlatformModel model_;
+  // Takes each transaction that the model carries out, so that its effect is known when the answer is lost.
+  emulator::TableModel table_copy_;
   PlatformTraffic traffic_;
+  WriteHandler on_write_;
 };
 
 }  // namespace quincewick::simulation
--- a/simulation/promise_observer.h
+++ b/simulation/promise_observer.h
@@ -66,6 +66,8 @@
   void nodeStarted(NodeIndex node, absl::Time now) { started_at_[node] = now; }
   void nodeStopped(NodeIndex node) { started_at_[node] = absl::InfiniteFuture(); }
   void nodeServes(NodeIndex node, absl::Time now);
+  // True from a node's start until it was seen to serve or was counted.
+  bool awaitsService(NodeIndex node) const { return started_at_[node] != absl::InfiniteFuture(); }
   // Counts nodes that have been started for longer than the limit and do not serve.
   void checkRestarts(absl::Time now);
 
--- a/simulation/report_writer.cc
+++ b/simulation/report_writer.cc
@@ -88,6 +88,7 @@
           {"seed", options.seed},
           {"rate", options.rate},
           {"tenants", options.workload.tenants.size()},
+          {"changes_per_day", options.changes_per_day},
           {"workload", options.workload.name},
           {"faults", options.faults.size()}};
 }
@@ -112,6 +113,12 @@
   json["output_tokens"] = callers.output_tokens;
   json["placements"] = report.placements;
   json["retried_attempts"] = report.retried_attempts;
+  const Samples& in_force = report.operators.in_force_seconds;
+  json["configuration_in_force_seconds"] = {
+      {"p50", in_force.quantile(0.5)}, {"p99", in_force.quantile(0.99)}, {"max", in_force.maximum()}};
+  json["configuration_changes_accepted"] = report.operators.accepted;
+  json["configuration_changes_conflicting"] = report.operators.conflicting;
+  json["configuration_changes_failed"] = report.operators.failed;
   json["control_bytes_per_node_second"] = mean(report.control_bytes_per_second);
   json["control_bytes_per_node_second_max"] = greatest(report.control_bytes_per_second);
   json["control_messages"] = report.datagrams;
--- a/simulation/request_path.cc
+++ b/simulation/request_path.cc
@@ -135,6 +135,12 @@
   }
 }
 
+bool RequestPath::wouldServe(NodeIndex node) const {
+  const bool answers = takesRequests(node) && !control_.isPaused(node);
+  return answers && control_.plane(node)->configuration().isReady() &&
+         nodes_[node].router->directory().size() > 0;
+}
+
 bool RequestPath::offer(NodeIndex node, const loadgen::Arrival& arrival, absl::Time start) {
   if (!takesRequests(node)) {
     return false;
@@ -147,6 +153,10 @@
     });
     return true;
   }
+  if (!control_.plane(node)->configuration().isReady()) {
+    receiver_->onRefused(arrival.number, Execution::kNotRun);
+    return true;
+  }
   observer_.nodeServes(node, queue_.now());
   NodeState& state = nodes_[node];
   const loadgen::KindSpecification& kind = workload_.kinds[arrival.kind];
@@ -168,16 +178,35 @@
     return true;
   }
   open->decision = decision.value();
-  admission::RequestOffered offered;
-  offered.request = open->request;
-  offered.request.deadline = open->decision.deadline;
-  offered.expected_first_token = expectedFirstToken(node, *open);
+  const admission::LimitRequested limited{open->request.id, open->request.tenant,
+                                          open->request.maximum_output_tokens};
   open_.emplace(arrival.number, std::move(open));
   state.open.insert(arrival.number);
-  applyAdmission(node, state.admission->handle(std::move(offered), queue_.now(), state.random));
+  control_.handle(node, limited);
   return true;
 }
 
+void RequestPath::onLimitDecision(NodeIndex node, const admission::LimitDecision& decision) {
+  NodeState& state = nodes_[node];
+  const RequestNumber number = numberOf(decision.id);
+  const auto entry = open_.find(number);
+  if (entry == open_.end() || state.admission == nullptr) {
+    return;
+  }
+  if (!decision.allowed) {
+    open_.erase(entry);
+    state.open.erase(number);
+    receiver_->onRefused(number, decision.refusal.execution);
+    return;
+  }
+  const OpenRequest& open = *entry->second;
+  admission::RequestOffered offered;
+  offered.request = open.request;
+  offered.request.deadline = open.decision.deadline;
+  offered.expected_first_token = expectedFirstToken(node, open);
+  applyAdmission(node, state.admission->handle(std::move(offered), queue_.now(), state.random));
+}
+
 absl::Duration RequestPath::expectedFirstToken(NodeIndex node, const OpenRequest& open) {
   NodeState& state = nodes_[node];
   const double before = threadCpuSeconds();
--- a/simulation/request_path.h
+++ b/simulation/request_path.h
@@ -60,12 +60,17 @@
   // A request arrives at the node. False when nothing answers there.
   bool offer(NodeIndex node, const loadgen::Arrival& arrival, absl::Time start);
 
+  // The control plane's answer to a LimitRequested of this path.
+  void onLimitDecision(NodeIndex node, const admission::LimitDecision& decision);
+
   // The node's process begins, or ends at once: its streams are lost.
   void nodeStarted(NodeIndex node);
   void nodeCrashed(NodeIndex node);
   // The node was told to stop: it takes nothing new.
   void nodeStopping(NodeIndex node) { nodes_[node].stopping = true; }
   bool takesRequests(NodeIndex node) const { return control_.isRunning(node) && !nodes_[node].stopping; }
+  // Whether a request that arrives now would be served: what a caller's probe of the node would see.
+  bool wouldServe(NodeIndex node) const;
   size_t openRequests(NodeIndex node) const { return nodes_[node].open.size(); }
   // Cuts what a planned stop could not wait for.
   void cutOpenRequests(NodeIndex node);
--- a/simulation/simulation.cc
+++ b/simulation/simulation.cc
@@ -13,6 +13,7 @@
 
 const absl::Time kStart = absl::FromUnixSeconds(1'800'000'000);
 constexpr absl::Duration kStartSpread = absl::Seconds(2);  // over which nodes are started at first
+constexpr absl::Duration kFirstCallers = absl::Seconds(4);
 constexpr absl::Duration kRestartCheckPeriod = absl::Seconds(1);
 constexpr uint64_t kBytesPerKilobyte = 1024;
 
@@ -43,6 +44,12 @@
   return settings;
 }
 
+node::ControlPlaneSettings controlSettings(const Topology& topology) {
+  node::ControlPlaneSettings settings;
+  settings.limits.node_count = static_cast<uint32_t>(topology.nodes.size());
+  return settings;
+}
+
 // One run. Members are in the order in which they need each other.
 class Site {
  public:
@@ -53,14 +60,17 @@
         network_(NetworkOptions(), zoneRegions(topology_)),
         platform_(queue_, network_, platformSettings(options.seed)),
         engines_(queue_, topology_, engineOptions(options)),
-        control_(queue_, network_, platform_, topology_, node::ControlPlaneSettings(), options.seed),
+        control_(queue_, network_, platform_, topology_, controlSettings(topology_), options.seed),
         observer_(topology_.nodes.size(), topology_.engines.size(), PromiseLimits()),
         path_(queue_, network_, topology_, engines_, control_, observer_, options_.workload,
               RequestPathSettings(), options.seed),
         owners_(queue_, topology_, engines_, control_, path_, OwnerSettings()),
+        operators_(queue_, topology_, platform_, control_, observer_, options_.workload,
+                   options.changes_per_day, options.seed),
         generator_(options.workload, options.rate, options.seed),
         callers_(queue_, topology_, path_, observer_, generator_, options.seed),
-        faults_({queue_, network_, platform_, topology_, engines_, control_, path_, owners_, observer_},
+        faults_({queue_, network_, platform_, topology_, engines_, control_, path_, owners_, observer_,
+                 operators_},
                 options.seed) {}
 
   Result<SimulationReport> run();
@@ -83,6 +93,7 @@
   PromiseObserver observer_;
   RequestPath path_;
   EngineOwners owners_;
+  Operators operators_;
   loadgen::WorkloadGenerator generator_;
   Callers callers_;
   FaultInjector faults_;
@@ -108,10 +119,22 @@
     owners_.membersChanged(node);
   } else if (const auto* payload = std::get_if<membership::MemberPayloadChanged>(&action)) {
     owners_.digestReceived(node, payload->id, payload->payload.bytes);
+  } else if (const auto* decision = std::get_if<admission::LimitDecision>(&action)) {
+    path_.onLimitDecision(node, *decision);
+  } else if (std::holds_alternative<configuration::VersionInForce>(action)) {
+    operators_.onVersionInForce(node);
+  } else if (const auto* finished = std::get_if<configuration::ProposalFinished>(&action)) {
+    operators_.onProposalFinished(*finished);
   }
 }
 
 void Site::checkRestarts() {
+  // Nodes that no caller happens to ask are probed, so that a low rate of requests is no violation.
+  for (NodeIndex node = 0; node < topology_.nodes.size(); ++node) {
+    if (observer_.awaitsService(node) && path_.wouldServe(node)) {
+      observer_.nodeServes(node, queue_.now());
+    }
+  }
   observer_.checkRestarts(queue_.now());
   queue_.scheduleAfter(kRestartCheckPeriod, [this] { checkRestarts(); });
 }
@@ -121,6 +144,7 @@
   platform_.resetTraffic();
   path_.resetCosts();
   owners_.resetCosts();
+  operators_.resetStatistics();
 }
 
 Result<SimulationReport> Site::run() {
@@ -135,10 +159,12 @@
   BOOST_OUTCOME_TRY(faults_.schedule(options_.faults));
   const absl::Time end = kStart + options_.duration;
   const absl::Time measure_from = kStart + options_.warm_up;
-  queue_.scheduleAfter(kStartSpread, [this, measure_from, end] {
-    callers_.start(measure_from, end);
+  queue_.scheduleAfter(kStartSpread, [this] {
+    operators_.start();
     checkRestarts();
   });
+  // Callers come when the first configuration is in force.
+  queue_.scheduleAfter(kFirstCallers, [this, measure_from, end] { callers_.start(measure_from, end); });
   queue_.runUntil(measure_from);
   resetCosts();
   queue_.runUntil(end);
@@ -170,6 +196,7 @@
     report.control_bytes_per_second.push_back(static_cast<double>(bytes) / seconds);
   }
   report.owners = owners_.costs();
+  report.operators = operators_.statistics();
   report.placements = path_.placements();
   report.retried_attempts = path_.retriedAttempts();
   report.events = queue_.executedEvents();
--- a/simulation/simulation.h
+++ b/simulation/simulation.h
@@ -13,6 +13,7 @@
 #include "simulation/control_meter.h"
 #include "simulation/engine_owners.h"
 #include "simulation/fault_schedule.h"
+#include "simulation/operators.h"
 #include "simulation/promise_observer.h"
 #include "simulation/topology.h"
 
@@ -23,7 +24,8 @@
   absl::Duration duration = absl::Seconds(60);  // of the whole run
   absl::Duration warm_up = absl::Seconds(10);   // its first part, which isn't measured
   uint64_t seed = 1;
-  double rate = 40;  // requests a second
+  double rate = 40;                 // requests a second
+  double changes_per_day = 94'000;  // of the configuration
   std::vector<Fault> faults;
   loadgen::Workload workload;
 };
@@ -40,6 +42,7 @@
   std::vector<NodeCosts> node_costs;             // of each node, over the measured seconds
   uint64_t datagrams = 0;
   OwnerCosts owners;
+  OperatorStatistics operators;
   uint64_t placements = 0;
   uint64_t retried_attempts = 0;
   uint64_t events = 0;
--- a/src/cli/simulate_command.cc
+++ b/src/cli/simulate_command.cc
@@ -32,6 +32,7 @@
       ("seed", "seed of all chance", cxxopts::value<uint64_t>()->default_value("1"))
       ("rate", "requests a second; 0: 27 for each node", cxxopts::value<double>()->default_value("0"))
       ("tenants", "tenants of the built-in workload", cxxopts::value<uint32_t>()->default_value("160"))
+      ("changes", "changes of the configuration a day", cxxopts::value<double>()->default_value("94000"))
       ("workload", "workload file; default: a built-in one", cxxopts::value<std::string>())
       ("faults", "fault schedule file", cxxopts::value<std::string>())
       ("output", "json or table", cxxopts::value<std::string>()->default_value("table"))
@@ -71,6 +72,7 @@
   options.seed = parsed["seed"].as<uint64_t>();
   const double rate = parsed["rate"].as<double>();
   options.rate = rate == 0 ? kRateForNode * options.topology.nodes : rate;
+  options.changes_per_day = parsed["changes"].as<double>();
   BOOST_OUTCOME_TRY(duration, parseDuration(parsed["duration"].as<std::string>()));
   options.duration = duration;
   BOOST_OUTCOME_TRY(warm_up, parseDuration(parsed["warm-up"].as<std::string>()));
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -17,6 +17,8 @@
 #include <variant>
 #include <vector>
 
+#include "admission/shared_limits.h"
+#include "configuration/configuration_replica.h"
 #include "membership/membership_protocol.h"
 #include "peer/envelope.h"
 #include "types/identifiers.h"
@@ -25,7 +27,8 @@
 namespace quincewick::node {
 
 // The modules that a control plane is made of.
-inline constexpr std::array<peer::PeerModule, 1> kControlModules = {peer::PeerModule::kMembership};
+inline constexpr std::array<peer::PeerModule, 3> kControlModules = {
+    peer::PeerModule::kMembership, peer::PeerModule::kConfiguration, peer::PeerModule::kLimits};
 
 // The module's stable, lower-case name, for logs and metrics.
 std::string_view moduleName(peer::PeerModule module);
@@ -43,12 +46,17 @@
   std::string bytes;
 };
 
-using ControlEvent = std::variant<ModuleTick, PeerMessage, PlatformReply, membership::PayloadChanged,
-                                  membership::LeaveRequested, membership::LeaveFinished>;
+using ControlEvent =
+    std::variant<ModuleTick, PeerMessage, PlatformReply, membership::PayloadChanged,
+                 membership::LeaveRequested, membership::LeaveFinished, configuration::ChangeProposed,
+                 admission::LimitRequested, admission::LimitedRequestEnded>;
+
+// The module that handles the event; of a platform's reply, the one that is given by `ControlPlane::ownerOf`.
+peer::PeerModule moduleOf(const ControlEvent& event);
 
 // Actions.
 
-// Send a datagram; loss is allowed.
+// Send to a peer; loss is allowed. More than peer::kMaximumDatagramPayload bytes go over a connection.
 struct SendToPeer {
   NodeId to;
   Address address;
@@ -56,11 +64,16 @@
   std::string bytes;
 };
 
-using ControlAction = std::variant<SendToPeer, PlatformCall, membership::MemberChanged,
-                                   membership::ZoneReachabilityChanged, membership::MemberPayloadChanged>;
+using ControlAction =
+    std::variant<SendToPeer, PlatformCall, membership::MemberChanged, membership::ZoneReachabilityChanged,
+                 membership::MemberPayloadChanged, configuration::ProposalFinished,
+                 configuration::VersionInForce, admission::LimitDecision>;
 
+// `configuration` need not name the node and its zone, which come with the self description.
 struct ControlPlaneSettings {
   membership::MembershipSettings membership;
+  configuration::ReplicaSettings configuration;
+  admission::SharedLimitConfiguration limits;
 };
 
 class ControlPlane {
@@ -74,6 +87,10 @@
   absl::Time nextWakeup(peer::PeerModule module) const;
 
   const membership::MembershipProtocol& membership() const { return membership_; }
+  const configuration::ConfigurationReplica& configuration() const { return configuration_; }
+  const admission::SharedLimits& limits() const { return limits_; }
+  // The module that made a platform call, while its reply is awaited; membership for any other.
+  peer::PeerModule ownerOf(PlatformCallId call) const;
 
  private:
   // Whose platform call it was, and the module's own id of it.
@@ -85,12 +102,27 @@
   void handleEvent(const ModuleTick& tick);
   void handleEvent(const PeerMessage& message);
   void handleEvent(const PlatformReply& reply);
+  void handleEvent(const configuration::ChangeProposed& event) { toConfiguration(event); }
+  void handleEvent(const admission::LimitRequested& event) { toLimits(event); }
+  void handleEvent(const admission::LimitedRequestEnded& event) { toLimits(event); }
   void handleEvent(const membership::PayloadChanged& event) { toMembership(event); }
   void handleEvent(const membership::LeaveRequested& event) { toMembership(event); }
   void handleEvent(const membership::LeaveFinished& event) { toMembership(event); }
 
   void toMembership(const membership::MembershipEvent& event);
+  void toConfiguration(const configuration::ReplicaEvent& event);
+  void toLimits(const admission::SharedLimitEvent& event);
+  // Tells the other modules of members that have changed since they were last told.
+  void passMembersOn();
+  // Hands new limits of tenants to the module that holds requests to them.
+  void passLimitsOn();
+
   void takeAction(membership::SendToPeer action);
+  void takeAction(membership::MemberChanged action);
+  void takeAction(configuration::SendToPeer action);
+  void takeAction(PlatformCall action);
+  void takeAction(configuration::VersionInForce action);
+  void takeAction(admission::SendToPeer action);
   void takeAction(const membership::ReadMachineList& action);
   template <class Notification>
   void takeAction(Notification notification) {
@@ -100,6 +132,12 @@
   void call(peer::PeerModule module, PlatformCallId id, PlatformRequest request);
 
   membership::MembershipProtocol membership_;
+  configuration::ConfigurationReplica configuration_;
+  admission::SharedLimits limits_;
+  absl::Time next_configuration_tick_;
+  absl::Time next_limits_tick_;
+  bool members_changed_ = true;
+  admission::TenantLimits limits_in_force_;
   absl::btree_map<PlatformCallId, CallOwner> outstanding_calls_;
   PlatformCallId next_call_;
 
--- a/tests/simulation/simulation_test.cc
+++ b/tests/simulation/simulation_test.cc
@@ -57,6 +57,9 @@
                " {kind: node_crash, at: 10s, count: 2}]",
                "faults: [{kind: store_outage, at: 7s, for: 20s},"
                " {kind: node_restart_herd, at: 10s, zone: zone-01}]",
+               "faults: [{kind: racing_operators, at: 8s, count: 4},"
+               " {kind: store_lost_answers, at: 7s, factor: 0.5},"
+               " {kind: racing_operators, at: 9s, count: 4}]",
                "faults: [{kind: engine_crash, at: 8s, for: 1s, count: 9},"
                " {kind: engine_crash, at: 10s, for: 1s, count: 9},"
                " {kind: cache_event_loss, at: 7s}]");
