--- a/simulation/control_site.cc
+++ b/simulation/control_site.cc
@@ -119,8 +119,9 @@
   } else if (network_.reachable(from, to)) {
     delays.push_back(network_.connectionDelay(from, to, network_random_));
   }
+  const node::PeerMessage original{topology_.nodes[node], message.module, std::move(message.bytes)};
   for (const absl::Duration delay : delays) {
-    node::PeerMessage received{topology_.nodes[node], message.module, message.bytes};
+    node::PeerMessage received = original;
     queue_.scheduleAfter(delay, [this, receiver, life, received = std::move(received)]() mutable {
       ++delivered_messages_;
       deliver(receiver, life, node::ControlEvent(std::move(received)));
