--- a/src/cli/ctl_command.cc
+++ b/src/cli/ctl_command.cc
@@ -21,7 +21,7 @@
 #include "configuration/policy.h"
 #include "configuration/policy_objects.h"
 
-namespace quincewick {
+namespace quincewick::cli {
 namespace {
 
 using cli::CtlAnswer;
@@ -425,4 +425,4 @@
   }
 }
 
-}  // namespace quincewick
+}  // namespace quincewick::cli
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "cli/check_command.h"
+#include "cli/ctl_command.h"
 #include "cli/demo_command.h"
 #include "cli/emulate_command.h"
 #include "cli/exit_codes.h"
@@ -25,6 +26,7 @@
 constexpr std::array kCommands = {
     Command{"serve", "run one node", runServeCommand},
     Command{"check", "check settings and policy files", runCheckCommand},
+    Command{"ctl", "ask and change a running site", runCtlCommand},
     Command{"emulate", "run stand-ins for engines, action servers and the platform", runEmulateCommand},
     Command{"load", "drive callers' traffic and check every answer", runLoadCommand},
     Command{"demo", "run a small deployment in this process on loopback", runDemoCommand},
--- a/src/engine/client_pool.cc
+++ b/src/engine/client_pool.cc
@@ -34,6 +34,7 @@
   auto client = std::make_unique<httplib::Client>(address.host, address.port);
   client->set_tcp_nodelay(true);
   client->set_keep_alive(true);
+  client->set_default_headers(headers_);
   client->set_connection_timeout(absl::ToChronoMicroseconds(connect_timeout_));
   client->set_read_timeout(absl::ToChronoMicroseconds(read_timeout_));
   client->set_write_timeout(absl::ToChronoMicroseconds(read_timeout_));
--- a/src/engine/client_pool.h
+++ b/src/engine/client_pool.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <vector>
 
+#include "engine/caller_identity.h"
 #include "types/back_end.h"
 
 namespace quincewick::engine {
@@ -18,8 +19,8 @@
 // broke.
 class ClientPool {
  public:
-  ClientPool(absl::Duration connect_timeout, absl::Duration read_timeout)
-      : connect_timeout_(connect_timeout), read_timeout_(read_timeout) {}
+  ClientPool(absl::Duration connect_timeout, absl::Duration read_timeout, const CallerIdentity& identity)
+      : connect_timeout_(connect_timeout), read_timeout_(read_timeout), headers_(identityHeaders(identity)) {}
 
   // An idle client of that address, or a new one, which connects when first used.
   std::unique_ptr<httplib::Client> take(const Address& address);
@@ -31,6 +32,7 @@
 
   absl::Duration connect_timeout_;
   absl::Duration read_timeout_;
+  httplib::Headers headers_;
   absl::Mutex mutex_;
   absl::btree_map<Address, std::vector<std::unique_ptr<httplib::Client>>> idle_ ABSL_GUARDED_BY(mutex_);
 };
--- a/src/engine/engine_codec.cc
+++ b/src/engine/engine_codec.cc
@@ -13,7 +13,7 @@
 
 constexpr size_t kHexDigitsOfHalfKey = 16;
 
-auto broken(std::string message) {
+auto broken(const std::string& message) {
   return fail(ErrorCode::kInternal, "engine: " + message, Execution::kUnknown);
 }
 
@@ -38,9 +38,9 @@
 
 // The object under `field`, or an empty one.
 const Json& objectOf(const Json& object, const char* field) {
-  static const Json& kEmpty = *new Json(Json::object());
+  static const Json& empty = *new Json(Json::object());
   const auto entry = object.find(field);
-  return entry != object.end() && entry->is_object() ? *entry : kEmpty;
+  return entry != object.end() && entry->is_object() ? *entry : empty;
 }
 
 EngineLoad loadOf(const Json& json) {
--- a/src/engine/http_action_channel.cc
+++ b/src/engine/http_action_channel.cc
@@ -14,6 +14,7 @@
 httplib::Client makeClient(const Address& server, const HttpActionOptions& options) {
   httplib::Client client(server.host, server.port);
   client.set_tcp_nodelay(true);
+  client.set_default_headers(identityHeaders(options.identity));
   client.set_connection_timeout(absl::ToChronoMicroseconds(options.connect_timeout));
   client.set_read_timeout(absl::ToChronoMicroseconds(options.answer_timeout));
   client.set_write_timeout(absl::ToChronoMicroseconds(options.answer_timeout));
--- a/src/engine/http_action_channel.h
+++ b/src/engine/http_action_channel.h
@@ -4,10 +4,12 @@
 #include <absl/time/time.h>
 
 #include "engine/action_channel.h"
+#include "engine/caller_identity.h"
 
 namespace quincewick::engine {
 
 struct HttpActionOptions {
+  CallerIdentity identity;
   absl::Duration connect_timeout = absl::Milliseconds(500);
   absl::Duration answer_timeout = absl::Seconds(20);
 };
--- a/src/engine/http_engine_channel.cc
+++ b/src/engine/http_engine_channel.cc
@@ -118,8 +118,8 @@
 }  // namespace
 
 HttpEngineChannel::HttpEngineChannel(const HttpEngineOptions& options)
-    : streams_(options.connect_timeout, options.read_timeout),
-      control_(options.connect_timeout, options.control_timeout) {}
+    : streams_(options.connect_timeout, options.read_timeout, options.identity),
+      control_(options.connect_timeout, options.control_timeout, options.identity) {}
 
 void HttpEngineChannel::run(const Address& engine, const EngineRequest& request, EngineEventSink& sink) {
   httplib::Request http_request = makeRequest("POST", "/v1/completions");
--- a/src/engine/http_engine_channel.h
+++ b/src/engine/http_engine_channel.h
@@ -9,6 +9,7 @@
 namespace quincewick::engine {
 
 struct HttpEngineOptions {
+  CallerIdentity identity;
   absl::Duration connect_timeout = absl::Milliseconds(500);
   absl::Duration read_timeout = absl::Seconds(30);    // longest silence within a stream
   absl::Duration control_timeout = absl::Seconds(2);  // for cancel, reports, cache events and orders
--- a/src/http/caller_api.cc
+++ b/src/http/caller_api.cc
@@ -142,7 +142,7 @@
       BOOST_OUTCOME_TRY(call, makeCompletionCall(context, request, std::move(completion)));
       BOOST_OUTCOME_TRY(reader, backend_.complete(call));
       if (stream) {
-        streamAnswer(header, std::move(reader), response);
+        streamAnswer(header, reader, response);
       } else {
         sendWholeAnswer(header, *reader, response);
       }
@@ -158,7 +158,7 @@
       BOOST_OUTCOME_TRY(reader, backend_.reconnect(original, context.tenant, last_offset));
       const AnswerHeader header{CompletionShape::kChat, original, ModelName(),
                                 absl::ToUnixSeconds(context.arrival)};
-      streamAnswer(header, std::move(reader), response);
+      streamAnswer(header, reader, response);
       return outcome::success();
     });
   }
--- a/src/node/admission_gate.cc
+++ b/src/node/admission_gate.cc
@@ -98,7 +98,7 @@
       waiting_.at(start->request.id)->started = true;
     } else {
       auto& refuse = std::get<admission::Refuse>(action);
-      waiting_.at(refuse.id)->refusal = std::move(refuse.refusal);
+      waiting_.at(refuse.id)->refusal = refuse.refusal;
     }
   }
   const absl::Time wakeup = controller_.nextWakeup();
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -36,7 +36,23 @@
 }
 
 platform::HttpPlatformOptions platformOptions(const configuration::NodeSettings& settings) {
-  return {settings.platform.connect_timeout, settings.platform.call_timeout};
+  return {settings.platform.connect_timeout, settings.platform.call_timeout, settings.node_id, settings.zone};
+}
+
+engine::CallerIdentity identityOf(const configuration::NodeSettings& settings) {
+  return {settings.node_id, settings.zone};
+}
+
+engine::HttpEngineOptions engineOptions(const configuration::NodeSettings& settings) {
+  engine::HttpEngineOptions options;
+  options.identity = identityOf(settings);
+  return options;
+}
+
+engine::HttpActionOptions actionOptions(const configuration::NodeSettings& settings) {
+  engine::HttpActionOptions options;
+  options.identity = identityOf(settings);
+  return options;
 }
 
 http::HttpServerOptions callerServerOptions(const configuration::NodeSettings& settings) {
@@ -67,8 +83,8 @@
     : settings_(settings),
       initial_policy_(std::move(initial_policy)),
       platform_(settings.platform.address, platformOptions(settings)),
-      engines_(engine::HttpEngineOptions()),
-      action_channel_(engine::HttpActionOptions()),
+      engines_(engineOptions(settings)),
+      action_channel_(actionOptions(settings)),
       router_(routerSettings(settings), realClock(), randomSeed()),
       gate_(admission::AdmissionConfiguration(), realClock(), randomSeed()),
       health_(realClock()),
--- a/src/node/peer_network.cc
+++ b/src/node/peer_network.cc
@@ -15,6 +15,7 @@
 // The first key signs; all are accepted.
 Result<peer::KeyRing> makeKeyRing(const std::vector<configuration::PeerKey>& settings) {
   std::vector<peer::PeerKey> keys;
+  keys.reserve(settings.size());
   for (const configuration::PeerKey& key : settings) {
     keys.push_back(peer::PeerKey{peer::KeyId(key.id), absl::HexStringToBytes(key.secret)});
   }
--- a/src/node/request_director.cc
+++ b/src/node/request_director.cc
@@ -86,7 +86,7 @@
 void RequestDirector::onFirstToken(const AttemptTarget& target) {
   resources_.router.handle(routing::FirstTokenSeen{target.dispatch, target.engine, target.incarnation});
   const absl::Duration expected = std::max(target.expected_first_token, kShortestExpectedFirstToken);
-  resources_.health.succeeded(target.engine, (resources_.clock() - target.sent) / expected);
+  resources_.health.succeeded(target.engine, absl::FDivDuration(resources_.clock() - target.sent, expected));
   {
     absl::MutexLock lock(&mutex_);
     if (std::exchange(first_token_seen_, true)) {
--- a/src/platform/http_platform.cc
+++ b/src/platform/http_platform.cc
@@ -69,6 +69,7 @@
     client->set_keep_alive(true);
     client->set_tcp_nodelay(true);
     client->set_url_encode(false);
+    client->set_default_headers({{"X-Node", options_.node.value()}, {"X-Zone", options_.zone.value()}});
     return client;
   }
 
--- a/src/platform/http_platform.h
+++ b/src/platform/http_platform.h
@@ -14,6 +14,9 @@
 struct HttpPlatformOptions {
   absl::Duration connect_timeout = absl::Seconds(1);
   absl::Duration call_timeout = absl::Seconds(5);  // for sending and for each wait for the answer
+  // Who calls, as told to the service in headers of every call.
+  NodeId node = NodeId();
+  ZoneName zone = ZoneName();
 };
 
 // Keeps a few connections open. Safe for any number of threads.
