--- a/bench/prefix/prefix_bench.cc
+++ b/bench/prefix/prefix_bench.cc
@@ -31,7 +31,7 @@
   }
   setBytes(state);
 }
-BENCHMARK(hashBlocks)->Arg(4096)->Arg(40 * 4096);
+BENCHMARK(hashBlocks)->Arg(4096)->Arg(int64_t{40} * 4096);
 
 // The baseline: one hash over the whole text.
 void hashWhole(benchmark::State& state) {
@@ -41,7 +41,7 @@
   }
   setBytes(state);
 }
-BENCHMARK(hashWhole)->Arg(4096)->Arg(40 * 4096);
+BENCHMARK(hashWhole)->Arg(4096)->Arg(int64_t{40} * 4096);
 
 std::vector<BlockKey> randomKeys(size_t count) {
   std::mt19937_64 random(2);
--- a/src/routing/engine_directory.cc
+++ b/src/routing/engine_directory.cc
@@ -20,12 +20,12 @@
 }
 
 bool sameWeights(const BackEnd& left, const BackEnd& right) {
-  const auto lacksVersion = [&right](const LoadedModel& loaded) {
+  const auto lacks_version = [&right](const LoadedModel& loaded) {
     return std::none_of(right.models.begin(), right.models.end(), [&](const LoadedModel& other) {
       return other.model == loaded.model && other.weights_version == loaded.weights_version;
     });
   };
-  return std::none_of(left.models.begin(), left.models.end(), lacksVersion);
+  return std::none_of(left.models.begin(), left.models.end(), lacks_version);
 }
 
 void addTo(EnginePool& pool, EngineSlot engine, uint64_t identity_hash) {
@@ -70,13 +70,16 @@
   return regionOf(zone) == regionOf(settings_.zone) ? 1 : 2;
 }
 
-EngineDirectory::UpsertOutcome EngineDirectory::upsert(const BackEnd& engine) {
+std::optional<EngineDirectory::UpsertOutcome> EngineDirectory::upsert(const BackEnd& engine) {
   const auto known = slots_.find(engine.id);
   const bool is_new = known == slots_.end();
+  if (is_new && slots_.size() == kMaximumEngines) {
+    return std::nullopt;
+  }
   const EngineSlot slot = is_new ? allocate() : known->second;
   State& state = at(slot);
   if (!is_new && engine.incarnation < state.back_end->incarnation) {
-    return {slot, false};
+    return UpsertOutcome{slot, false};
   }
   const bool restarted = is_new || engine.incarnation != state.back_end->incarnation;
   const bool voided = restarted || !sameWeights(*state.back_end, engine);
@@ -91,7 +94,7 @@
   state.distance = distanceClass(engine.zone);
   state.back_end = std::make_shared<const BackEnd>(engine);
   pools_.clear();
-  return {slot, voided};
+  return UpsertOutcome{slot, voided};
 }
 
 std::optional<EngineSlot> EngineDirectory::remove(const BackEndId& engine) {
--- a/src/routing/engine_directory.h
+++ b/src/routing/engine_directory.h
@@ -47,6 +47,7 @@
   WeightsVersion weights_version;
   GroupName group;  // empty: all engines
 
+  // clang-tidy takes the 0 inside a defaulted comparison for a pointer. NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const EngineRequirement&, const EngineRequirement&) = default;
 };
 
@@ -95,8 +96,11 @@
     EngineSlot engine{};
     bool voided = false;  // new, restarted or with other weights: beliefs about its cache are void
   };
-  // Takes what is known of an engine. An older incarnation than the known one changes nothing.
-  UpsertOutcome upsert(const BackEnd& engine);
+  // Takes what is known of an engine. An older incarnation than the known one changes nothing. Returns
+  // nothing, and doesn't take the engine, where kMaximumEngines are known.
+  std::optional<UpsertOutcome> upsert(const BackEnd& engine);
+
+  static constexpr size_t kMaximumEngines = 65536;  // as many as slots can name
 
   // Forgets an engine. Returns its slot if it was known.
   std::optional<EngineSlot> remove(const BackEndId& engine);
--- a/src/routing/prefix_affinity.cc
+++ b/src/routing/prefix_affinity.cc
@@ -89,25 +89,19 @@
 }
 
 PrefixAffinity::Candidate PrefixAffinity::weigh(const PlacementQuery& query, EngineSlot engine,
-                                                const prefix::TrunkView& view, const ImportOffer& offer,
-                                                absl::Time now) const {
+                                                const prefix::TrunkView& view, absl::Time now) const {
   const PrefixChain& prompt = query.request.prompt;
   double cached_blocks = 0;
   if (const auto* holder = holderOf(view, engine)) {
     cached_blocks = holder->certain_blocks +
                     settings_.doubtful_weight * (holder->possible_blocks - holder->certain_blocks);
   }
-  const bool moves = offer.blocks > cached_blocks && offer.source != engine;
-  const double moved_blocks = moves ? offer.blocks - cached_blocks : 0.0;
-  const double uncached =
-      static_cast<double>(prompt.size()) - (cached_blocks + moved_blocks) * prompt.block_size;
-  const double moving_seconds = moved_blocks * absl::ToDoubleSeconds(settings_.import_per_block);
+  const double uncached = static_cast<double>(prompt.size()) - cached_blocks * prompt.block_size;
   const double weight = settings_.recompute_weight[static_cast<size_t>(query.urgency)];
-  const double effort_seconds = uncached * directory_.prefillSecondsPerToken() + moving_seconds;
-  Candidate candidate{engine, cached_blocks, moved_blocks};
-  candidate.first_token_seconds =
-      directory_.expectedFirstTokenSeconds(engine, query.urgency, uncached, now) + moving_seconds;
-  candidate.cost = candidate.first_token_seconds + (weight - 1.0) * effort_seconds;
+  Candidate candidate{engine, cached_blocks};
+  candidate.first_token_seconds = directory_.expectedFirstTokenSeconds(engine, query.urgency, uncached, now);
+  candidate.cost =
+      candidate.first_token_seconds + (weight - 1.0) * uncached * directory_.prefillSecondsPerToken();
   return candidate;
 }
 
@@ -116,30 +110,32 @@
           static_cast<uint32_t>(candidate.cached_blocks)};
 }
 
-PrefixAffinity::ImportOffer PrefixAffinity::importOffer(const PlacementQuery& query,
-                                                        const prefix::TrunkView& view) const {
+std::optional<ImportPlan> PrefixAffinity::importPlan(const PlacementQuery& query, const ScoredEngine& chosen,
+                                                     const prefix::TrunkView& view) const {
   const absl::Duration recompute_block =
       directory_.settings().cost.prefill_per_token * query.request.prompt.block_size;
-  ImportOffer offer;
   if (!settings_.import || settings_.import_per_block >= recompute_block) {
-    return offer;
+    return std::nullopt;
   }
+  ImportPlan plan;
+  plan.first_block = chosen.expected_cached_blocks;
   for (const auto& holder : view.holders) {
-    if (holder.certain_blocks > offer.blocks && directory_.ready(holder.engine)) {
-      offer = {holder.engine, holder.certain_blocks};
+    const uint32_t movable = holder.certain_blocks - std::min(holder.certain_blocks, plan.first_block);
+    if (holder.engine != chosen.engine && movable > plan.block_count && directory_.ready(holder.engine)) {
+      plan.source = holder.engine;
+      plan.block_count = movable;
     }
   }
-  return offer;
+  return plan.block_count > 0 ? std::optional(plan) : std::nullopt;
 }
 
 void PrefixAffinity::weighPool(const PlacementQuery& query, const EnginePool& pool,
                                const prefix::TrunkView& view, absl::Time now, absl::BitGenRef random,
                                std::vector<Candidate>& weighed) {
   const Trunk trunk = trunkOf(query, view);
-  const ImportOffer offer = importOffer(query, view);
   bool home = true;
   for (const EngineSlot engine : candidates(pool, trunk, view, random)) {
-    Candidate candidate = weigh(query, engine, view, offer, now);
+    Candidate candidate = weigh(query, engine, view, now);
     candidate.cost -= home ? absl::ToDoubleSeconds(settings_.home_bonus) : 0.0;
     home = false;
     weighed.push_back(candidate);
@@ -166,11 +162,7 @@
   for (size_t place = 1; place < kept; ++place) {
     choice.alternatives.push_back(scored(weighed[place]));
   }
-  if (weighed.front().moved_blocks > 0) {
-    const ImportOffer offer = importOffer(query, view);
-    const uint32_t first = choice.chosen.expected_cached_blocks;
-    choice.import = ImportPlan{offer.source, first, offer.blocks - first};
-  }
+  choice.import = importPlan(query, choice.chosen, view);
   return choice;
 }
 
--- a/src/routing/prefix_affinity.h
+++ b/src/routing/prefix_affinity.h
@@ -13,6 +13,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 
 #include "prefix/trunk_index.h"
 #include "routing/placement_policy.h"
@@ -48,15 +49,9 @@
     uint64_t key = 0;
     uint32_t replicas = 1;
   };
-  // The longest run of blocks that could be moved to another engine, and who holds it.
-  struct ImportOffer {
-    EngineSlot source{};
-    uint32_t blocks = 0;  // 0: none
-  };
   struct Candidate {
     EngineSlot engine{};
     double cached_blocks = 0;
-    double moved_blocks = 0;
     double first_token_seconds = 0;
     double cost = 0;  // seconds
   };
@@ -67,10 +62,11 @@
                                      const prefix::TrunkView& view, absl::BitGenRef random);
   static ScoredEngine scored(const Candidate& candidate);
   Candidate weigh(const PlacementQuery& query, EngineSlot engine, const prefix::TrunkView& view,
-                  const ImportOffer& offer, absl::Time now) const;
+                  absl::Time now) const;
   void weighPool(const PlacementQuery& query, const EnginePool& pool, const prefix::TrunkView& view,
                  absl::Time now, absl::BitGenRef random, std::vector<Candidate>& weighed);
-  ImportOffer importOffer(const PlacementQuery& query, const prefix::TrunkView& view) const;
+  std::optional<ImportPlan> importPlan(const PlacementQuery& query, const ScoredEngine& chosen,
+                                       const prefix::TrunkView& view) const;
 
   const EngineDirectory& directory_;
   prefix::TrunkIndex& index_;
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -105,9 +105,9 @@
 }
 
 void Router::on(const EngineUpserted& event, absl::Time /*now*/, std::vector<RouterAction>& /*actions*/) {
-  const EngineDirectory::UpsertOutcome outcome = directory_.upsert(event.engine);
-  if (outcome.voided) {
-    index_.reset(outcome.engine);
+  const auto outcome = directory_.upsert(event.engine);
+  if (outcome.has_value() && outcome->voided) {
+    index_.reset(outcome->engine);
   }
 }
 
@@ -232,9 +232,9 @@
 }
 
 const Selector* Router::selectorOf(const GroupName& group) const {
-  static const Selector kEverything;
+  static const Selector everything;
   if (group.empty()) {
-    return &kEverything;
+    return &everything;
   }
   return routes_ == nullptr ? nullptr : routes_->groupSelector(group);
 }
