A request that fails before its first token leaves no false belief

Cause: a dispatch makes the router believe that the engine will hold the prompt. Where the request ended without a first token the belief stayed, and no cache event would ever correct it.

Change: such an end takes back what the request alone was expected to add. RequestSent says that it carries the urgency of the route decision.

Test: beliefs before, during and after a failed request.

--- a/src/prefix/trunk_index.cc
+++ b/src/prefix/trunk_index.cc
@@ -262,6 +262,12 @@
   }
 }
 
+void TrunkIndex::recordLost(EngineSlot engine, const PrefixChain& chain, size_t first_block) {
+  for (size_t block = first_block; block < chain.blocks.size(); ++block) {
+    disbelieve(engine, chain.blocks[block]);
+  }
+}
+
 // `known_blocks`: the run that a holder must have so far to be taken further; 0 at the first known block.
 void TrunkIndex::mergeBeliefs(const Entry& entry, uint32_t known_blocks, uint32_t depth,
                               TrunkView& result) const {
--- a/src/prefix/trunk_index.h
+++ b/src/prefix/trunk_index.h
@@ -86,6 +86,9 @@
   // The engine holds, or will soon hold, all blocks of the chain.
   void recordHeld(EngineSlot engine, const PrefixChain& chain, absl::Time now);
 
+  // The engine did not come to hold the chain's blocks from `first_block` on, though recordHeld said so.
+  void recordLost(EngineSlot engine, const PrefixChain& chain, size_t first_block);
+
   // Counts a request through the chain's blocks, and returns what is known of them.
   TrunkView observe(const PrefixChain& chain, absl::Time now);
 
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -163,8 +163,9 @@
   directory_.sent(*engine, PendingPrefill{request.id, request.urgency, now, prompt_tokens, uncached_tokens});
   // The engine will soon hold the prompt: the next request of the trunk should know.
   index_.recordHeld(*engine, request.prompt, now);
-  in_flight_.insert_or_assign(
-      request.id, InFlight{*engine, directory_.engine(*engine).incarnation, request.prompt, false});
+  const size_t cached_blocks = event.expected_cached_tokens / std::max(request.prompt.block_size, 1U);
+  in_flight_.insert_or_assign(request.id, InFlight{*engine, directory_.engine(*engine).incarnation,
+                                                   request.prompt, cached_blocks, false});
 }
 
 bool Router::stillThere(const InFlight& request) const {
@@ -200,6 +201,10 @@
   if (stillThere(request)) {
     directory_.prefillDone(request.engine, event.request);
     directory_.ended(request.engine);
+    if (!request.first_token_seen) {
+      // It may never have been computed: what it was to add is not believed.
+      index_.recordLost(request.engine, request.prompt, request.expected_cached_blocks);
+    }
   }
   if (event.usage.has_value()) {
     directory_.learnMissShare(event.usage->prompt_tokens, event.usage->cached_tokens);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -120,6 +120,7 @@
     EngineSlot engine{};
     Incarnation incarnation;
     PrefixChain prompt;
+    size_t expected_cached_blocks = 0;
     bool first_token_seen = false;
   };
 
--- a/src/routing/router_events.h
+++ b/src/routing/router_events.h
@@ -46,7 +46,8 @@
   std::vector<prefix::CacheEvent> events;
 };
 
-// The request was sent to the engine. Exactly one RequestEnded follows for each, of the same id.
+// The request, with the urgency of its route decision, was sent to the engine. Exactly one RequestEnded
+// follows for each, of the same id.
 struct RequestSent {
   InferenceRequest request;
   BackEndId engine;
--- a/tests/routing/router_test.cc
+++ b/tests/routing/router_test.cc
@@ -368,6 +368,26 @@
   CHECK(router.inFlight() == 0);
 }
 
+TEST_CASE("a request that ends without a first token leaves no belief behind that it alone had made") {
+  Router router{RouterSettings{}};
+  const BackEndId engine = engineNumber(0).id;
+  router.handle(EngineUpserted{engineNumber(0)}, kStart);
+  const auto believed = [&] {
+    const auto holders = router.index().view(chainOf(0, 6), kStart).holders;
+    return holders.empty() ? 0U : holders.front().certain_blocks;
+  };
+  const InferenceRequest served = requestFor("served", 1, chainOf(0, 2));
+  router.handle(RequestSent{served, engine, 0}, kStart);
+  router.handle(FirstTokenSeen{served.id, engine, Incarnation(1)}, kStart);
+  router.handle(RequestEnded{served.id, engine, Incarnation(1), std::nullopt}, kStart);
+  CHECK(believed() == 2);
+  const InferenceRequest failed = requestFor("failed", 1, chainOf(0, 6));
+  router.handle(RequestSent{failed, engine, 2 * kBlockSize}, kStart);
+  CHECK(believed() == 6);
+  router.handle(RequestEnded{failed.id, engine, Incarnation(), std::nullopt}, kStart);
+  CHECK(believed() == 2);
+}
+
 TEST_CASE("a gap in cache events asks for them again") {
   Router router{RouterSettings{}};
   router.handle(EngineUpserted{engineNumber(0)}, kStart);
