--- a/bench/ledger/ledger_bench.cc
+++ b/bench/ledger/ledger_bench.cc
@@ -181,7 +181,7 @@
   std::mt19937_64 random(1);
   absl::Time now = absl::FromUnixSeconds(1800000000);
   uint64_t versions = 0;
-  const auto answerStore = [&](const std::vector<LedgerAction>& actions) {
+  const auto answer_store = [&](const std::vector<LedgerAction>& actions) {
     std::vector<PlatformReply> replies;
     for (const LedgerAction& action : actions) {
       if (const auto* call = std::get_if<PlatformCall>(&action)) {
@@ -194,8 +194,8 @@
   };
   while (!ledger.voting()) {
     now += absl::Milliseconds(100);
-    for (const PlatformReply& reply : answerStore(ledger.handle(Tick{}, now, random))) {
-      for (const PlatformReply& next : answerStore(ledger.handle(reply, now, random))) {
+    for (const PlatformReply& reply : answer_store(ledger.handle(Tick{}, now, random))) {
+      for (const PlatformReply& next : answer_store(ledger.handle(reply, now, random))) {
         ledger.handle(next, now, random);
       }
     }
