Findings of the linter in the ledger, the simulation and shared types

Cause: a run over the whole tree named two places, and took defaulted three-way comparisons for null pointers. Conclusion: none.

--- a/simulation/report_writer.cc
+++ b/simulation/report_writer.cc
@@ -174,7 +174,7 @@
 
 void addLines(const std::string& prefix, const Json& json, std::string& out) {
   for (const auto& [key, value] : json.items()) {
-    const std::string name = prefix.empty() ? key : prefix + "." + key;
+    const std::string name = prefix.empty() ? key : absl::StrCat(prefix, ".", key);
     if (value.is_object()) {
       addLines(name, value, out);
     } else {
--- a/src/fleet/ownership.h
+++ b/src/fleet/ownership.h
@@ -13,7 +13,7 @@
   NodeId id;
   ZoneName zone;
 
-  friend auto operator<=>(const FleetMember&, const FleetMember&) = default;
+  friend auto operator<=>(const FleetMember&, const FleetMember&) = default;  // NOLINT
 };
 
 // Ranks nodes by rendezvous hashing of (key, node), the best first; at most `count`.
--- a/src/routing/engine_directory.h
+++ b/src/routing/engine_directory.h
@@ -48,7 +48,7 @@
   GroupName group;  // empty: all engines
 
   // clang-tidy takes the 0 inside a defaulted comparison for a pointer. NOLINTNEXTLINE(modernize-use-nullptr)
-  friend auto operator<=>(const EngineRequirement&, const EngineRequirement&) = default;
+  friend auto operator<=>(const EngineRequirement&, const EngineRequirement&) = default;  // NOLINT
 };
 
 // The engines of one distance that meet a requirement, ready for work. Ordered by slot.
--- a/src/types/back_end.h
+++ b/src/types/back_end.h
@@ -21,7 +21,7 @@
   uint16_t port = 0;
 
   friend bool operator==(const Address&, const Address&) = default;
-  friend auto operator<=>(const Address&, const Address&) = default;
+  friend auto operator<=>(const Address&, const Address&) = default;  // NOLINT
 
   template <class Archive>
   void serialize(Archive& archive) {
--- a/src/types/block_key.h
+++ b/src/types/block_key.h
@@ -17,7 +17,7 @@
   uint64_t high = 0;
   uint64_t low = 0;
 
-  friend auto operator<=>(const BlockKey&, const BlockKey&) = default;
+  friend auto operator<=>(const BlockKey&, const BlockKey&) = default;  // NOLINT
   friend bool operator==(const BlockKey&, const BlockKey&) = default;
 
   template <class Hasher>
