Up to eight engines for one answer

Ruled out: the retry budget, which does not bind a stream under way (it refused one other request before its first token). Change: eight attempts; before the first token the retry budget still bounds them.

--- a/src/node/completion_service.cc
+++ b/src/node/completion_service.cc
@@ -17,6 +17,16 @@
 // Of a request whose prompt is cached but for its tail, on an idle engine.
 constexpr absl::Duration kExpectedFirstToken = absl::Milliseconds(50);
 
+// Each engine lost in mid-stream takes one attempt, and a failing zone may take several engines in a row.
+// Before the first token the retry budget bounds them.
+constexpr uint32_t kMaximumAttempts = 8;
+
+streams::AnswerOptions answerOptions() {
+  streams::AnswerOptions options;
+  options.maximum_attempts = kMaximumAttempts;
+  return options;
+}
+
 const configuration::RequestKindPolicy* findKind(const configuration::Policy& policy,
                                                  const RequestKind& kind) {
   const auto entry = policy.request_kinds.find(kind);
@@ -134,7 +144,7 @@
                         resources_.clock, std::move(keep_answer)});
   auto run_blocking = [this](std::function<void()> task) { resources_.workers.submit(std::move(task)); };
   return std::make_shared<AnswerSession>(
-      streams::AnswerOptions(), std::move(attempt), std::move(director),
+      answerOptions(), std::move(attempt), std::move(director),
       SessionResources{resources_.engines, std::move(run_blocking), resources_.clock},
       call.arrival + options_.longest_answer);
 }
