simulate takes durations without a unit, and warms up in proportion to a short run

Cause: '--duration 5' was refused, and a run shorter than the warm-up of 10 s could not be asked for. Change: a plain number is seconds; the warm-up is a quarter of the run, at most 10 s, unless given.

--- a/src/cli/simulate_command.cc
+++ b/src/cli/simulate_command.cc
@@ -1,5 +1,9 @@
 #include "cli/simulate_command.h"
 
+#include <absl/strings/numbers.h>
+#include <absl/time/time.h>
+
+#include <algorithm>
 #include <cstdio>
 #include <cxxopts.hpp>
 #include <fstream>
@@ -17,6 +21,7 @@
 constexpr int kExitKept = 0;
 constexpr int kExitViolated = 1;
 constexpr int kExitMisused = 2;
+constexpr absl::Duration kLongestDefaultWarmUp = absl::Seconds(10);
 constexpr double kRateForNode = 27;  // requests a second: the share of a node in the size to design for
 
 cxxopts::Options makeOptions() {
@@ -27,8 +32,8 @@
       ("engines", "model engines", cxxopts::value<uint32_t>()->default_value("348"))
       ("zones", "zones", cxxopts::value<uint32_t>()->default_value("3"))
       ("regions", "regions; 0: one for three zones", cxxopts::value<uint32_t>()->default_value("0"))
-      ("duration", "virtual time to run, such as 60s", cxxopts::value<std::string>()->default_value("60s"))
-      ("warm-up", "first part that isn't measured", cxxopts::value<std::string>()->default_value("10s"))
+      ("duration", "virtual time to run, such as 60s; without a unit: seconds", cxxopts::value<std::string>()->default_value("60s"))
+      ("warm-up", "first part that isn't measured; default: a quarter, at most 10s", cxxopts::value<std::string>())
       ("seed", "seed of all chance", cxxopts::value<uint64_t>()->default_value("1"))
       ("rate", "requests a second; 0: 27 for each node", cxxopts::value<double>()->default_value("0"))
       ("tenants", "tenants of the built-in workload", cxxopts::value<uint32_t>()->default_value("160"))
@@ -41,8 +46,13 @@
   return options;
 }
 
+// A number without a unit is seconds.
 Result<absl::Duration> parseDuration(const std::string& text) {
   absl::Duration duration;
+  double seconds = 0;
+  if (absl::SimpleAtod(text, &seconds) && seconds >= 0) {
+    return absl::Seconds(seconds);
+  }
   if (!absl::ParseDuration(text, &duration) || duration < absl::ZeroDuration()) {
     return fail(ErrorCode::kInvalidArgument, "not a duration such as 60s: " + text);
   }
@@ -75,8 +85,11 @@
   options.changes_per_day = parsed["changes"].as<double>();
   BOOST_OUTCOME_TRY(duration, parseDuration(parsed["duration"].as<std::string>()));
   options.duration = duration;
-  BOOST_OUTCOME_TRY(warm_up, parseDuration(parsed["warm-up"].as<std::string>()));
-  options.warm_up = warm_up;
+  options.warm_up = std::min(kLongestDefaultWarmUp, options.duration / 4);
+  if (parsed.count("warm-up") > 0) {
+    BOOST_OUTCOME_TRY(warm_up, parseDuration(parsed["warm-up"].as<std::string>()));
+    options.warm_up = warm_up;
+  }
   if (parsed.count("workload") > 0) {
     BOOST_OUTCOME_TRY(workload, loadgen::readWorkloadFile(parsed["workload"].as<std::string>()));
     options.workload = std::move(workload);
--- a/src/ledger/key_date.cc
+++ b/src/ledger/key_date.cc
@@ -21,8 +21,8 @@
   if (absl::ascii_isdigit(static_cast<unsigned char>(digit))) {
     return static_cast<uint64_t>(digit - '0');
   }
-  const char lower = absl::ascii_tolower(static_cast<unsigned char>(digit));
-  return static_cast<uint64_t>(lower - 'a' + 10);
+  const auto lower = static_cast<unsigned char>(absl::ascii_tolower(static_cast<unsigned char>(digit)));
+  return uint64_t{lower} - uint64_t{'a'} + 10;
 }
 
 bool isUuid(std::string_view text) {
