--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -17,7 +17,10 @@
 }
 
 double limitOf(double configured) {
-  return configured == 0 ? admission::kUnlimited : configured;
+  if (configured == 0) {
+    return admission::kUnlimited;
+  }
+  return configured;
 }
 
 admission::TenantLimits tenantLimits(const configuration::Policy& policy) {
@@ -224,7 +227,7 @@
   actions_.emplace_back(std::move(action));
 }
 
-void ControlPlane::takeAction(configuration::SendToPeer action) {
+void ControlPlane::takeAction(const configuration::SendToPeer& action) {
   if (const membership::Member* member = membership_.find(action.to)) {
     actions_.emplace_back(SendToPeer{action.to, member->record.address, peer::PeerModule::kConfiguration,
                                      configuration::encodePeerMessage(action.message)});
@@ -240,7 +243,7 @@
   actions_.emplace_back(action);
 }
 
-void ControlPlane::takeAction(admission::SendToPeer action) {
+void ControlPlane::takeAction(const admission::SendToPeer& action) {
   if (const membership::Member* member = membership_.find(action.to)) {
     actions_.emplace_back(SendToPeer{action.to, member->record.address, peer::PeerModule::kLimits,
                                      admission::encodeLimitMessage(action.message)});
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -119,10 +119,10 @@
 
   void takeAction(membership::SendToPeer action);
   void takeAction(membership::MemberChanged action);
-  void takeAction(configuration::SendToPeer action);
+  void takeAction(const configuration::SendToPeer& action);
   void takeAction(PlatformCall action);
   void takeAction(configuration::VersionInForce action);
-  void takeAction(admission::SendToPeer action);
+  void takeAction(const admission::SendToPeer& action);
   void takeAction(const membership::ReadMachineList& action);
   template <class Notification>
   void takeAction(Notification notification) {
--- a/src/platform/http_platform.cc
+++ b/src/platform/http_platform.cc
@@ -37,7 +37,7 @@
 class HttpPlatform::Connections {
  public:
   Connections(Address address, HttpPlatformOptions options)
-      : address_(std::move(address)), options_(options) {}
+      : address_(std::move(address)), options_(std::move(options)) {}
 
   std::unique_ptr<httplib::Client> take() {
     {
@@ -80,7 +80,7 @@
 };
 
 HttpPlatform::HttpPlatform(Address address, HttpPlatformOptions options)
-    : connections_(std::make_unique<Connections>(std::move(address), options)) {}
+    : connections_(std::make_unique<Connections>(std::move(address), std::move(options))) {}
 
 HttpPlatform::~HttpPlatform() = default;
 
