One reader of bearer keys; the cache salt is computed once for each request

Cause: the callers' and the operators' API each read the Authorization header by code of their own; each completion computed its salt, an HMAC, twice; AdmissionGate::setCapacity was called by nothing. Change: http/bearer_key.h serves both; makeRequest hands its salt on to the session; setCapacity is gone. Behaviour as before.

--- a/src/http/caller_api.cc
+++ b/src/http/caller_api.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "http/bearer_key.h"
 #include "http/completion_request.h"
 #include "http/completion_response.h"
 #include "http/error_body.h"
@@ -26,15 +27,6 @@
   absl::Time arrival;
 };
 
-std::string bearerKey(const httplib::Request& request) {
-  constexpr std::string_view prefix = "Bearer ";
-  const std::string value = request.get_header_value("Authorization");
-  if (value.compare(0, prefix.size(), prefix) != 0) {
-    return "";
-  }
-  return value.substr(prefix.size());
-}
-
 Result<std::string> boundedHeader(const httplib::Request& request, const char* name) {
   std::string value = request.get_header_value(name);
   if (value.size() > kLongestHeaderValue) {
--- a/src/http/operator_api.cc
+++ b/src/http/operator_api.cc
@@ -8,6 +8,7 @@
 #include <random>
 #include <utility>
 
+#include "http/bearer_key.h"
 #include "http/error_body.h"
 #include "http/operator_json.h"
 
@@ -25,12 +26,6 @@
   return RequestId(absl::StrFormat("operator-%016x", generator()));
 }
 
-std::string bearerKey(const httplib::Request& request) {
-  constexpr std::string_view kPrefix = "Bearer ";
-  const std::string value = request.get_header_value("Authorization");
-  return value.starts_with(kPrefix) ? value.substr(kPrefix.size()) : "";
-}
-
 void sendJson(const Json& json, httplib::Response& response) {
   response.set_content(json.dump(-1, ' ', false, Json::error_handler_t::replace), kJsonType);
 }
--- a/src/node/admission_gate.cc
+++ b/src/node/admission_gate.cc
@@ -77,11 +77,6 @@
   feed(admission::AdmissionReconfigured{configuration});
 }
 
-void AdmissionGate::setCapacity(double maximum_in_flight) {
-  absl::MutexLock lock(&mutex_);
-  feed(admission::CapacityChanged{maximum_in_flight});
-}
-
 size_t AdmissionGate::waiting() {
   absl::MutexLock lock(&mutex_);
   return controller_.waiting();
--- a/src/node/admission_gate.h
+++ b/src/node/admission_gate.h
@@ -34,7 +34,6 @@
   void firstToken(const RequestId& request);
   void finished(const RequestId& request, admission::FinishKind kind);
   void reconfigure(const admission::AdmissionConfiguration& configuration);
-  void setCapacity(double maximum_in_flight);
 
   size_t waiting();
   size_t inFlight();
--- a/src/node/completion_service.cc
+++ b/src/node/completion_service.cc
@@ -79,8 +79,8 @@
 
 }  // namespace
 
-Result<InferenceRequest> CompletionService::makeRequest(const PolicyInForce& policy,
-                                                        const http::CompletionCall& call) const {
+Result<CompletionService::PreparedRequest> CompletionService::makeRequest(
+    const PolicyInForce& policy, const http::CompletionCall& call) const {
   BOOST_OUTCOME_TRYV(checkModel(policy.policy, call));
   InferenceRequest request;
   request.id = call.id;
@@ -102,9 +102,9 @@
   BOOST_OUTCOME_TRY(version, resources_.router.chooseVersion(call.model));
   request.root =
       PrefixRoot{tenant->second.isolation_domain.value_or(call.tenant), call.model, call.adapter, version};
-  request.prompt = prefix::chainPrompt(prefix::cacheSalt(request.root, options_.salt_secret), call.prompt,
-                                       policy.policy.site.block_size);
-  return request;
+  std::string salt = prefix::cacheSalt(request.root, options_.salt_secret);
+  request.prompt = prefix::chainPrompt(salt, call.prompt, policy.policy.site.block_size);
+  return PreparedRequest{std::move(request), std::move(salt)};
 }
 
 Result<void> CompletionService::admit(const InferenceRequest& request, uint32_t maximum_tokens) {
@@ -117,6 +117,11 @@
 }
 
 Result<InferenceRequest> CompletionService::describe(const http::CompletionCall& call) {
+  BOOST_OUTCOME_TRY(prepared, prepare(call));
+  return std::move(prepared.request);
+}
+
+Result<CompletionService::PreparedRequest> CompletionService::prepare(const http::CompletionCall& call) {
   const std::shared_ptr<const PolicyInForce> policy = resources_.policies.current();
   if (policy == nullptr) {
     return outcome::failure(notReady());
@@ -125,7 +130,7 @@
 }
 
 std::shared_ptr<AnswerSession> CompletionService::makeSession(const http::CompletionCall& call,
-                                                              InferenceRequest request,
+                                                              PreparedRequest prepared,
                                                               routing::RouteDecision decision) {
   engine::EngineRequest attempt;
   attempt.request = call.id;
@@ -133,13 +138,12 @@
   attempt.adapter = call.adapter;
   attempt.prompt = call.prompt;
   attempt.maximum_tokens = call.maximum_tokens;
-  attempt.urgency = request.urgency;
-  std::string salt = prefix::cacheSalt(request.root, options_.salt_secret);
+  attempt.urgency = prepared.request.urgency;
   auto keep_answer = [this, call](const streams::Transcript& transcript, const std::optional<EndEvent>& end) {
     resources_.kept_answers.keep(call, transcript, end);
   };
   auto director = std::make_shared<RequestDirector>(
-      std::move(request), std::move(decision), std::move(salt),
+      std::move(prepared.request), std::move(decision), std::move(prepared.cache_salt),
       DirectorResources{resources_.router, resources_.gate, resources_.health, resources_.metrics,
                         resources_.clock, std::move(keep_answer)});
   auto run_blocking = [this](std::function<void()> task) { resources_.workers.submit(std::move(task)); };
@@ -150,13 +154,14 @@
 }
 
 Result<std::shared_ptr<AnswerSession>> CompletionService::begin(const http::CompletionCall& call) {
-  BOOST_OUTCOME_TRY(request, describe(call));
+  BOOST_OUTCOME_TRY(prepared, prepare(call));
+  InferenceRequest& request = prepared.request;
   BOOST_OUTCOME_TRY(decision, resources_.router.route(request));
   request.urgency = decision.urgency;
   request.deadline = decision.deadline;
   BOOST_OUTCOME_TRYV(admit(request, call.maximum_tokens));
   resources_.metrics.requestAdmitted(request.urgency);
-  return makeSession(call, std::move(request), std::move(decision));
+  return makeSession(call, std::move(prepared), std::move(decision));
 }
 
 Result<std::shared_ptr<http::AnswerReader>> CompletionService::complete(const http::CompletionCall& call) {
--- a/src/node/completion_service.h
+++ b/src/node/completion_service.h
@@ -55,10 +55,17 @@
   Result<InferenceRequest> describe(const http::CompletionCall& call);
 
  private:
-  Result<InferenceRequest> makeRequest(const PolicyInForce& policy, const http::CompletionCall& call) const;
+  // A request as decisions see it, and the salt that its prefix chain hangs from.
+  struct PreparedRequest {
+    InferenceRequest request;
+    std::string cache_salt;
+  };
+
+  Result<PreparedRequest> prepare(const http::CompletionCall& call);
+  Result<PreparedRequest> makeRequest(const PolicyInForce& policy, const http::CompletionCall& call) const;
   // Admits the call and makes its session, not yet opened.
   Result<std::shared_ptr<AnswerSession>> begin(const http::CompletionCall& call);
-  std::shared_ptr<AnswerSession> makeSession(const http::CompletionCall& call, InferenceRequest request,
+  std::shared_ptr<AnswerSession> makeSession(const http::CompletionCall& call, PreparedRequest prepared,
                                              routing::RouteDecision decision);
   // Waits for the first event and lets a second attempt run when it is late.
   Result<void> awaitFirstEvent(AnswerSession& session, const http::CompletionCall& call, Urgency urgency);
