--- a/src/cli/check_command.cc
+++ b/src/cli/check_command.cc
@@ -10,6 +10,7 @@
 #include "cli/text_file.h"
 #include "configuration/node_settings.h"
 #include "configuration/policy.h"
+#include "gateway/gateway_settings.h"
 
 namespace quincewick::cli {
 namespace {
@@ -38,6 +39,9 @@
     std::cerr << text.error().message << "\n";
     return false;
   }
+  if (gateway::looksLikeGatewaySettings(text.value())) {
+    return report(file, "gateway settings", gateway::parseGatewaySettings(text.value()));
+  }
   if (looksLikeSettings(text.value())) {
     return report(file, "settings", configuration::parseNodeSettings(text.value()));
   }
--- a/src/cli/serve_command.cc
+++ b/src/cli/serve_command.cc
@@ -2,6 +2,8 @@
 
 #include <glog/logging.h>
 
+#include <unistd.h>
+
 #include <cstdio>
 #include <cxxopts.hpp>
 #include <optional>
@@ -12,7 +14,9 @@
 #include "cli/text_file.h"
 #include "configuration/node_settings.h"
 #include "configuration/policy.h"
+#include "gateway/gateway.h"
 #include "node/node.h"
+#include "platform/platform_dialect.h"
 
 namespace quincewick::cli {
 namespace {
@@ -61,7 +65,31 @@
   return kExitSuccess;
 }
 
+// A gateway handles its signals itself, on its reactor.
+int serveGateway(const std::string& settings_file, const std::string& text) {
+  configuration::Parsed<gateway::GatewaySettings> settings = gateway::parseGatewaySettings(text);
+  if (!settings.ok()) {
+    std::fprintf(stderr, "%s\n",
+                 configuration::printDiagnostics(settings_file, settings.diagnostics).c_str());
+    return kExitMisuse;
+  }
+  gateway::Gateway gateway(std::move(*settings.value), platform_dialect::makePlatformDialect(),
+                           STDOUT_FILENO);
+  const Result<void> started = gateway.start();
+  if (started.has_error()) {
+    std::fprintf(stderr, "quincewick serve: %s\n", started.error().message.c_str());
+    return kExitFailure;
+  }
+  gateway.run();
+  return kExitSuccess;
+}
+
 int serveFrom(const std::string& settings_file) {
+  const Result<std::string> text = readTextFile(settings_file);
+  if (text.has_value() && gateway::looksLikeGatewaySettings(text.value())) {
+    return serveGateway(settings_file, text.value());
+  }
+  catchInterrupts();
   const auto settings = load(settings_file, configuration::parseNodeSettings);
   if (!settings.has_value()) {
     return kExitMisuse;
@@ -93,7 +121,6 @@
       std::fputs("quincewick serve: --settings FILE is needed\n", stderr);
       return kExitMisuse;
     }
-    catchInterrupts();
     return serveFrom(flags["settings"].as<std::string>());
   } catch (const cxxopts::exceptions::exception& error) {
     std::fprintf(stderr, "quincewick serve: %s\n", error.what());
--- /dev/null
+++ b/src/forwarding/attempt_ledger.cc
@@ -0,0 +1,52 @@
+#include "forwarding/attempt_ledger.h"
+
+namespace quincewick::forwarding {
+namespace {
+
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+}  // namespace
+
+void AttemptLedger::noteEnd(AttemptEnd end) {
+  switch (end) {
+    case AttemptEnd::kNeverSent:
+      ++never_sent_;
+      break;
+    case AttemptEnd::kRefused:
+      ++refused_;
+      break;
+    case AttemptEnd::kUnknown:
+      ++unknown_;
+      break;
+    case AttemptEnd::kFailed:
+      ++failed_;
+      break;
+  }
+}
+
+bool AttemptLedger::mayTryAgain() const {
+  if (refused_ >= kMaximumRefusals || never_sent_ >= kMaximumNeverSent) {
+    return false;
+  }
+  const uint32_t runs = unknown_ + failed_;
+  return runs == 0 || (may_run_again_ && runs < max_attempts_);
+}
+
+Execution AttemptLedger::execution() const {
+  if (failed_ > 0) {
+    return Execution::kRan;
+  }
+  const bool all_told = refused_ == sent_;
+  return all_told ? Execution::kNotRun : Execution::kUnknown;
+}
+
+int AttemptLedger::finalStatus(bool out_of_time) const {
+  if (execution() == Execution::kNotRun) {
+    return kUnavailable;
+  }
+  return out_of_time ? kGatewayTimeout : kBadGateway;
+}
+
+}  // namespace quincewick::forwarding
--- /dev/null
+++ b/src/forwarding/dialect.h
@@ -0,0 +1,77 @@
+// How the outside spells its messages: names of headers and fields, calls and their bodies. An implementation
+// translates and decides nothing.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "forwarding/request_facts.h"
+#include "forwarding/server_entry.h"
+#include "forwarding/site_configuration.h"
+#include "types/error.h"
+#include "types/http_message.h"
+
+namespace quincewick::forwarding {
+
+// A row of the store's tables. `value` is as the writer gave it.
+struct StoreRow {
+  std::string table;
+  std::string key;
+  std::string value;
+  uint64_t version = 0;  // 0 in a condition: the row isn't there
+  bool is_gone = false;
+};
+
+// Rows as of one moment.
+struct StoreRows {
+  std::vector<StoreRow> rows;
+  bool has_more = false;
+  uint64_t version = 0;  // the store's newest
+  absl::Duration clock;  // the store's steady clock
+};
+
+// The tables that the outside keeps; others are this project's own.
+struct StoreTables {
+  std::string configuration;  // one row of the newest configuration, and a row for each named version
+  std::string configuration_key;
+  std::string weights_prefix;  // of the keys of named versions
+  std::string servers;
+};
+
+class Dialect {
+ public:
+  Dialect() = default;
+  Dialect(const Dialect&) = delete;
+  Dialect& operator=(const Dialect&) = delete;
+  virtual ~Dialect() = default;
+
+  // Requests and answers.
+  virtual RequestFacts readRequest(const HttpHead& head) const = 0;
+  virtual AnswerFacts readAnswer(const HttpHead& head) const = 0;
+  // The request's fields as a server gets them: the caller's own but for those of one connection and those
+  // that the system sets.
+  virtual HeaderFields fieldsForServer(const HttpHead& head, const SendFacts& facts) const = 0;
+  // The field that echoes an attempt in an answer of our own.
+  virtual HeaderField attemptField(const std::string& attempt_id) const = 0;
+
+  // The store.
+  virtual const StoreTables& tables() const = 0;
+  virtual HttpCall readRows(std::string_view table, std::string_view from, uint32_t limit) const = 0;
+  virtual HttpCall followRows(std::string_view table, uint64_t after, absl::Duration wait) const = 0;
+  virtual HttpCall writeRow(const StoreRow& row, uint64_t expected_version) const = 0;
+  virtual Result<StoreRows> readRowsAnswer(std::string_view body) const = 0;
+  virtual Result<SiteConfiguration> readConfiguration(std::string_view value) const = 0;
+  virtual Result<NamedWeights> readNamedWeights(std::string_view value) const = 0;
+  virtual Result<ServerEntry> readServer(std::string_view id, std::string_view value) const = 0;
+
+  // Engines.
+  virtual HttpCall loadWeights(const NamedWeights& weights, std::string_view holder, Epoch fence,
+                               std::optional<uint64_t> expected_orders, std::string_view server_id) const = 0;
+  virtual HttpCall askReport() const = 0;
+  virtual Result<EngineReport> readReport(std::string_view body) const = 0;
+};
+
+}  // namespace quincewick::forwarding
--- /dev/null
+++ b/src/forwarding/engine_placement.h
@@ -0,0 +1,88 @@
+// Chooses an engine for a request by the declared parts of its prompt: where they are kept, or can be
+// fetched, and the first piece comes soonest.
+//
+// A part is named by a chain key over the cache salt and all parts before it; the salt tells apart versions
+// of the weights and isolated tenants, so what one version or tenant made is never looked up by another.
+// Beliefs are of one start of an engine. Pure; `now` never goes back.
+#pragma once
+
+#include <absl/random/bit_gen_ref.h>
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "forwarding/request_facts.h"
+#include "forwarding/server_directory.h"
+#include "prefix/trunk_index.h"
+
+namespace quincewick::forwarding {
+
+struct EnginePlacementSettings {
+  ZoneName zone;  // this node's
+  absl::Duration prefill_per_token = absl::Microseconds(26);
+  absl::Duration move_per_token = absl::Microseconds(4);  // memory fetched from another engine
+  absl::Duration move_overhead = absl::Milliseconds(2);
+  double shared_read_weight = 3;  // reading a shared part again costs others more than this request's time
+  absl::Duration other_zone = absl::Milliseconds(3);
+  absl::Duration home_step = absl::Milliseconds(4);  // for each rank below a chain's first engine
+  uint32_t slots_for_full = 2;  // running requests for each slot that make an engine full
+  size_t index_entries = 4096;
+};
+
+// A request as placement sees it.
+struct PlacementRequest {
+  ModelName model;
+  std::vector<PromptPart> prompt;  // the last part is the request's own
+  std::string isolation;           // the tenant's name where it shares nothing; else empty
+};
+
+struct EngineChoice {
+  ServerDirectory::ServerPointer server;
+  WeightsVersion version;
+  std::string salt;
+  uint64_t cached_tokens = 0;   // believed to be kept there
+  uint64_t fetched_tokens = 0;  // believed to be fetched
+  uint64_t read_tokens = 0;     // to be read there
+  std::optional<Address> memory_source;
+  std::optional<Address> memory_target;
+  std::vector<BlockKey> shared_keys;  // of the shared parts, in order
+  bool is_new_placement = false;      // the engine did not keep all shared parts before: peers should know
+};
+
+class EnginePlacement {
+ public:
+  explicit EnginePlacement(const EnginePlacementSettings& settings)
+      : settings_(settings), index_(indexSettings(settings)) {}
+
+  // Among the engines that take work, aren't excluded and have at least the required version. Nothing where
+  // there is none.
+  std::optional<EngineChoice> choose(const PlacementRequest& request,
+                                     const std::vector<ServerDirectory::ServerPointer>& engines,
+                                     const ServerDirectory& directory, const CacheStoreTraits* cache_store,
+                                     const std::vector<std::string>& excluded, WeightsVersion required,
+                                     absl::Time now);
+
+  // The engine now keeps the parts.
+  void noteKept(EngineSlot engine, const std::vector<BlockKey>& keys, absl::Time now);
+  // All that was believed of the engine is void: it went, or took new weights.
+  void forget(EngineSlot engine) { index_.reset(engine); }
+
+  // The salt under which a request of that model version and isolation is kept.
+  static std::string saltOf(WeightsVersion version, const std::string& isolation);
+
+ private:
+  static prefix::TrunkIndexSettings indexSettings(const EnginePlacementSettings& settings);
+  struct Chain;
+  struct Weighed;
+  Chain chainOf(const PlacementRequest& request, WeightsVersion version, absl::Time now);
+  Weighed weigh(const ServerDirectory::ServerPointer& server, const Chain& chain, size_t rank,
+                absl::Time now) const;
+
+  EnginePlacementSettings settings_;
+  prefix::TrunkIndex index_;
+};
+
+}  // namespace quincewick::forwarding
--- /dev/null
+++ b/src/forwarding/request_facts.h
@@ -0,0 +1,56 @@
+// What messages declare of themselves, apart from how they spell it.
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "types/back_end.h"
+#include "types/identifiers.h"
+
+namespace quincewick::forwarding {
+
+// A part of a prompt: requests that name the same ones from the start share what was read of them.
+struct PromptPart {
+  std::string id;
+  uint64_t tokens = 0;
+};
+
+struct RequestFacts {
+  std::string attempt_id;  // of one try of the caller; empty: none was given
+  std::optional<absl::Duration> deadline;
+  std::optional<std::string> last_event_id;
+  std::optional<std::string> key;  // the caller's bearer key
+  ModelName model;                 // empty: no prompt is declared
+  std::vector<PromptPart> prompt;
+  uint64_t output_tokens = 0;  // the most that are generated
+};
+
+struct AnswerFacts {
+  std::string attempt_id;
+  bool is_signed = false;        // by the server that made it
+  bool is_not_run = false;       // the server says that it did not run the request
+  bool is_other_server = false;  // another incarnation than the expected one, or another weights version
+  std::optional<std::string> server_id;
+  std::optional<WeightsVersion> weights_version;
+  std::optional<absl::Duration> idle_limit;  // how long the server keeps an idle connection
+};
+
+// What this project tells a server along with a request.
+struct SendFacts {
+  std::optional<absl::Duration> time_left;
+  std::string server_id;
+  std::optional<TenantId> tenant;
+  std::optional<uint32_t> urgency;
+  std::optional<std::string> last_event_id;
+  // Of engines:
+  std::optional<std::string> cache_salt;
+  std::optional<WeightsVersion> weights_version;
+  std::optional<Address> memory_source;  // where to fetch what the engine lacks
+  std::optional<Address> memory_target;  // where to keep what it reads
+};
+
+}  // namespace quincewick::forwarding
--- /dev/null
+++ b/src/forwarding/server_choice.h
@@ -0,0 +1,20 @@
+// Chooses a server of a plain service: the one that is expected to answer soonest, by its answers' times, the
+// work under way there and its failures of late.
+#pragma once
+
+#include <absl/random/bit_gen_ref.h>
+#include <absl/time/time.h>
+
+#include <string>
+#include <vector>
+
+#include "forwarding/server_directory.h"
+
+namespace quincewick::forwarding {
+
+// Returns null where no server takes work. `excluded`: ids of servers that this request must not go to again.
+ServerDirectory::ServerPointer chooseServer(const std::vector<ServerDirectory::ServerPointer>& servers,
+                                            const std::vector<std::string>& excluded,
+                                            const ZoneName& own_zone, absl::Time now, absl::BitGenRef random);
+
+}  // namespace quincewick::forwarding
--- /dev/null
+++ b/src/forwarding/server_directory.cc
@@ -0,0 +1,179 @@
+#include "forwarding/server_directory.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace quincewick::forwarding {
+namespace {
+
+constexpr absl::Duration kFailureHalfLife = absl::Seconds(2);
+constexpr absl::Duration kFirstEjection = absl::Milliseconds(400);
+constexpr absl::Duration kLongestEjection = absl::Seconds(3);
+constexpr absl::Duration kReplacedEjection = absl::Seconds(30);
+constexpr uint32_t kLargestBackoffStep = 4;
+constexpr double kLatencySmoothing = 0.2;
+
+}  // namespace
+
+double Server::failureScore(absl::Time now) const {
+  if (failure_score <= 0) {
+    return 0;
+  }
+  return failure_score * std::exp2(-absl::FDivDuration(now - failure_scored_at, kFailureHalfLife));
+}
+
+std::optional<WeightsVersion> Server::versionOf(const ModelName& model) const {
+  for (const LoadedModel& loaded : entry.models) {
+    if (loaded.model == model) {
+      return loaded.weights_version;
+    }
+  }
+  return std::nullopt;
+}
+
+bool Server::takesWork(absl::Time now) const {
+  return is_listed && !entry.is_draining && now >= ejected_until && now >= loading_until;
+}
+
+bool ServerDirectory::upsert(ServerEntry entry) {
+  const auto found = servers_.find(entry.id);
+  if (found != servers_.end()) {
+    Server& server = *found->second;
+    const std::vector<LoadedModel> listed = std::exchange(entry.models, server.entry.models);
+    const bool was_draining = server.entry.is_draining;
+    server.entry = std::move(entry);
+    server.entry.is_draining =
+        server.entry.is_draining || was_draining;  // a draining server never comes back
+    for (const LoadedModel& model : listed) {
+      noteVersion(server, model.model, model.weights_version);
+    }
+    return false;
+  }
+  auto server = std::make_shared<Server>();
+  server->entry = std::move(entry);
+  server->slot = takeSlot();
+  server->identity_hash = XXH3_64bits(server->entry.id.data(), server->entry.id.size());
+  by_slot_[static_cast<size_t>(server->slot)] = server;
+  by_service_[server->entry.service].push_back(server);
+  servers_.emplace(server->entry.id, server);
+  return true;
+}
+
+void ServerDirectory::remove(const std::string& id) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end()) {
+    return;
+  }
+  const ServerPointer server = found->second;
+  server->is_listed = false;
+  servers_.erase(found);
+  std::erase(by_service_[server->entry.service], server);
+  by_slot_[static_cast<size_t>(server->slot)] = nullptr;
+  freed_.push_back(server->slot);
+}
+
+void ServerDirectory::keepOnly(const std::vector<std::string>& ids) {
+  std::vector<std::string> gone;
+  for (const auto& [id, server] : servers_) {
+    if (std::find(ids.begin(), ids.end(), id) == ids.end()) {
+      gone.push_back(id);
+    }
+  }
+  for (const std::string& id : gone) {
+    remove(id);
+  }
+}
+
+ServerDirectory::ServerPointer ServerDirectory::find(const std::string& id) const {
+  const auto found = servers_.find(id);
+  return found == servers_.end() ? nullptr : found->second;
+}
+
+const std::vector<ServerDirectory::ServerPointer>& ServerDirectory::ofService(
+    const ServiceName& service) const {
+  static const std::vector<ServerPointer> none;
+  const auto found = by_service_.find(service);
+  return found == by_service_.end() ? none : found->second;
+}
+
+ServerDirectory::ServerPointer ServerDirectory::bySlot(EngineSlot slot) const {
+  const auto index = static_cast<size_t>(slot);
+  return index < by_slot_.size() ? by_slot_[index] : nullptr;
+}
+
+EngineSlot ServerDirectory::takeSlot() {
+  const auto free = std::find(by_slot_.begin(), by_slot_.end(), nullptr);
+  const auto index = static_cast<size_t>(free - by_slot_.begin());
+  if (free == by_slot_.end()) {
+    by_slot_.emplace_back();
+  }
+  return static_cast<EngineSlot>(index);
+}
+
+void ServerDirectory::noteVersion(Server& server, const ModelName& model, WeightsVersion version) {
+  for (LoadedModel& loaded : server.entry.models) {
+    if (loaded.model == model) {
+      loaded.weights_version = std::max(loaded.weights_version, version);
+      return;
+    }
+  }
+  server.entry.models.push_back({model, version, {}});
+}
+
+void ServerDirectory::noteConnectFailure(Server& server, absl::Time now) {
+  const uint32_t step = std::min(server.connect_failures, kLargestBackoffStep);
+  server.ejected_until = now + std::min(kFirstEjection * (1 << step), kLongestEjection);
+  ++server.connect_failures;
+}
+
+void ServerDirectory::noteFailure(Server& server, double weight, absl::Time now) {
+  server.failure_score = server.failureScore(now) + weight;
+  server.failure_scored_at = now;
+}
+
+void ServerDirectory::noteSuccess(Server& server, absl::Duration latency) {
+  server.connect_failures = 0;
+  const double seconds = absl::ToDoubleSeconds(latency);
+  server.latency_seconds =
+      server.latency_seconds == 0
+          ? seconds
+          : server.latency_seconds + kLatencySmoothing * (seconds - server.latency_seconds);
+}
+
+void ServerDirectory::noteReplaced(Server& server, absl::Time now) {
+  server.ejected_until = now + kReplacedEjection;
+}
+
+void ServerDirectory::setPeerLoad(const NodeId& peer, std::vector<PeerLoad> loads) {
+  std::vector<PeerLoad>& last = peer_loads_[peer];
+  addPeerLoad(last, false);
+  addPeerLoad(loads, true);
+  last = std::move(loads);
+}
+
+// Only what was added is taken away again: a server that came between has none of the last account.
+void ServerDirectory::addPeerLoad(const std::vector<PeerLoad>& loads, bool add) {
+  for (const PeerLoad& peer_load : loads) {
+    const ServerPointer server = find(peer_load.server_id);
+    if (server == nullptr) {
+      continue;
+    }
+    ServerLoad& sum = server->peers;
+    if (add) {
+      sum.running += peer_load.load.running;
+      sum.prefill_tokens += peer_load.load.prefill_tokens;
+    } else {
+      sum.running -= std::min(sum.running, peer_load.load.running);
+      sum.prefill_tokens -= std::min(sum.prefill_tokens, peer_load.load.prefill_tokens);
+    }
+  }
+}
+
+std::vector<EngineSlot> ServerDirectory::takeFreedSlots() {
+  return std::exchange(freed_, {});
+}
+
+}  // namespace quincewick::forwarding
--- /dev/null
+++ b/src/forwarding/server_directory.h
@@ -0,0 +1,102 @@
+// What this node knows of the servers: as listed, as their answers and failures correct it, and how much work
+// this node and its peers have under way at each.
+//
+// A server is named by its id, which is new at each of its starts: what was learnt of an earlier start is
+// never used for a later one. Slots are small numbers for the cache index; one is used again after its server
+// went. Pure; `now` never goes back.
+#pragma once
+
+#include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "forwarding/server_entry.h"
+#include "prefix/trunk_index.h"
+
+namespace quincewick::forwarding {
+
+using prefix::EngineSlot;
+
+// Work under way at a server.
+struct ServerLoad {
+  uint32_t running = 0;         // requests sent and not ended
+  uint64_t prefill_tokens = 0;  // of their prompts, still to be read
+};
+
+struct Server {
+  ServerEntry entry;
+  EngineSlot slot{};
+  uint64_t identity_hash = 0;
+  bool is_listed = true;  // false: its entry is gone, only work under way keeps it here
+  ServerLoad own;
+  ServerLoad peers;
+  // A penalty that halves with time: grows with each failure.
+  double failure_score = 0;
+  absl::Time failure_scored_at = absl::InfinitePast();
+  absl::Time ejected_until = absl::InfinitePast();
+  uint32_t connect_failures = 0;                    // in a row
+  absl::Time loading_until = absl::InfinitePast();  // it is to take new weights: nothing new is sent there
+  double latency_seconds = 0;                       // of plain requests, smoothed; 0: not known
+
+  uint32_t running() const { return own.running + peers.running; }
+  uint64_t prefillTokens() const { return own.prefill_tokens + peers.prefill_tokens; }
+  double failureScore(absl::Time now) const;
+  // The version of the model's weights that it has, as far as known.
+  std::optional<WeightsVersion> versionOf(const ModelName& model) const;
+  bool takesWork(absl::Time now) const;
+};
+
+// A peer's account of its own work at a server.
+struct PeerLoad {
+  std::string server_id;
+  ServerLoad load;
+};
+
+class ServerDirectory {
+ public:
+  using ServerPointer = std::shared_ptr<Server>;
+
+  // Takes an entry of the list. Returns whether the server is new.
+  bool upsert(ServerEntry entry);
+  // The entry is gone: nothing new is sent there.
+  void remove(const std::string& id);
+  // Removes all that are not in the list, as after a whole reading of it.
+  void keepOnly(const std::vector<std::string>& ids);
+
+  ServerPointer find(const std::string& id) const;
+  const std::vector<ServerPointer>& ofService(const ServiceName& service) const;
+  const absl::btree_map<std::string, ServerPointer>& all() const { return servers_; }
+  // Of a slot in use; null: it is free.
+  ServerPointer bySlot(EngineSlot slot) const;
+
+  // The version of a model that the server told itself; versions of one start only rise.
+  static void noteVersion(Server& server, const ModelName& model, WeightsVersion version);
+  static void noteConnectFailure(Server& server, absl::Time now);
+  static void noteFailure(Server& server, double weight, absl::Time now);
+  static void noteSuccess(Server& server, absl::Duration latency);
+  // The address belongs to another start of a server now.
+  static void noteReplaced(Server& server, absl::Time now);
+
+  // Takes one peer's account in place of its last one; an empty one forgets the peer.
+  void setPeerLoad(const NodeId& peer, std::vector<PeerLoad> loads);
+
+  // Slots whose servers went since the last call: what is believed of them is void.
+  std::vector<EngineSlot> takeFreedSlots();
+
+ private:
+  EngineSlot takeSlot();
+  void addPeerLoad(const std::vector<PeerLoad>& loads, bool add);
+
+  absl::btree_map<std::string, ServerPointer> servers_;
+  absl::flat_hash_map<ServiceName, std::vector<ServerPointer>> by_service_;
+  std::vector<ServerPointer> by_slot_;
+  std::vector<EngineSlot> freed_;
+  absl::flat_hash_map<NodeId, std::vector<PeerLoad>> peer_loads_;
+};
+
+}  // namespace quincewick::forwarding
--- /dev/null
+++ b/src/forwarding/site_configuration.cc
@@ -0,0 +1,78 @@
+#include "forwarding/site_configuration.h"
+
+#include <absl/strings/ascii.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace quincewick::forwarding {
+namespace {
+
+std::string hostWithoutPort(std::string_view host) {
+  const size_t colon = host.rfind(':');
+  const bool has_port = colon != std::string_view::npos && host.find(']', colon) == std::string_view::npos;
+  return absl::AsciiStrToLower(std::string(has_port ? host.substr(0, colon) : host));
+}
+
+std::string_view pathOf(std::string_view target) {
+  return target.substr(0, target.find('?'));
+}
+
+}  // namespace
+
+SiteConfiguration::SiteConfiguration(ConfigurationVersion version, std::vector<Route> routes,
+                                     std::vector<Service> services, CallerLimits limits,
+                                     std::optional<std::vector<Tenant>> tenants)
+    : version_(version),
+      routes_(std::move(routes)),
+      services_(std::move(services)),
+      limits_(limits),
+      needs_keys_(tenants.has_value()) {
+  if (tenants) {
+    tenants_ = std::move(*tenants);
+  }
+  std::sort(routes_.begin(), routes_.end(), [](const Route& left, const Route& right) {
+    return std::pair(left.host, right.path_prefix.size()) < std::pair(right.host, left.path_prefix.size());
+  });
+  for (size_t index = 0; index < routes_.size(); ++index) {
+    first_route_.try_emplace(routes_[index].host, index);
+  }
+  for (size_t index = 0; index < tenants_.size(); ++index) {
+    for (const std::string& key : tenants_[index].keys) {
+      tenant_by_key_.try_emplace(key, index);
+    }
+  }
+}
+
+const Route* SiteConfiguration::findRoute(std::string_view host, std::string_view target) const {
+  const auto first = first_route_.find(hostWithoutPort(host));
+  if (first == first_route_.end()) {
+    return nullptr;
+  }
+  const std::string_view path = pathOf(target);
+  for (size_t index = first->second; index < routes_.size() && routes_[index].host == first->first; ++index) {
+    if (path.starts_with(routes_[index].path_prefix)) {
+      return &routes_[index];
+    }
+  }
+  return nullptr;
+}
+
+const Tenant* SiteConfiguration::findTenant(const std::string& key) const {
+  const auto found = tenant_by_key_.find(key);
+  return found == tenant_by_key_.end() ? nullptr : &tenants_[found->second];
+}
+
+const Service* SiteConfiguration::findService(const ServiceName& name) const {
+  const auto found = std::find_if(services_.begin(), services_.end(),
+                                  [&name](const Service& service) { return service.name == name; });
+  return found == services_.end() ? nullptr : &*found;
+}
+
+const CacheStoreTraits* SiteConfiguration::cacheStore() const {
+  const auto found = std::find_if(services_.begin(), services_.end(),
+                                  [](const Service& service) { return service.cache_store.has_value(); });
+  return found == services_.end() ? nullptr : &*found->cache_store;
+}
+
+}  // namespace quincewick::forwarding
--- /dev/null
+++ b/src/forwarding/site_configuration.h
@@ -0,0 +1,119 @@
+// What the operator configures for forwarded traffic: routes, services, limits, tenants and their keys.
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "types/back_end.h"
+#include "types/identifiers.h"
+
+namespace quincewick::forwarding {
+
+using ServiceName = StrongString<struct ServiceNameTag>;  // a pool of servers that serve alike
+
+// What may be done with a request that failed.
+enum class RepeatKind : uint8_t {
+  kRepeatable,  // may run any number of times
+  kOnce,        // runs at most once
+  kStream,      // an answer of events; at most once unless the route lets it be resumed
+};
+
+struct ServiceShare {
+  ServiceName service;
+  double weight = 1;
+};
+
+struct Route {
+  std::string name;
+  std::string host;         // lower case, without a port
+  std::string path_prefix;  // begins and ends with a slash
+  RepeatKind kind = RepeatKind::kOnce;
+  std::optional<absl::Duration> timeout;
+  std::optional<absl::Duration> target_latency;
+  uint32_t urgency = 5;  // 0 first
+  std::vector<ServiceShare> shares;
+  uint32_t max_attempts = 1;
+  bool is_public = false;     // served without a key
+  bool has_prompt = false;    // requests declare the parts of their prompt
+  bool is_resumable = false;  // a stream may go on elsewhere after an event's id
+
+  // Whether a request that may have run may be sent again.
+  bool mayRunAgain() const {
+    return kind == RepeatKind::kRepeatable || (kind == RepeatKind::kStream && is_resumable);
+  }
+};
+
+struct EngineTraits {
+  uint32_t slots = 1;
+  uint64_t cache_tokens = 0;  // that fit into one engine's memory
+  std::vector<ModelName> models;
+};
+
+// A store of kept cache: named as a source and a target of memory, never sent requests.
+struct CacheStoreTraits {
+  Address address;
+  ZoneName zone;
+};
+
+struct Service {
+  ServiceName name;
+  uint32_t max_connections = 100;  // of one server, from all callers together
+  std::optional<EngineTraits> engine;
+  std::optional<CacheStoreTraits> cache_store;
+};
+
+struct CallerLimits {
+  uint32_t header_bytes = 16384;
+  uint64_t body_bytes = 4194304;
+  absl::Duration header_timeout = absl::Seconds(3);
+  absl::Duration idle_timeout = absl::Seconds(15);
+};
+
+struct Tenant {
+  TenantId id;
+  std::vector<std::string> keys;
+  std::optional<uint32_t> urgency;  // goes before a route's
+  bool is_isolated = false;         // shares no cached memory with other tenants
+};
+
+// One version of the configuration. Immutable once built.
+class SiteConfiguration {
+ public:
+  SiteConfiguration() = default;
+  SiteConfiguration(ConfigurationVersion version, std::vector<Route> routes, std::vector<Service> services,
+                    CallerLimits limits, std::optional<std::vector<Tenant>> tenants);
+
+  ConfigurationVersion version() const { return version_; }
+  const CallerLimits& limits() const { return limits_; }
+  // Whether requests need a key, except on public routes.
+  bool needsKeys() const { return needs_keys_; }
+  const std::vector<Route>& routes() const { return routes_; }
+  const std::vector<Service>& services() const { return services_; }
+
+  // The route of that host whose prefix is the longest that begins the path; null: none. `host` may have a
+  // port, `target` a query.
+  const Route* findRoute(std::string_view host, std::string_view target) const;
+  // The tenant that holds the key; null: none does.
+  const Tenant* findTenant(const std::string& key) const;
+  const Service* findService(const ServiceName& name) const;
+  // The site's store of kept cache; null: there is none.
+  const CacheStoreTraits* cacheStore() const;
+
+ private:
+  ConfigurationVersion version_;
+  std::vector<Route> routes_;  // by host, longest prefix first
+  std::vector<Service> services_;
+  CallerLimits limits_;
+  bool needs_keys_ = false;
+  std::vector<Tenant> tenants_;
+  absl::flat_hash_map<std::string, size_t> first_route_;  // by host: index into routes_
+  absl::flat_hash_map<std::string, size_t> tenant_by_key_;
+};
+
+}  // namespace quincewick::forwarding
--- /dev/null
+++ b/src/forwarding/weights_register.h
@@ -0,0 +1,36 @@
+// Which versions of models' weights the operator has named, and since when engines must have them. Pure.
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+
+#include <vector>
+
+#include "forwarding/server_entry.h"
+
+namespace quincewick::forwarding {
+
+class WeightsRegister {
+ public:
+  // `in_force`: from a version's naming until requests begin on no older one.
+  explicit WeightsRegister(absl::Duration in_force) : in_force_(in_force) {}
+
+  // Returns whether the version is news.
+  bool note(const NamedWeights& weights, absl::Time now);
+  // The newest version that was named; zero: none.
+  WeightsVersion newest(const ModelName& model) const;
+  // The least version on which a request may begin now.
+  WeightsVersion required(const ModelName& model, absl::Time now) const;
+  // By when an engine with that version must have a newer one; InfiniteFuture: it has the newest.
+  absl::Time deadlineOf(const ModelName& model, WeightsVersion version) const;
+  const absl::flat_hash_map<ModelName, std::vector<std::pair<WeightsVersion, absl::Time>>>& all() const {
+    return versions_;
+  }
+
+ private:
+  absl::Duration in_force_;
+  // Rising versions, each with the time when it was learnt of.
+  absl::flat_hash_map<ModelName, std::vector<std::pair<WeightsVersion, absl::Time>>> versions_;
+};
+
+}  // namespace quincewick::forwarding
--- /dev/null
+++ b/src/gateway/back_end_link.h
@@ -0,0 +1,58 @@
+// One connection to a server and the attempt that it carries, if any.
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <memory>
+#include <string>
+
+#include "gateway/back_end_pool.h"
+
+namespace quincewick::gateway {
+
+class BackEndLink final : public reactor::ConnectionHandler,
+                          public std::enable_shared_from_this<BackEndLink> {
+ public:
+  BackEndLink(BackEndPool& pool, forwarding::ServerDirectory::ServerPointer server);
+
+  // Begins an attempt: connects first where there is no connection yet. Returns its number.
+  uint64_t begin(AttemptRequest request, AttemptListener* listener);
+  // Closes the connection; a listener hears nothing more.
+  void drop();
+  // These do nothing once the attempt of that number has ended.
+  void cancel(uint64_t number);
+  void pause(uint64_t number);
+  void resume(uint64_t number);
+
+  bool isOpen() const { return connection_ != nullptr && connection_->isOpen(); }
+  absl::Time idleSince() const { return idle_since_; }
+  absl::Duration idleLimit() const { return idle_limit_; }
+  const forwarding::ServerDirectory::ServerPointer& server() const { return server_; }
+
+ private:
+  void onBytes(std::string_view bytes) override;
+  void onEnd(reactor::EndKind kind) override;
+
+  void connect();
+  void sendRequest();
+  void readOn();
+  bool takeHead();
+  void finish();
+  void broken();
+
+  BackEndPool& pool_;
+  forwarding::ServerDirectory::ServerPointer server_;
+  std::shared_ptr<reactor::Connection> connection_;
+  reactor::TimerQueue::Key connect_limit_;
+  AttemptRequest request_;
+  AttemptListener* listener_ = nullptr;
+  reactor::MessageReader reader_;
+  uint64_t number_ = 0;
+  bool head_told_ = false;
+  bool dropped_ = false;
+  uint32_t skipped_answers_ = 0;
+  absl::Time idle_since_ = absl::InfinitePast();
+  absl::Duration idle_limit_ = absl::Seconds(4);
+};
+
+}  // namespace quincewick::gateway
--- /dev/null
+++ b/src/gateway/back_end_pool.h
@@ -0,0 +1,103 @@
+// Kept connections to servers, and attempts over them: one request at a time on a connection.
+//
+// An attempt says exactly what its reply allows: whether a byte of the request may have left, and whether the
+// answer is whole. A connection that carries bytes nobody asked for is never used again.
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "forwarding/request_facts.h"
+#include "forwarding/server_directory.h"
+#include "gateway/core.h"
+#include "reactor/connection.h"
+#include "reactor/message_reader.h"
+
+namespace quincewick::gateway {
+
+// Hears of one attempt. After onNeverSent, onAnswerEnd or onAnswerBroken nothing more comes.
+class AttemptListener {
+ public:
+  AttemptListener() = default;
+  AttemptListener(const AttemptListener&) = delete;
+  AttemptListener& operator=(const AttemptListener&) = delete;
+  virtual ~AttemptListener() = default;
+
+  // The request's first byte leaves now.
+  virtual void onSending() = 0;
+  // No connection came up: nothing was sent.
+  virtual void onNeverSent() = 0;
+  virtual void onAnswerHead(const HttpHead& head, const forwarding::AnswerFacts& facts) = 0;
+  virtual void onAnswerBody(std::string bytes) = 0;
+  virtual void onAnswerEnd() = 0;
+  // The connection ended, or carried no answer to this request, after the request was sent.
+  virtual void onAnswerBroken() = 0;
+};
+
+// What goes over the wire for one attempt.
+struct AttemptRequest {
+  std::string bytes;  // head and body
+  std::string attempt_id;
+  bool is_head_method = false;  // its answer has no body
+  // A request that may run once at most is not sent on a connection that has rested for long.
+  bool wants_fresh_connection = false;
+};
+
+class BackEndLink;
+
+// One attempt under way.
+class Attempt {
+ public:
+  // `number` tells the attempt from others that the link carries before and after.
+  Attempt(std::shared_ptr<BackEndLink> link, uint64_t number) : link_(std::move(link)), number_(number) {}
+  Attempt(const Attempt&) = delete;
+  Attempt& operator=(const Attempt&) = delete;
+  ~Attempt() { cancel(); }
+
+  // Ends it by closing its connection; the listener hears nothing more.
+  void cancel();
+  // Stops and goes on taking the answer's bytes, while the caller is slow.
+  void pause();
+  void resume();
+
+ private:
+  std::shared_ptr<BackEndLink> link_;
+  uint64_t number_;
+};
+
+class BackEndPool {
+ public:
+  explicit BackEndPool(Core& core) : core_(core) {}
+  BackEndPool(const BackEndPool&) = delete;
+  BackEndPool& operator=(const BackEndPool&) = delete;
+
+  // Whether a connection to the server is free or may be opened.
+  bool hasRoom(const forwarding::Server& server) const;
+  // The listener outlives the attempt or cancels it.
+  std::unique_ptr<Attempt> start(const forwarding::ServerDirectory::ServerPointer& server,
+                                 AttemptRequest request, AttemptListener* listener);
+  // Closes idle connections to servers that are gone, and those that rested too long.
+  void sweep(absl::Time now);
+  uint64_t openedConnections() const { return opened_; }
+
+ private:
+  friend class BackEndLink;
+
+  struct Links {
+    std::vector<std::shared_ptr<BackEndLink>> idle;  // the latest used last
+    uint32_t open = 0;
+  };
+  void giveBack(const std::shared_ptr<BackEndLink>& link);
+  void forget(const BackEndLink* link);
+  uint32_t connectionsAtMost(const forwarding::Server& server) const;
+
+  Core& core_;
+  absl::flat_hash_map<std::string, Links> links_;  // by server id
+  uint64_t opened_ = 0;
+};
+
+}  // namespace quincewick::gateway
--- /dev/null
+++ b/src/gateway/caller_connection.cc
@@ -0,0 +1,248 @@
+#include "gateway/caller_connection.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <utility>
+
+namespace quincewick::gateway {
+namespace {
+
+using reactor::MessageKind;
+using reactor::MessageLimits;
+using reactor::ReadStatus;
+
+constexpr int kBadRequest = 400;
+constexpr int kRequestTimeout = 408;
+constexpr int kTooLarge = 413;
+constexpr int kHeaderTooLarge = 431;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+constexpr absl::Duration kLingerLimit = absl::Seconds(1);
+constexpr size_t kUnreadBytesAtMost = 65536;  // of requests that wait for the one before
+
+MessageLimits limitsOf(const Core& core) {
+  if (core.in_force.configuration == nullptr) {
+    return {};
+  }
+  const forwarding::CallerLimits& limits = core.in_force.configuration->limits();
+  return {limits.header_bytes, limits.body_bytes};
+}
+
+forwarding::CallerLimits callerLimits(const Core& core) {
+  return core.in_force.configuration == nullptr ? forwarding::CallerLimits()
+                                                : core.in_force.configuration->limits();
+}
+
+}  // namespace
+
+CallerConnection::CallerConnection(Core& core, BackEndPool& pool, reactor::Connection::Socket socket,
+                                   Closed closed)
+    : core_(core),
+      pool_(pool),
+      connection_(std::make_shared<reactor::Connection>(std::move(socket))),
+      closed_(std::move(closed)),
+      reader_(MessageKind::kRequest, limitsOf(core)) {}
+
+CallerConnection::~CallerConnection() {
+  core_.timers.cancel(timer_);
+}
+
+void CallerConnection::start() {
+  connection_->start(this);
+  armTimer();
+}
+
+void CallerConnection::onBytes(std::string_view bytes) {
+  const auto self = shared_from_this();
+  const bool was_started = reader_.started();
+  reader_.take(bytes);
+  if (exchange_ != nullptr) {
+    if (reader_.unreadBytes() > kUnreadBytesAtMost) {
+      connection_->pauseReading();
+    }
+    return;
+  }
+  if (!was_started) {
+    armTimer();
+  }
+  readOn();
+}
+
+void CallerConnection::readOn() {
+  if (is_reading_) {
+    return;
+  }
+  is_reading_ = true;
+  while (is_open_ && exchange_ == nullptr && reader_.status() == ReadStatus::kDone) {
+    beginExchange();
+  }
+  is_reading_ = false;
+  if (!is_open_ || exchange_ != nullptr) {
+    return;
+  }
+  switch (reader_.status()) {
+    case ReadStatus::kMalformed:
+      answerBadInput(kBadRequest);
+      return;
+    case ReadStatus::kHeaderTooLarge:
+      answerBadInput(kHeaderTooLarge);
+      return;
+    case ReadStatus::kBodyTooLarge:
+      answerBadInput(kTooLarge);
+      return;
+    default:
+      break;
+  }
+  const bool is_waiting = reader_.headComplete() && !expects_continue_ &&
+                          fieldHasWord(reader_.head().fields, "Expect", "100-continue");
+  if (is_waiting) {
+    expects_continue_ = true;
+    connection_->send("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
+void CallerConnection::beginExchange() {
+  core_.timers.cancel(timer_);
+  expects_continue_ = false;
+  keeps_open_ = reader_.keepsAlive();
+  is_bodyless_ = reader_.head().method == "HEAD";
+  HttpHead head = reader_.head();
+  std::string body = reader_.takeBody();
+  exchange_ = std::make_shared<Exchange>(core_, pool_, std::move(head), std::move(body), this);
+  const auto exchange = exchange_;
+  exchange->begin();
+}
+
+void CallerConnection::sendHead(int status, const std::string& reason, HeaderFields fields,
+                                std::optional<uint64_t> length) {
+  if (core_.is_stopping) {
+    keeps_open_ = false;
+  }
+  is_chunked_ = false;
+  const bool has_body = status != kNoContent && status != kNotModified;
+  if (length && has_body) {
+    fields.push_back({"Content-Length", absl::StrCat(*length)});
+  } else if (has_body && !is_bodyless_) {
+    is_chunked_ = !reader_.head().is_http_1_0;
+    keeps_open_ = keeps_open_ && is_chunked_;
+    if (is_chunked_) {
+      fields.push_back({"Transfer-Encoding", "chunked"});
+    }
+  }
+  tells_its_end_ = is_chunked_ || length.has_value();
+  if (!keeps_open_) {
+    fields.push_back({"Connection", "close"});
+  }
+  connection_->send(printAnswerHead(status, reason.empty() ? std::string(reasonOf(status)) : reason, fields));
+}
+
+void CallerConnection::sendBody(std::string_view bytes) {
+  if (is_bodyless_ || bytes.empty()) {
+    return;
+  }
+  if (is_chunked_) {
+    connection_->send(printChunk(bytes));
+  } else {
+    connection_->send(bytes);
+  }
+}
+
+void CallerConnection::finish() {
+  const auto self = shared_from_this();
+  if (!is_open_) {
+    return;
+  }
+  if (is_chunked_ && !is_bodyless_) {
+    connection_->send(kLastChunk);
+  }
+  is_chunked_ = false;
+  exchange_ = nullptr;
+  ++served_;
+  if (!keeps_open_) {
+    close(true);
+    return;
+  }
+  reader_.next();
+  reader_.take({});
+  connection_->resumeReading();
+  armTimer();
+  readOn();
+}
+
+void CallerConnection::cut() {
+  const auto self = shared_from_this();
+  exchange_ = nullptr;
+  close(tells_its_end_);
+}
+
+void CallerConnection::onEnd(reactor::EndKind /*kind*/) {
+  const auto self = shared_from_this();
+  const auto exchange = std::exchange(exchange_, nullptr);
+  if (exchange != nullptr) {
+    exchange->callerLeft();
+  }
+  close(false);
+}
+
+void CallerConnection::onSent() {
+  if (exchange_ != nullptr) {
+    exchange_->callerCaughtUp();
+  }
+}
+
+void CallerConnection::answerBadInput(int status) {
+  keeps_open_ = false;
+  is_bodyless_ = false;
+  core_.log.event("bad_input", reactor::steadyNow()).with("status", status);
+  sendHead(status, std::string(reasonOf(status)), {}, 0);
+  close(true);
+}
+
+// A head that is under way has its own limit; between requests the idle limit holds.
+void CallerConnection::armTimer() {
+  core_.timers.cancel(timer_);
+  const forwarding::CallerLimits limits = callerLimits(core_);
+  const absl::Duration limit = reader_.started() ? limits.header_timeout : limits.idle_timeout;
+  timer_ = core_.timers.schedule(reactor::steadyNow() + limit, [this] { onTimer(); });
+}
+
+void CallerConnection::onTimer() {
+  const auto self = shared_from_this();
+  if (exchange_ != nullptr || !is_open_) {
+    return;
+  }
+  if (!reader_.started()) {
+    close(true);
+    return;
+  }
+  if (reader_.headComplete()) {
+    armTimer();  // a long body may take its time
+    return;
+  }
+  answerBadInput(kRequestTimeout);
+}
+
+void CallerConnection::stopSoon() {
+  if (exchange_ == nullptr && !reader_.started() && served_ > 0) {
+    const auto self = shared_from_this();
+    close(true);
+  }
+}
+
+void CallerConnection::close(bool linger) {
+  if (!is_open_) {
+    return;
+  }
+  is_open_ = false;
+  core_.timers.cancel(timer_);
+  if (linger) {
+    connection_->closeWhenSent();
+    core_.timers.schedule(reactor::steadyNow() + kLingerLimit,
+                          [connection = connection_] { connection->abort(); });
+  } else {
+    connection_->abort();
+  }
+  closed_(this);
+}
+
+}  // namespace quincewick::gateway
--- /dev/null
+++ b/src/gateway/caller_connection.h
@@ -0,0 +1,69 @@
+// One caller's connection: reads requests one after the other, and writes each one's answer.
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "gateway/answer_sink.h"
+#include "gateway/core.h"
+#include "gateway/exchange.h"
+#include "reactor/connection.h"
+#include "reactor/message_reader.h"
+
+namespace quincewick::gateway {
+
+class CallerConnection final : public reactor::ConnectionHandler,
+                               public AnswerSink,
+                               public std::enable_shared_from_this<CallerConnection> {
+ public:
+  // `closed` is called once, when the connection is of no more use.
+  using Closed = std::function<void(CallerConnection*)>;
+
+  CallerConnection(Core& core, BackEndPool& pool, reactor::Connection::Socket socket, Closed closed);
+  ~CallerConnection() override;
+
+  void start();
+  // The process stops: an idle connection that has served is closed, others after their answer.
+  void stopSoon();
+  bool isServing() const { return exchange_ != nullptr; }
+
+  void sendHead(int status, const std::string& reason, HeaderFields fields,
+                std::optional<uint64_t> length) override;
+  void sendBody(std::string_view bytes) override;
+  void finish() override;
+  void cut() override;
+  size_t unsentBytes() const override { return connection_->unsentBytes(); }
+
+ private:
+  void onBytes(std::string_view bytes) override;
+  void onEnd(reactor::EndKind kind) override;
+  void onSent() override;
+
+  void readOn();
+  void beginExchange();
+  void answerBadInput(int status);
+  void armTimer();
+  void onTimer();
+  void close(bool linger);
+
+  Core& core_;
+  BackEndPool& pool_;
+  std::shared_ptr<reactor::Connection> connection_;
+  Closed closed_;
+  reactor::MessageReader reader_;
+  std::shared_ptr<Exchange> exchange_;
+  reactor::TimerQueue::Key timer_;
+  bool is_open_ = true;
+  bool keeps_open_ = true;      // after the answer under way
+  bool is_chunked_ = false;     // the answer under way
+  bool tells_its_end_ = false;  // by a length or chunks: a cut answer does not look whole
+  bool is_bodyless_ = false;    // an answer to HEAD
+  bool expects_continue_ = false;
+  bool is_reading_ = false;  // guards against reading on from within an answer
+  uint64_t served_ = 0;
+};
+
+}  // namespace quincewick::gateway
--- /dev/null
+++ b/src/gateway/core.cc
@@ -0,0 +1,45 @@
+#include "gateway/core.h"
+
+#include <utility>
+
+namespace quincewick::gateway {
+namespace {
+
+constexpr absl::Duration kRevocationMargin = absl::Milliseconds(300);
+
+forwarding::EnginePlacementSettings placementSettings(const GatewaySettings& settings) {
+  forwarding::EnginePlacementSettings result;
+  result.zone = settings.zone;
+  return result;
+}
+
+forwarding::RetryBudgetSettings budgetSettings(const GatewaySettings& settings) {
+  forwarding::RetryBudgetSettings result;
+  result.ratio = settings.bounds.retry_ratio;
+  result.constant_share = settings.bounds.retry_constant / settings.gateways_at_most;
+  result.window = settings.bounds.retry_window;
+  return result;
+}
+
+telemetry::EventLogSettings logSettings(const GatewaySettings& settings) {
+  telemetry::EventLogSettings result;
+  result.node = settings.gateway_id.value();
+  return result;
+}
+
+}  // namespace
+
+Core::Core(GatewaySettings own_settings, std::unique_ptr<forwarding::Dialect> own_dialect, int log_descriptor)
+    : settings(std::move(own_settings)),
+      dialect(std::move(own_dialect)),
+      timers(reactor),
+      log(logSettings(settings), log_descriptor),
+      placement(placementSettings(settings)),
+      budget(budgetSettings(settings)),
+      weights(settings.bounds.weights_in_force) {}
+
+bool Core::keysAreConfirmed(absl::Time now) const {
+  return now - in_force.confirmed < settings.bounds.key_revocation - kRevocationMargin;
+}
+
+}  // namespace quincewick::gateway
--- /dev/null
+++ b/src/gateway/core.h
@@ -0,0 +1,57 @@
+// What the parts of one gateway share: the reactor, what is known of the site, and how requests are counted.
+#pragma once
+
+#include <absl/random/random.h>
+#include <absl/time/time.h>
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+
+#include "forwarding/dialect.h"
+#include "forwarding/engine_placement.h"
+#include "forwarding/retry_budget.h"
+#include "forwarding/server_directory.h"
+#include "forwarding/site_configuration.h"
+#include "forwarding/weights_register.h"
+#include "gateway/gateway_settings.h"
+#include "reactor/timer_queue.h"
+#include "telemetry/event_log.h"
+
+namespace quincewick::gateway {
+
+// The configuration in force here, and how fresh it is.
+struct ConfigurationInForce {
+  std::shared_ptr<const forwarding::SiteConfiguration> configuration;  // null: none is known yet
+  absl::Time confirmed = absl::InfinitePast();  // when the last reading of the store that confirmed it began
+};
+
+struct Core {
+  Core(GatewaySettings own_settings, std::unique_ptr<forwarding::Dialect> own_dialect, int log_descriptor);
+
+  GatewaySettings settings;
+  std::unique_ptr<forwarding::Dialect> dialect;
+  boost::asio::io_context reactor;
+  reactor::TimerQueue timers;
+  telemetry::EventLog log;
+  absl::InsecureBitGen random;
+  ConfigurationInForce in_force;
+  forwarding::ServerDirectory directory;
+  forwarding::EnginePlacement placement;
+  forwarding::RetryBudget budget;
+  forwarding::WeightsRegister weights;
+  // Placements made since peers were last told.
+  struct NewPlacement {
+    std::string server_id;
+    std::vector<BlockKey> keys;
+  };
+  std::vector<NewPlacement> new_placements;
+  bool is_stopping = false;
+  bool knows_servers = false;
+  size_t requests_under_way = 0;
+  uint64_t split_counter = 0;  // spreads requests over a route's services by their weights
+
+  // Whether a request under a key may be sent now.
+  bool keysAreConfirmed(absl::Time now) const;
+};
+
+}  // namespace quincewick::gateway
--- /dev/null
+++ b/src/gateway/exchange.cc
@@ -0,0 +1,523 @@
+#include "gateway/exchange.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "forwarding/server_choice.h"
+
+namespace quincewick::gateway {
+namespace {
+
+using forwarding::AttemptEnd;
+using forwarding::RepeatKind;
+using forwarding::ServerDirectory;
+
+constexpr size_t kKeptAnswerBytes = 262144;    // a longer answer is passed on as it comes
+constexpr size_t kUnsentBytesAtMost = 262144;  // of a slow caller
+constexpr absl::Duration kRetryAfter = absl::Milliseconds(250);
+constexpr absl::Duration kLeastTimeToTry = absl::Milliseconds(15);
+constexpr uint32_t kLeastUrgent = 9;
+constexpr double kRefusalWeight = 0.5;
+constexpr double kFailureWeight = 0.5;
+constexpr double kBrokenWeight = 1.0;
+constexpr double kGoldenRatioPart = 0.6180339887498949;  // spreads a counter evenly over 0 to 1
+constexpr int kFirstSuccess = 200;
+constexpr int kFirstRedirect = 300;
+constexpr int kFirstServerError = 500;
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kRequestTimeout = 408;
+constexpr int kMisdirected = 421;
+constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
+
+// Statuses that promise that a request did not run.
+bool promisesNotRun(int status) {
+  return status == kRequestTimeout || status == kMisdirected || status == kTooManyRequests ||
+         status == kUnavailable;
+}
+
+}  // namespace
+
+Exchange::Exchange(Core& core, BackEndPool& pool, HttpHead head, std::string body, AnswerSink* sink)
+    : core_(core),
+      pool_(pool),
+      head_(std::move(head)),
+      body_(std::move(body)),
+      sink_(sink),
+      began_(reactor::steadyNow()) {
+  ++core_.requests_under_way;
+}
+
+Exchange::~Exchange() {
+  core_.timers.cancel(deadline_timer_);
+  releaseServer();
+  --core_.requests_under_way;
+}
+
+void Exchange::begin() {
+  const auto self = shared_from_this();
+  facts_ = core_.dialect->readRequest(head_);
+  configuration_ = core_.in_force.configuration;
+  if (!admit()) {
+    return;
+  }
+  ledger_ = forwarding::AttemptLedger(route_->mayRunAgain(), route_->max_attempts);
+  setDeadline();
+  chooseService();
+  core_.budget.noteRequest(service_, began_);
+  tryNext();
+}
+
+bool Exchange::admit() {
+  if (configuration_ == nullptr) {
+    refuse(kUnavailable, "no_configuration");
+    return false;
+  }
+  const std::string* const host = findField(head_.fields, "Host");
+  route_ = configuration_->findRoute(host == nullptr ? "" : *host, head_.target);
+  if (route_ == nullptr) {
+    refuse(kNotFound, "no_route");
+    return false;
+  }
+  if (!configuration_->needsKeys() || route_->is_public) {
+    return true;
+  }
+  if (!core_.keysAreConfirmed(began_)) {
+    refuse(kUnavailable, "keys_not_confirmed");
+    return false;
+  }
+  tenant_ = facts_.key ? configuration_->findTenant(*facts_.key) : nullptr;
+  if (tenant_ == nullptr) {
+    refuse(kUnauthorized, "unknown_key");
+    return false;
+  }
+  return true;
+}
+
+void Exchange::setDeadline() {
+  if (facts_.deadline) {
+    deadline_ = began_ + *facts_.deadline;
+  }
+  if (route_->timeout) {
+    deadline_ = std::min(deadline_, began_ + *route_->timeout);
+  }
+  if (deadline_ != absl::InfiniteFuture()) {
+    deadline_timer_ = core_.timers.schedule(deadline_, [this] {
+      const auto self = shared_from_this();
+      outOfTime();
+    });
+  }
+}
+
+void Exchange::chooseService() {
+  double sum = 0;
+  for (const forwarding::ServiceShare& share : route_->shares) {
+    sum += share.weight;
+  }
+  double place = 0;
+  std::modf(static_cast<double>(++core_.split_counter) * kGoldenRatioPart, &place);
+  double rest = (static_cast<double>(core_.split_counter) * kGoldenRatioPart - place) * sum;
+  for (const forwarding::ServiceShare& share : route_->shares) {
+    service_ = share.service;
+    rest -= share.weight;
+    if (rest < 0) {
+      break;
+    }
+  }
+}
+
+void Exchange::tryNext() {
+  const absl::Time now = reactor::steadyNow();
+  if (deadline_ - now < kLeastTimeToTry) {
+    giveUp(true, "no_time_left");
+    return;
+  }
+  if (tenant_ != nullptr && !core_.keysAreConfirmed(now)) {
+    giveUp(false, "keys_not_confirmed");
+    return;
+  }
+  if (!chooseTarget()) {
+    giveUp(false, "no_server");
+    return;
+  }
+  if (ledger_.wouldRepeat() && !core_.budget.tryRepeat(service_, now)) {
+    server_ = nullptr;
+    giveUp(false, "retry_budget");
+    return;
+  }
+  sendAttempt();
+}
+
+bool Exchange::chooseTarget() {
+  const absl::Time now = reactor::steadyNow();
+  engine_.reset();
+  server_ = nullptr;
+  const forwarding::Service* const service = configuration_->findService(service_);
+  const bool is_engine = service != nullptr && service->engine.has_value() && !facts_.model.empty();
+  return is_engine ? chooseEngine(now) : choosePlainServer(now);
+}
+
+bool Exchange::choosePlainServer(absl::Time now) {
+  server_ = forwarding::chooseServer(core_.directory.ofService(service_), tried_, core_.settings.zone, now,
+                                     core_.random);
+  return server_ != nullptr;
+}
+
+bool Exchange::chooseEngine(absl::Time now) {
+  forwarding::PlacementRequest request;
+  request.model = facts_.model;
+  request.prompt = facts_.prompt;
+  request.isolation = tenant_ != nullptr && tenant_->is_isolated ? tenant_->id.value() : "";
+  engine_ = core_.placement.choose(request, core_.directory.ofService(service_), core_.directory,
+                                   configuration_->cacheStore(), tried_,
+                                   core_.weights.required(facts_.model, now), now);
+  if (!engine_) {
+    return false;
+  }
+  server_ = engine_->server;
+  core_.placement.noteKept(server_->slot, engine_->shared_keys, now);
+  if (engine_->is_new_placement) {
+    core_.new_placements.push_back({server_->entry.id, engine_->shared_keys});
+  }
+  return true;
+}
+
+void Exchange::sendAttempt() {
+  attempt_began_ = reactor::steadyNow();
+  verdict_ = Verdict::kBroken;
+  answer_ = HttpHead();
+  has_failure_ = false;
+  keeps_answer_ = true;
+  kept_body_.clear();
+  events_ = {};
+  counted_ = {1, engine_ ? engine_->read_tokens : 0};
+  server_->own.running += counted_.running;
+  server_->own.prefill_tokens += counted_.prefill_tokens;
+
+  forwarding::SendFacts send;
+  if (deadline_ != absl::InfiniteFuture()) {
+    send.time_left = deadline_ - attempt_began_;
+  }
+  send.server_id = server_->entry.id;
+  if (tenant_ != nullptr) {
+    send.tenant = tenant_->id;
+  }
+  if (last_event_) {
+    send.last_event_id = absl::StrCat(*last_event_);
+  }
+  if (engine_) {
+    const uint32_t urgency = tenant_ != nullptr && tenant_->urgency ? *tenant_->urgency : route_->urgency;
+    send.urgency = std::min(urgency, kLeastUrgent);
+    send.cache_salt = engine_->salt;
+    send.weights_version = engine_->version;
+    send.memory_source = engine_->memory_source;
+    send.memory_target = engine_->memory_target;
+  }
+  HeaderFields fields = core_.dialect->fieldsForServer(head_, send);
+  if (!body_.empty() || findField(head_.fields, "Content-Length") != nullptr ||
+      findField(head_.fields, "Transfer-Encoding") != nullptr) {
+    fields.push_back({"Content-Length", absl::StrCat(body_.size())});
+  }
+  AttemptRequest request;
+  request.bytes = printRequestHead(head_.method, head_.target, fields) + body_;
+  request.attempt_id = facts_.attempt_id;
+  request.is_head_method = head_.method == "HEAD";
+  request.wants_fresh_connection = !route_->mayRunAgain();
+  tried_.push_back(server_->entry.id);
+  attempt_ = pool_.start(server_, std::move(request), this);
+}
+
+void Exchange::onSending() {
+  ledger_.noteSent();
+}
+
+void Exchange::onNeverSent() {
+  const auto self = shared_from_this();
+  endAttempt(AttemptEnd::kNeverSent);
+}
+
+Exchange::Verdict Exchange::judge(const HttpHead& head, const forwarding::AnswerFacts& facts) const {
+  if (facts.is_not_run || facts.is_other_server) {
+    return Verdict::kRefused;
+  }
+  const bool is_success = head.status >= kFirstSuccess && head.status < kFirstRedirect;
+  if (is_success && !facts.is_signed) {
+    return Verdict::kBroken;
+  }
+  if (promisesNotRun(head.status)) {
+    return Verdict::kFailed;  // without the server's word the promise can't be passed on
+  }
+  if (head.status >= kFirstServerError && ledger_.execution() != Execution::kNotRun &&
+      route_->mayRunAgain()) {
+    return Verdict::kFailed;
+  }
+  return Verdict::kPassOn;
+}
+
+void Exchange::onAnswerHead(const HttpHead& head, const forwarding::AnswerFacts& facts) {
+  const absl::Time now = reactor::steadyNow();
+  answer_ = head;
+  verdict_ = judge(head, facts);
+  const std::string* const length = findField(head.fields, "Content-Length");
+  answer_length_ = length == nullptr ? std::nullopt : parseWhole(*length);
+  if (facts.weights_version && !facts_.model.empty()) {
+    ServerDirectory::noteVersion(*server_, facts_.model, *facts.weights_version);
+  }
+  if (facts.is_other_server && facts.server_id && *facts.server_id != server_->entry.id) {
+    ServerDirectory::noteReplaced(*server_, now);
+  }
+}
+
+void Exchange::onAnswerBody(std::string bytes) {
+  const auto self = shared_from_this();
+  if (verdict_ == Verdict::kRefused || verdict_ == Verdict::kBroken) {
+    return;
+  }
+  const bool is_success = answer_.status >= kFirstSuccess && answer_.status < kFirstRedirect;
+  if (route_->kind == RepeatKind::kStream && is_success) {
+    passEvents(bytes);
+  } else {
+    keepOrPass(std::move(bytes));
+  }
+  if (sink_ != nullptr && attempt_ != nullptr && sink_->unsentBytes() > kUnsentBytesAtMost) {
+    attempt_->pause();
+  }
+}
+
+// Only whole events go on, each once: what a server broke off in the middle is not seen by the caller.
+void Exchange::passEvents(std::string_view bytes) {
+  std::string out;
+  for (const forwarding::StreamEvent& event : events_.take(bytes)) {
+    if (event.id && last_event_ && *event.id <= *last_event_) {
+      continue;
+    }
+    if (event.id) {
+      last_event_ = event.id;
+    }
+    out += event.bytes;
+  }
+  if (out.empty()) {
+    return;
+  }
+  if (counted_.prefill_tokens > 0) {
+    server_->own.prefill_tokens -= std::min(server_->own.prefill_tokens, counted_.prefill_tokens);
+    counted_.prefill_tokens = 0;
+  }
+  passHead();
+  if (sink_ != nullptr) {
+    sink_->sendBody(out);
+  }
+}
+
+void Exchange::passHead() {
+  if (head_passed_) {
+    return;
+  }
+  head_passed_ = true;
+  if (sink_ == nullptr) {
+    return;
+  }
+  HeaderFields fields;
+  const std::string* const connection = findField(answer_.fields, "Connection");
+  for (const HeaderField& field : answer_.fields) {
+    if (!isHopByHop(field.name, connection == nullptr ? "" : *connection) &&
+        findField({field}, "Content-Length") == nullptr) {
+      fields.push_back(field);
+    }
+  }
+  const bool is_stream = route_->kind == RepeatKind::kStream;
+  std::optional<uint64_t> length = is_stream ? std::nullopt : answer_length_;
+  if (keeps_answer_ && !is_stream) {
+    length = head_.method == "HEAD" ? answer_length_ : std::optional<uint64_t>(kept_body_.size());
+  }
+  sink_->sendHead(answer_.status, answer_.reason, std::move(fields), length);
+}
+
+void Exchange::keepOrPass(std::string bytes) {
+  if (keeps_answer_) {
+    kept_body_ += bytes;
+    if (kept_body_.size() <= kKeptAnswerBytes) {
+      return;
+    }
+    keeps_answer_ = false;
+    verdict_ = Verdict::kPassOn;  // too long to be kept for another decision
+    bytes = std::exchange(kept_body_, std::string());
+    passHead();
+  }
+  if (sink_ != nullptr) {
+    sink_->sendBody(bytes);
+  }
+}
+
+void Exchange::onAnswerEnd() {
+  const auto self = shared_from_this();
+  const absl::Time now = reactor::steadyNow();
+  switch (verdict_) {
+    case Verdict::kRefused:
+      ServerDirectory::noteFailure(*server_, kRefusalWeight, now);
+      endAttempt(AttemptEnd::kRefused);
+      return;
+    case Verdict::kBroken:
+      ServerDirectory::noteFailure(*server_, kBrokenWeight, now);
+      endAttempt(AttemptEnd::kUnknown);
+      return;
+    case Verdict::kFailed:
+      ServerDirectory::noteFailure(*server_, kFailureWeight, now);
+      endAttempt(AttemptEnd::kFailed);
+      return;
+    case Verdict::kPassOn:
+      break;
+  }
+  ServerDirectory::noteSuccess(*server_, now - attempt_began_);
+  passKeptAnswer();
+  complete("answered");
+}
+
+void Exchange::passKeptAnswer() {
+  passHead();
+  if (sink_ == nullptr) {
+    return;
+  }
+  const std::string& rest =
+      route_->kind == RepeatKind::kStream && kept_body_.empty() ? events_.rest() : kept_body_;
+  if (!rest.empty()) {
+    sink_->sendBody(rest);
+  }
+}
+
+void Exchange::onAnswerBroken() {
+  const auto self = shared_from_this();
+  ServerDirectory::noteFailure(*server_, kBrokenWeight, reactor::steadyNow());
+  endAttempt(AttemptEnd::kUnknown);
+}
+
+void Exchange::endAttempt(AttemptEnd end) {
+  core_.log.event("attempt_ended", reactor::steadyNow())
+      .with("request", facts_.attempt_id)
+      .with("server", server_->entry.id)
+      .with("end", static_cast<int64_t>(end))
+      .with("status", answer_.status)
+      .with("after_ms", reactor::steadyNow() - attempt_began_);
+  releaseServer();
+  attempt_.reset();
+  ledger_.noteEnd(end);
+  has_failure_ = end == AttemptEnd::kFailed && !head_passed_ && !promisesNotRun(answer_.status);
+  const bool is_cut = head_passed_ && !(route_->kind == RepeatKind::kStream && route_->is_resumable);
+  if (done_ || sink_ == nullptr) {
+    complete("caller_left");
+    return;
+  }
+  if (!is_cut && ledger_.mayTryAgain()) {
+    tryNext();
+    return;
+  }
+  giveUp(false, "attempts_used_up");
+}
+
+void Exchange::releaseServer() {
+  if (server_ == nullptr) {
+    return;
+  }
+  server_->own.running -= std::min(server_->own.running, counted_.running);
+  server_->own.prefill_tokens -= std::min(server_->own.prefill_tokens, counted_.prefill_tokens);
+  counted_ = {};
+}
+
+void Exchange::outOfTime() {
+  if (done_) {
+    return;
+  }
+  const bool was_sent = ledger_.wouldRepeat();
+  attempt_.reset();
+  releaseServer();
+  if (!was_sent) {
+    giveUp(true, "never_sent");
+    return;
+  }
+  giveUp(true, "deadline");
+}
+
+void Exchange::giveUp(bool out_of_time, std::string_view why) {
+  if (has_failure_) {
+    passKeptAnswer();
+    complete("failure_passed_on");
+    return;
+  }
+  if (head_passed_) {
+    if (sink_ != nullptr) {
+      std::exchange(sink_, nullptr)->cut();
+    }
+    complete(why);
+    return;
+  }
+  refuse(ledger_.finalStatus(out_of_time), why);
+}
+
+void Exchange::refuse(int status, std::string_view why) {
+  if (sink_ != nullptr) {
+    const std::string body = absl::StrCat("{\"error\":\"", std::string(why), "\"}\n");
+    HeaderFields fields = {{"Content-Type", "application/json"}};
+    if (!facts_.attempt_id.empty()) {
+      fields.push_back(core_.dialect->attemptField(facts_.attempt_id));
+    }
+    if (status == kUnavailable) {
+      fields.push_back({"Retry-After", absl::StrFormat("%.2f", absl::ToDoubleSeconds(kRetryAfter))});
+    }
+    sink_->sendHead(status, std::string(reasonOf(status)), std::move(fields), body.size());
+    sink_->sendBody(body);
+  }
+  core_.log.event("refused", reactor::steadyNow())
+      .with("request", facts_.attempt_id)
+      .with("status", status)
+      .with("why", why)
+      .with("service", service_.value())
+      .with("tried", static_cast<int64_t>(tried_.size()));
+  complete(why);
+}
+
+void Exchange::complete(std::string_view outcome) {
+  if (done_) {
+    return;
+  }
+  done_ = true;
+  core_.timers.cancel(deadline_timer_);
+  const absl::Time now = reactor::steadyNow();
+  core_.log.event("request", now)
+      .with("request", facts_.attempt_id)
+      .with("route", route_ == nullptr ? "" : route_->name)
+      .with("outcome", outcome)
+      .with("status", answer_.status)
+      .with("server", server_ == nullptr ? "" : server_->entry.id)
+      .with("took_ms", now - began_);
+  AnswerSink* const sink = std::exchange(sink_, nullptr);
+  if (sink != nullptr) {
+    sink->finish();
+  }
+  keep_alive_ = nullptr;
+}
+
+void Exchange::callerLeft() {
+  const auto self = shared_from_this();
+  sink_ = nullptr;
+  const bool may_break_off = route_ == nullptr || route_->kind != RepeatKind::kOnce;
+  if (may_break_off) {
+    attempt_.reset();
+    releaseServer();
+    complete("caller_left");
+  } else if (!done_) {
+    keep_alive_ = self;
+  }
+}
+
+void Exchange::callerCaughtUp() {
+  if (attempt_ != nullptr) {
+    attempt_->resume();
+  }
+}
+
+}  // namespace quincewick::gateway
--- /dev/null
+++ b/src/gateway/exchange.h
@@ -0,0 +1,100 @@
+// One caller's request, from its whole reading to its final answer: route, key, attempts, and what is passed
+// on.
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "forwarding/attempt_ledger.h"
+#include "forwarding/event_splitter.h"
+#include "gateway/answer_sink.h"
+#include "gateway/back_end_pool.h"
+#include "gateway/core.h"
+
+namespace quincewick::gateway {
+
+class Exchange final : public AttemptListener, public std::enable_shared_from_this<Exchange> {
+ public:
+  Exchange(Core& core, BackEndPool& pool, HttpHead head, std::string body, AnswerSink* sink);
+  ~Exchange() override;
+
+  // Decides on the request; the answer may be given before this returns.
+  void begin();
+  // The caller left: work that nobody waits for is ended, but for what must not be broken off.
+  void callerLeft();
+  // The caller has taken all that was sent.
+  void callerCaughtUp();
+
+ private:
+  void onSending() override;
+  void onNeverSent() override;
+  void onAnswerHead(const HttpHead& head, const forwarding::AnswerFacts& facts) override;
+  void onAnswerBody(std::string bytes) override;
+  void onAnswerEnd() override;
+  void onAnswerBroken() override;
+
+  // What a server's answer is worth, by its head.
+  enum class Verdict : uint8_t { kPassOn, kRefused, kFailed, kBroken };
+
+  bool admit();
+  void setDeadline();
+  void chooseService();
+  void tryNext();
+  bool chooseTarget();
+  bool choosePlainServer(absl::Time now);
+  bool chooseEngine(absl::Time now);
+  void sendAttempt();
+  Verdict judge(const HttpHead& head, const forwarding::AnswerFacts& facts) const;
+  void endAttempt(forwarding::AttemptEnd end);
+  void releaseServer();
+  void passEvents(std::string_view bytes);
+  void passHead();
+  void passKeptAnswer();
+  void keepOrPass(std::string bytes);
+  void outOfTime();
+  void refuse(int status, std::string_view why);
+  void giveUp(bool out_of_time, std::string_view why);
+  void complete(std::string_view outcome);
+
+  Core& core_;
+  BackEndPool& pool_;
+  HttpHead head_;
+  std::string body_;
+  AnswerSink* sink_;
+  std::shared_ptr<const forwarding::SiteConfiguration> configuration_;
+  const forwarding::Route* route_ = nullptr;
+  const forwarding::Tenant* tenant_ = nullptr;
+  forwarding::RequestFacts facts_;
+  forwarding::ServiceName service_;
+  forwarding::AttemptLedger ledger_;
+  absl::Time began_;
+  absl::Time deadline_ = absl::InfiniteFuture();
+  reactor::TimerQueue::Key deadline_timer_;
+  std::vector<std::string> tried_;  // ids of servers
+
+  // The attempt under way.
+  forwarding::ServerDirectory::ServerPointer server_;
+  std::optional<forwarding::EngineChoice> engine_;
+  forwarding::ServerLoad counted_;  // as this attempt counts at the server
+  std::unique_ptr<Attempt> attempt_;
+  absl::Time attempt_began_;
+  Verdict verdict_ = Verdict::kBroken;
+  HttpHead answer_;
+  std::optional<uint64_t> answer_length_;
+  std::string kept_body_;  // of an answer that is passed on once it is whole
+  bool keeps_answer_ = true;
+  bool has_failure_ = false;  // the last attempt's answer is a failure that may be passed on
+  forwarding::EventSplitter events_;
+
+  // Of the answer to the caller.
+  bool head_passed_ = false;
+  std::optional<uint64_t> last_event_;
+  bool done_ = false;
+  std::shared_ptr<Exchange> keep_alive_;  // while it goes on without its caller
+};
+
+}  // namespace quincewick::gateway
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,60 @@
+// One gateway process: takes callers' connections, answers whether it is ready, follows the store, and stops
+// in good order. All of it runs on the thread that calls `run`.
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "gateway/back_end_pool.h"
+#include "gateway/caller_connection.h"
+#include "gateway/core.h"
+#include "gateway/site_follower.h"
+#include "reactor/connection.h"
+
+namespace quincewick::gateway {
+
+class Gateway {
+ public:
+  // `log_descriptor`: where lines of the log go; -1: nowhere.
+  Gateway(GatewaySettings settings, std::unique_ptr<forwarding::Dialect> dialect, int log_descriptor);
+  ~Gateway();
+
+  // Binds its addresses. Errors: kUnavailable.
+  Result<void> start();
+  // Serves until a signal to stop has been carried out.
+  void run();
+  // Ends `run` soon; for tests.
+  void stop() { core_.reactor.stop(); }
+  // Begins the planned stop, as the signal does.
+  void beginStop();
+
+  uint16_t callersPort() const { return callers_->port(); }
+  uint16_t readinessPort() const { return readiness_->port(); }
+  bool isReady() const;
+
+ private:
+  class ReadinessConnection;
+
+  void acceptCaller(reactor::Connection::Socket socket);
+  void acceptReadiness(reactor::Connection::Socket socket);
+  void awaitSignal();
+  void tick();
+  void checkStopped();
+
+  Core core_;
+  BackEndPool pool_;
+  SiteFollower follower_;
+  boost::asio::signal_set signals_;
+  std::unique_ptr<reactor::Listener> callers_;
+  std::unique_ptr<reactor::Listener> readiness_;
+  absl::flat_hash_map<CallerConnection*, std::shared_ptr<CallerConnection>> connections_;
+  absl::flat_hash_map<ReadinessConnection*, std::shared_ptr<ReadinessConnection>> readiness_connections_;
+  absl::Time stop_began_ = absl::InfiniteFuture();
+  bool was_ready_ = false;
+};
+
+}  // namespace quincewick::gateway
--- /dev/null
+++ b/src/gateway/gateway_settings.cc
@@ -0,0 +1,65 @@
+#include "gateway/gateway_settings.h"
+
+#include "configuration/yaml_schema.h"
+
+namespace quincewick::gateway {
+
+using configuration::Presence;
+using configuration::within;
+using configuration::YamlSchema;
+
+const YamlSchema<GatewayListenSettings>& schemaOf(const GatewayListenSettings* /*type*/) {
+  static const auto* const schema = new YamlSchema<GatewayListenSettings>(
+      YamlSchema<GatewayListenSettings>()
+          .add("callers", &GatewayListenSettings::callers, Presence::kRequired)
+          .add("readiness", &GatewayListenSettings::readiness, Presence::kRequired)
+          .add("peers", &GatewayListenSettings::peers, Presence::kOptional));
+  return *schema;
+}
+
+const YamlSchema<GatewayBounds>& schemaOf(const GatewayBounds* /*type*/) {
+  const auto time = within(absl::Milliseconds(100), absl::Hours(1));
+  static const auto* const schema = new YamlSchema<GatewayBounds>(
+      YamlSchema<GatewayBounds>()
+          .add("key_revocation", &GatewayBounds::key_revocation, Presence::kOptional, time)
+          .add("server_drain", &GatewayBounds::server_drain, Presence::kOptional, time)
+          .add("stop_grace", &GatewayBounds::stop_grace, Presence::kOptional, time)
+          .add("order_lease", &GatewayBounds::order_lease, Presence::kOptional, time)
+          .add("weights_in_force", &GatewayBounds::weights_in_force, Presence::kOptional, time)
+          .add("retry_ratio", &GatewayBounds::retry_ratio, Presence::kOptional, within(0.0, 10.0))
+          .add("retry_constant", &GatewayBounds::retry_constant, Presence::kOptional, within(0.0, 1e6))
+          .add("retry_window", &GatewayBounds::retry_window, Presence::kOptional, time));
+  return *schema;
+}
+
+const YamlSchema<GatewaySettings>& schemaOf(const GatewaySettings* /*type*/) {
+  static const auto* const schema = new YamlSchema<GatewaySettings>(
+      YamlSchema<GatewaySettings>()
+          .add("gateway_id", &GatewaySettings::gateway_id, Presence::kRequired)
+          .add("zone", &GatewaySettings::zone, Presence::kRequired)
+          .add("region", &GatewaySettings::region, Presence::kRequired)
+          .add("listen", &GatewaySettings::listen, Presence::kRequired)
+          .add("store", &GatewaySettings::store, Presence::kRequired)
+          .add("bounds", &GatewaySettings::bounds, Presence::kOptional)
+          .add("gateways_at_most", &GatewaySettings::gateways_at_most, Presence::kOptional,
+               within<uint32_t>(1, 100'000))
+          .add("connections_at_most", &GatewaySettings::connections_at_most, Presence::kOptional,
+               within<uint32_t>(16, 1'000'000)));
+  return *schema;
+}
+
+namespace {
+
+constexpr const char* kMark = "gateway_id:";
+
+}  // namespace
+
+configuration::Parsed<GatewaySettings> parseGatewaySettings(const std::string& text) {
+  return configuration::parseYaml<GatewaySettings>(text);
+}
+
+bool looksLikeGatewaySettings(const std::string& text) {
+  return text.rfind(kMark, 0) == 0 || text.find(std::string("\n") + kMark) != std::string::npos;
+}
+
+}  // namespace quincewick::gateway
--- /dev/null
+++ b/src/gateway/gateway_settings.h
@@ -0,0 +1,59 @@
+// The settings of one gateway process, from a file that is read at its start and again when it changes.
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "configuration/diagnostics.h"
+#include "types/back_end.h"
+#include "types/identifiers.h"
+
+namespace quincewick::gateway {
+
+struct GatewayListenSettings {
+  Address callers;
+  Address readiness;
+  std::optional<Address> peers;  // UDP, between the gateways of a site
+
+  friend bool operator==(const GatewayListenSettings&, const GatewayListenSettings&) = default;
+};
+
+// What the site promises, by which the gateway sets its own pace.
+struct GatewayBounds {
+  absl::Duration key_revocation =
+      absl::Seconds(5);                            // after it no request runs under a key that was taken away
+  absl::Duration server_drain = absl::Seconds(2);  // after it nothing new is sent to a server that leaves
+  absl::Duration stop_grace = absl::Seconds(8);    // from the signal to stop until the process is killed
+  absl::Duration order_lease = absl::Seconds(3);
+  absl::Duration weights_in_force = absl::Seconds(8);  // a named version is on all engines
+  double retry_ratio = 0.2;                            // repeats for each request, within retry_window
+  double retry_constant = 54;  // repeats of all gateways together, whatever the requests
+  absl::Duration retry_window = absl::Seconds(10);
+
+  friend bool operator==(const GatewayBounds&, const GatewayBounds&) = default;
+};
+
+struct GatewaySettings {
+  NodeId gateway_id;  // unique in the site; kept over restarts
+  ZoneName zone;
+  RegionName region;
+  GatewayListenSettings listen;
+  Address store;
+  GatewayBounds bounds;
+  uint32_t gateways_at_most = 16;  // of the site: divides what is constant for all together
+  uint32_t connections_at_most = 3000;
+
+  friend bool operator==(const GatewaySettings&, const GatewaySettings&) = default;
+};
+
+// Reads a settings file's text. All faults are listed.
+configuration::Parsed<GatewaySettings> parseGatewaySettings(const std::string& text);
+
+// Whether a file's text is meant as a gateway's settings: it names a gateway at its top level.
+bool looksLikeGatewaySettings(const std::string& text);
+
+}  // namespace quincewick::gateway
--- /dev/null
+++ b/src/gateway/store_client.cc
@@ -0,0 +1,60 @@
+#include "gateway/store_client.h"
+
+#include <utility>
+
+namespace quincewick::gateway {
+namespace {
+
+constexpr absl::Duration kCallLimit = absl::Milliseconds(1500);
+constexpr int kOk = 200;
+constexpr int kGone = 410;
+constexpr int kPreconditionFailed = 412;
+
+StoreStatus statusOf(const Result<reactor::HttpReply>& reply) {
+  if (reply.has_error()) {
+    return reply.error().execution == Execution::kNotRun ? StoreStatus::kNotDone : StoreStatus::kUnknown;
+  }
+  switch (reply.value().status) {
+    case kOk:
+      return StoreStatus::kDone;
+    case kPreconditionFailed:
+      return StoreStatus::kConflict;
+    case kGone:
+      return StoreStatus::kHistoryGone;
+    default:
+      return StoreStatus::kNotDone;
+  }
+}
+
+}  // namespace
+
+void StoreClient::call(HttpCall call, absl::Duration time_limit, Done done) {
+  caller_.call(std::move(call), time_limit,
+               [this, done = std::move(done)](const Result<reactor::HttpReply>& reply) {
+                 StoreStatus status = statusOf(reply);
+                 forwarding::StoreRows rows;
+                 if (status == StoreStatus::kDone || status == StoreStatus::kConflict) {
+                   auto read = core_.dialect->readRowsAnswer(reply.value().body);
+                   if (read.has_value()) {
+                     rows = std::move(read.value());
+                   } else {
+                     status = StoreStatus::kUnknown;
+                   }
+                 }
+                 done(status, rows);
+               });
+}
+
+void StoreClient::read(std::string_view table, std::string_view from, uint32_t limit, Done done) {
+  call(core_.dialect->readRows(table, from, limit), kCallLimit, std::move(done));
+}
+
+void StoreClient::follow(std::string_view table, uint64_t after, absl::Duration wait, Done done) {
+  call(core_.dialect->followRows(table, after, wait), wait + kCallLimit, std::move(done));
+}
+
+void StoreClient::write(const forwarding::StoreRow& row, uint64_t expected_version, Done done) {
+  call(core_.dialect->writeRow(row, expected_version), kCallLimit, std::move(done));
+}
+
+}  // namespace quincewick::gateway
--- /dev/null
+++ b/src/reactor/connection.cc
@@ -0,0 +1,239 @@
+#include "reactor/connection.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <utility>
+
+namespace quincewick::reactor {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr size_t kReadBytes = 16384;
+constexpr int kReadsInARow = 4;  // of one connection before others get their turn
+constexpr int kAcceptBacklog = 1024;
+
+// The process has one thread that reads, so one buffer serves all connections.
+std::array<char, kReadBytes>& sharedBuffer() {
+  static std::array<char, kReadBytes> buffer;
+  return buffer;
+}
+
+bool isRetry(const error_code& error) {
+  return error == asio::error::would_block || error == asio::error::try_again ||
+         error == asio::error::interrupted;
+}
+
+void prepare(tcp::socket& socket) {
+  error_code ignored;
+  socket.non_blocking(true, ignored);
+  socket.set_option(tcp::no_delay(true), ignored);
+}
+
+}  // namespace
+
+Connection::Connection(Socket socket) : socket_(std::move(socket)) {}
+
+std::shared_ptr<Connection> Connection::connect(asio::io_context& reactor, const Address& address,
+                                                std::function<void(bool)> done) {
+  auto connection = std::make_shared<Connection>(Socket(reactor));
+  connection->connected_ = std::move(done);
+  error_code error;
+  const auto ip = asio::ip::make_address(address.host, error);
+  connection->socket_.async_connect(tcp::endpoint(ip, address.port), [connection](const error_code& failure) {
+    auto callback = std::exchange(connection->connected_, nullptr);
+    if (!connection->open_ || !callback) {
+      return;
+    }
+    prepare(connection->socket_);
+    callback(!failure);
+  });
+  return connection;
+}
+
+void Connection::start(ConnectionHandler* handler) {
+  handler_ = handler;
+  prepare(socket_);
+  awaitReadable();
+}
+
+void Connection::setAcknowledgementTimeout(absl::Duration timeout) {
+  const int milliseconds = static_cast<int>(absl::ToInt64Milliseconds(timeout));
+  setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof(milliseconds));
+}
+
+void Connection::awaitReadable() {
+  if (!open_ || paused_ || reading_) {
+    return;
+  }
+  reading_ = true;
+  socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code& error) {
+    self->reading_ = false;
+    if (self->open_ && !error) {
+      self->readAvailable();
+    }
+  });
+}
+
+void Connection::readAvailable() {
+  for (int count = 0; count < kReadsInARow && open_ && !paused_; ++count) {
+    error_code error;
+    const size_t size = socket_.read_some(asio::buffer(sharedBuffer()), error);
+    if (isRetry(error)) {
+      break;
+    }
+    if (error) {
+      end(error == asio::error::eof ? EndKind::kOrderly : EndKind::kBroken);
+      return;
+    }
+    if (handler_ != nullptr && !lingering_) {
+      handler_->onBytes({sharedBuffer().data(), size});
+    }
+    if (size < kReadBytes) {
+      break;
+    }
+  }
+  awaitReadable();
+}
+
+void Connection::resumeReading() {
+  paused_ = false;
+  awaitReadable();
+}
+
+void Connection::send(std::string_view bytes) {
+  if (!open_) {
+    return;
+  }
+  const bool idle = unsentBytes() == 0;
+  unsent_.append(bytes);
+  if (idle && !writing_) {
+    writeAvailable();
+  }
+}
+
+void Connection::awaitWritable() {
+  writing_ = true;
+  socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](const error_code& error) {
+    self->writing_ = false;
+    if (self->open_ && !error) {
+      self->writeAvailable();
+      if (self->open_ && self->unsentBytes() == 0 && self->handler_ != nullptr) {
+        self->handler_->onSent();
+      }
+    }
+  });
+}
+
+// An error in writing is left to the reading side, which first takes in what the other side said before.
+void Connection::writeAvailable() {
+  while (unsentBytes() > 0) {
+    error_code error;
+    const size_t sent =
+        socket_.write_some(asio::buffer(unsent_.data() + unsent_begin_, unsentBytes()), error);
+    if (isRetry(error)) {
+      awaitWritable();
+      return;
+    }
+    if (error) {
+      break;
+    }
+    unsent_begin_ += sent;
+  }
+  unsent_ = std::string();
+  unsent_begin_ = 0;
+  if (lingering_) {
+    finishSending();
+  }
+}
+
+void Connection::closeWhenSent() {
+  if (!open_ || lingering_) {
+    return;
+  }
+  lingering_ = true;
+  handler_ = nullptr;
+  paused_ = false;
+  if (unsentBytes() == 0) {
+    finishSending();
+  }
+  awaitReadable();
+}
+
+void Connection::finishSending() {
+  error_code ignored;
+  socket_.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+void Connection::end(EndKind kind) {
+  ConnectionHandler* const handler = std::exchange(handler_, nullptr);
+  const auto self = shared_from_this();
+  closeSocket();
+  if (handler != nullptr) {
+    handler->onEnd(kind);
+  }
+}
+
+void Connection::abort() {
+  handler_ = nullptr;
+  connected_ = nullptr;
+  if (!open_) {
+    return;
+  }
+  error_code ignored;
+  socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+  closeSocket();
+}
+
+void Connection::closeSocket() {
+  open_ = false;
+  error_code ignored;
+  socket_.close(ignored);
+}
+
+Listener::Listener(asio::io_context& reactor, const Address& address, Accepted accepted)
+    : reactor_(reactor), acceptor_(reactor), accepted_(std::move(accepted)) {
+  error_code error;
+  const tcp::endpoint endpoint(asio::ip::make_address(address.host, error), address.port);
+  acceptor_.open(endpoint.protocol(), error);
+  acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+  acceptor_.bind(endpoint, error);
+  if (!error) {
+    acceptor_.listen(kAcceptBacklog, error);
+  }
+  if (error) {
+    close();
+    return;
+  }
+  acceptNext();
+}
+
+uint16_t Listener::port() const {
+  error_code ignored;
+  return acceptor_.local_endpoint(ignored).port();
+}
+
+void Listener::close() {
+  error_code ignored;
+  acceptor_.close(ignored);
+}
+
+void Listener::acceptNext() {
+  acceptor_.async_accept([this](const error_code& error, tcp::socket socket) {
+    if (!acceptor_.is_open()) {
+      return;
+    }
+    if (!error) {
+      accepted_(std::move(socket));
+    }
+    acceptNext();
+  });
+}
+
+}  // namespace quincewick::reactor
--- /dev/null
+++ b/src/reactor/http_caller.cc
@@ -0,0 +1,111 @@
+#include "reactor/http_caller.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <utility>
+
+namespace quincewick::reactor {
+namespace {
+
+// A store's answer may hold many rows.
+constexpr MessageLimits kAnswerLimits = {16384, uint64_t{64} << 20};
+
+}  // namespace
+
+HttpCaller::~HttpCaller() {
+  dropConnection();
+  timers_.cancel(time_limit_);
+}
+
+void HttpCaller::call(HttpCall call, absl::Duration time_limit, Done done) {
+  queue_.push_back({std::move(call), time_limit, std::move(done)});
+  startNext();
+}
+
+void HttpCaller::startNext() {
+  if (is_busy_ || queue_.empty()) {
+    return;
+  }
+  is_busy_ = true;
+  is_sent_ = false;
+  current_ = std::move(queue_.front());
+  queue_.pop_front();
+  time_limit_ = timers_.schedule(steadyNow() + current_.time_limit, [this] {
+    finish(fail(ErrorCode::kDeadlineExceeded, "no answer in time",
+                is_sent_ ? Execution::kUnknown : Execution::kNotRun),
+           false);
+  });
+  if (is_connected_) {
+    sendCurrent();
+    return;
+  }
+  connection_ = Connection::connect(reactor_, address_, [this](bool connected) {
+    if (!connected) {
+      finish(fail(ErrorCode::kUnavailable, "no connection"), false);
+      return;
+    }
+    is_connected_ = true;
+    connection_->start(this);
+    sendCurrent();
+  });
+}
+
+void HttpCaller::sendCurrent() {
+  reader_ = std::make_unique<MessageReader>(MessageKind::kAnswer, kAnswerLimits);
+  HeaderFields fields = std::move(current_.call.fields);
+  fields.push_back({"Host", absl::StrCat(address_.host, ":", address_.port)});
+  if (!current_.call.body.empty()) {
+    fields.push_back({"Content-Length", absl::StrCat(current_.call.body.size())});
+  }
+  is_sent_ = true;
+  connection_->send(printRequestHead(current_.call.method, current_.call.target, fields) +
+                    current_.call.body);
+}
+
+void HttpCaller::onBytes(std::string_view bytes) {
+  if (!is_busy_ || reader_ == nullptr) {
+    dropConnection();  // bytes that answer nothing
+    return;
+  }
+  const ReadStatus status = reader_->take(bytes);
+  if (status == ReadStatus::kDone) {
+    const bool keep = reader_->keepsAlive() && reader_->unreadBytes() == 0;
+    finish(HttpReply{reader_->head().status, reader_->takeBody()}, keep);
+  } else if (status != ReadStatus::kNeedsMore) {
+    finish(fail(ErrorCode::kOutcomeUnknown, "an answer that is none", Execution::kUnknown), false);
+  }
+}
+
+void HttpCaller::onEnd(EndKind kind) {
+  is_connected_ = false;
+  if (!is_busy_) {
+    return;
+  }
+  if (kind == EndKind::kOrderly && reader_ != nullptr && reader_->takeEnd() == ReadStatus::kDone) {
+    finish(HttpReply{reader_->head().status, reader_->takeBody()}, false);
+    return;
+  }
+  finish(fail(ErrorCode::kOutcomeUnknown, "the connection ended", Execution::kUnknown), false);
+}
+
+void HttpCaller::finish(Result<HttpReply> result, bool keep_connection) {
+  timers_.cancel(time_limit_);
+  if (!keep_connection) {
+    dropConnection();
+  }
+  reader_ = nullptr;
+  const Done done = std::exchange(current_.done, nullptr);
+  is_busy_ = false;
+  done(std::move(result));
+  startNext();
+}
+
+void HttpCaller::dropConnection() {
+  is_connected_ = false;
+  if (connection_ != nullptr) {
+    connection_->abort();
+    connection_ = nullptr;
+  }
+}
+
+}  // namespace quincewick::reactor
--- /dev/null
+++ b/src/reactor/http_caller.h
@@ -0,0 +1,65 @@
+// Calls of one HTTP interface over a kept connection, one at a time, each with a limit on its time.
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "reactor/connection.h"
+#include "reactor/message_reader.h"
+#include "reactor/timer_queue.h"
+#include "types/error.h"
+#include "types/http_message.h"
+
+namespace quincewick::reactor {
+
+struct HttpReply {
+  int status = 0;
+  std::string body;
+};
+
+class HttpCaller final : private ConnectionHandler {
+ public:
+  // Errors: kUnavailable (never sent), kOutcomeUnknown (sent, no whole answer), kDeadlineExceeded (the same,
+  // in time).
+  using Done = std::function<void(Result<HttpReply>)>;
+
+  HttpCaller(boost::asio::io_context& reactor, TimerQueue& timers, Address address)
+      : reactor_(reactor), timers_(timers), address_(std::move(address)) {}
+  ~HttpCaller() override;
+
+  // Calls wait for the one under way; the time limit counts from when a call's turn comes.
+  void call(HttpCall call, absl::Duration time_limit, Done done);
+  size_t waitingCalls() const { return queue_.size(); }
+
+ private:
+  struct Waiting {
+    HttpCall call;
+    absl::Duration time_limit;
+    Done done;
+  };
+
+  void onBytes(std::string_view bytes) override;
+  void onEnd(EndKind kind) override;
+  void startNext();
+  void sendCurrent();
+  void finish(Result<HttpReply> result, bool keep_connection);
+  void dropConnection();
+
+  boost::asio::io_context& reactor_;
+  TimerQueue& timers_;
+  Address address_;
+  std::deque<Waiting> queue_;
+  bool is_busy_ = false;
+  bool is_sent_ = false;
+  Waiting current_;
+  TimerQueue::Key time_limit_;
+  std::shared_ptr<Connection> connection_;
+  bool is_connected_ = false;
+  std::unique_ptr<MessageReader> reader_;
+};
+
+}  // namespace quincewick::reactor
--- /dev/null
+++ b/src/reactor/message_reader.cc
@@ -0,0 +1,194 @@
+#include "reactor/message_reader.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <utility>
+#include <variant>
+
+namespace quincewick::reactor {
+namespace {
+
+namespace http = boost::beast::http;
+using boost::beast::error_code;
+using BeastView = boost::beast::string_view;
+
+std::string text(BeastView view) {
+  return {view.data(), view.size()};
+}
+
+// Keeps what Beast's parser finds. `Base` is the parser of requests or that of answers.
+template <bool kIsRequest>
+class Collector final : public http::basic_parser<kIsRequest> {
+ public:
+  HttpHead head;
+  std::string body;
+  bool head_complete = false;
+
+ private:
+  void on_request_impl(http::verb /*method*/, BeastView method, BeastView target, int version,  // NOLINT
+                       error_code& error) override {
+    head.method = text(method);
+    head.target = text(target);
+    head.is_http_1_0 = version < 11;
+    error = {};
+  }
+  void on_response_impl(int code, BeastView reason, int version, error_code& error) override {  // NOLINT
+    head.status = code;
+    head.reason = text(reason);
+    head.is_http_1_0 = version < 11;
+    error = {};
+  }
+  void on_field_impl(http::field /*field*/, BeastView name, BeastView value,
+                     error_code& error) override {  // NOLINT
+    if (!head_complete) {                           // trailers belong to one connection
+      head.fields.push_back({text(name), text(value)});
+    }
+    error = {};
+  }
+  void on_header_impl(error_code& error) override {  // NOLINT
+    head_complete = true;
+    error = {};
+  }
+  void on_body_init_impl(const boost::optional<uint64_t>& /*length*/, error_code& error) override {  // NOLINT
+    error = {};
+  }
+  size_t on_body_impl(BeastView bytes, error_code& error) override {  // NOLINT
+    body.append(bytes.data(), bytes.size());
+    error = {};
+    return bytes.size();
+  }
+  void on_chunk_header_impl(uint64_t /*size*/, BeastView /*extensions*/,
+                            error_code& error) override {  // NOLINT
+    error = {};
+  }
+  size_t on_chunk_body_impl(uint64_t /*left*/, BeastView bytes, error_code& error) override {  // NOLINT
+    body.append(bytes.data(), bytes.size());
+    error = {};
+    return bytes.size();
+  }
+  void on_finish_impl(error_code& error) override { error = {}; }  // NOLINT
+};
+
+ReadStatus statusOf(const error_code& error) {
+  if (error == http::error::header_limit) {
+    return ReadStatus::kHeaderTooLarge;
+  }
+  if (error == http::error::body_limit) {
+    return ReadStatus::kBodyTooLarge;
+  }
+  return ReadStatus::kMalformed;
+}
+
+}  // namespace
+
+class MessageReader::Parser {
+ public:
+  template <class Function>
+  decltype(auto) visit(Function function) {
+    return std::visit(function, collector_);
+  }
+
+  Parser(MessageKind kind, const MessageLimits& limits) {
+    if (kind == MessageKind::kAnswer) {
+      collector_.emplace<Collector<false>>();
+    }
+    visit([&limits](auto& collector) {
+      collector.header_limit(limits.header_bytes);
+      collector.body_limit(limits.body_bytes);
+      collector.eager(true);
+    });
+  }
+
+ private:
+  std::variant<Collector<true>, Collector<false>> collector_;
+};
+
+MessageReader::MessageReader(MessageKind kind, const MessageLimits& limits) : kind_(kind), limits_(limits) {
+  next();
+}
+
+MessageReader::~MessageReader() = default;
+
+void MessageReader::next(bool without_body) {
+  parser_ = std::make_unique<Parser>(kind_, limits_);
+  parser_->visit([without_body](auto& collector) { collector.skip(without_body); });
+  status_ = ReadStatus::kNeedsMore;
+}
+
+ReadStatus MessageReader::take(std::string_view bytes) {
+  unread_.append(bytes);
+  if (status_ != ReadStatus::kNeedsMore) {
+    return status_;
+  }
+  status_ = readOn();
+  return status_;
+}
+
+ReadStatus MessageReader::readOn() {
+  return parser_->visit([this](auto& collector) {
+    size_t used = 0;
+    while (!collector.is_done() && used < unread_.size()) {
+      error_code error;
+      const size_t taken =
+          collector.put(boost::asio::buffer(unread_.data() + used, unread_.size() - used), error);
+      used += taken;
+      if (error == http::error::need_more || (!error && taken == 0)) {
+        break;
+      }
+      if (error) {
+        return statusOf(error);
+      }
+    }
+    unread_.erase(0, used);
+    return collector.is_done() ? ReadStatus::kDone : ReadStatus::kNeedsMore;
+  });
+}
+
+ReadStatus MessageReader::takeEnd() {
+  if (status_ != ReadStatus::kNeedsMore) {
+    return status_;
+  }
+  status_ = parser_->visit([](auto& collector) {
+    if (!collector.head_complete || !collector.need_eof()) {
+      return ReadStatus::kMalformed;
+    }
+    error_code error;
+    collector.put_eof(error);
+    return error ? ReadStatus::kMalformed : ReadStatus::kDone;
+  });
+  return status_;
+}
+
+bool MessageReader::headComplete() const {
+  return parser_->visit([](auto& collector) { return collector.head_complete; });
+}
+
+const HttpHead& MessageReader::head() const {
+  return parser_->visit([](auto& collector) -> const HttpHead& { return collector.head; });
+}
+
+std::string MessageReader::takeBody() {
+  return parser_->visit([](auto& collector) { return std::exchange(collector.body, std::string()); });
+}
+
+bool MessageReader::started() const {
+  return !unread_.empty() || parser_->visit([](auto& collector) { return collector.got_some(); });
+}
+
+bool MessageReader::lastsToEnd() const {
+  return parser_->visit([](auto& collector) { return collector.head_complete && collector.need_eof(); });
+}
+
+std::optional<uint64_t> MessageReader::contentLength() const {
+  return parser_->visit([](auto& collector) -> std::optional<uint64_t> {
+    const auto length = collector.content_length();
+    return length ? std::optional<uint64_t>(*length) : std::nullopt;
+  });
+}
+
+bool MessageReader::keepsAlive() const {
+  return parser_->visit([](auto& collector) { return collector.head_complete && collector.keep_alive(); });
+}
+
+}  // namespace quincewick::reactor
--- /dev/null
+++ b/src/reactor/timer_queue.cc
@@ -0,0 +1,49 @@
+#include "reactor/timer_queue.h"
+
+#include <chrono>
+
+namespace quincewick::reactor {
+
+absl::Time steadyNow() {
+  return absl::UnixEpoch() + absl::FromChrono(std::chrono::steady_clock::now().time_since_epoch());
+}
+
+TimerQueue::Key TimerQueue::schedule(absl::Time due, std::function<void()> action) {
+  const Key key{due, ++last_number_};
+  actions_.emplace(key, std::move(action));
+  arm();
+  return key;
+}
+
+void TimerQueue::cancel(Key& key) {
+  actions_.erase(key);
+  key = Key();
+}
+
+// A timer that is armed for an earlier time stays: it arms the next one when it runs.
+void TimerQueue::arm() {
+  if (actions_.empty() || actions_.begin()->first.first >= armed_for_) {
+    return;
+  }
+  armed_for_ = actions_.begin()->first.first;
+  const absl::Duration since_epoch = armed_for_ - absl::UnixEpoch();
+  timer_.expires_at(std::chrono::steady_clock::time_point(absl::ToChronoNanoseconds(since_epoch)));
+  timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      armed_for_ = absl::InfiniteFuture();
+      runDue();
+    }
+  });
+}
+
+void TimerQueue::runDue() {
+  const absl::Time now = steadyNow();
+  while (!actions_.empty() && actions_.begin()->first.first <= now) {
+    const std::function<void()> action = std::move(actions_.begin()->second);
+    actions_.erase(actions_.begin());
+    action();
+  }
+  arm();
+}
+
+}  // namespace quincewick::reactor
--- /dev/null
+++ b/src/telemetry/event_log.h
@@ -0,0 +1,68 @@
+// Structured lines to standard output: one for each decision, key=value, without ever blocking the process.
+//
+// Lines wait in a bounded buffer and go out when the reader takes them; what finds no room, or exceeds the
+// class's rate, is dropped and counted, and the count is told in a line of its own.
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace quincewick::telemetry {
+
+struct EventLogSettings {
+  std::string node;
+  size_t buffer_bytes = 65536;
+  uint32_t lines_a_second = 50;  // of one event's name
+};
+
+class EventLog {
+ public:
+  // Writes to `descriptor`, which it makes non-blocking; -1 keeps all lines in the buffer.
+  EventLog(EventLogSettings settings, int descriptor);
+
+  // One line under way; it is written when it goes out of scope.
+  class Line {
+   public:
+    Line(EventLog* log, std::string text) : log_(log), text_(std::move(text)) {}
+    Line(Line&& other) noexcept : log_(other.log_), text_(std::move(other.text_)) { other.log_ = nullptr; }
+    Line(const Line&) = delete;
+    Line& operator=(const Line&) = delete;
+    Line& operator=(Line&&) = delete;
+    ~Line();
+    Line& with(std::string_view name, std::string_view value);
+    Line& with(std::string_view name, int64_t value);
+    Line& with(std::string_view name, absl::Duration value);  // in milliseconds
+
+   private:
+    EventLog* log_;
+    std::string text_;
+  };
+
+  // `now`: the steady clock. A line over the rate takes its fields and is not written.
+  Line event(std::string_view name, absl::Time now);
+
+  // Writes what the reader takes without waiting.
+  void flush();
+  uint64_t droppedLines() const { return dropped_; }
+  const std::string& buffered() const { return buffer_; }
+
+ private:
+  struct Rate {
+    absl::Time second_began = absl::InfinitePast();
+    uint32_t lines = 0;
+    uint32_t dropped = 0;
+  };
+  void append(const std::string& line);
+
+  EventLogSettings settings_;
+  int descriptor_;
+  std::string buffer_;
+  uint64_t dropped_ = 0;
+  absl::flat_hash_map<std::string, Rate> rates_;
+};
+
+}  // namespace quincewick::telemetry
--- /dev/null
+++ b/src/types/http_message.h
@@ -0,0 +1,63 @@
+// The head of an HTTP/1.1 message as it came: names, values and their order are kept.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace quincewick {
+
+struct HeaderField {
+  std::string name;
+  std::string value;
+
+  friend bool operator==(const HeaderField&, const HeaderField&) = default;
+};
+
+using HeaderFields = std::vector<HeaderField>;
+
+// A request's or an answer's start line and fields. Of the start line, only its own half is filled.
+struct HttpHead {
+  std::string method;
+  std::string target;
+  int status = 0;
+  std::string reason;
+  bool is_http_1_0 = false;
+  HeaderFields fields;
+};
+
+// One call of an interface, whole.
+struct HttpCall {
+  std::string method;
+  std::string target;
+  HeaderFields fields;
+  std::string body;
+};
+
+// Returns the first value under the name, whatever its case; nothing where there is none.
+const std::string* findField(const HeaderFields& fields, std::string_view name);
+
+// Whether the field's comma-separated list holds the word, whatever its case.
+bool fieldHasWord(const HeaderFields& fields, std::string_view name, std::string_view word);
+
+// Whether a field speaks of one connection only, so that it is never passed on. `connection_words` is the
+// value of the message's Connection field.
+bool isHopByHop(std::string_view name, std::string_view connection_words);
+
+// A whole number without sign that fills the text; nothing otherwise.
+std::optional<uint64_t> parseWhole(std::string_view text);
+
+// The reason phrase of a status that this project sends.
+std::string_view reasonOf(int status);
+
+// "METHOD TARGET HTTP/1.1" or "HTTP/1.1 STATUS REASON", the fields, and the empty line.
+std::string printRequestHead(std::string_view method, std::string_view target, const HeaderFields& fields);
+std::string printAnswerHead(int status, std::string_view reason, const HeaderFields& fields);
+
+// One chunk of a chunked body around `bytes`; `bytes` isn't empty.
+std::string printChunk(std::string_view bytes);
+inline constexpr std::string_view kLastChunk = "0\r\n\r\n";
+
+}  // namespace quincewick
