--- /dev/null
+++ b/src/forwarding/rollout_planner.cc
@@ -0,0 +1,76 @@
+#include "forwarding/rollout_planner.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace quincewick::forwarding {
+namespace {
+
+constexpr double kSmoothing = 0.3;
+constexpr absl::Duration kShortestLoad = absl::Milliseconds(300);
+constexpr absl::Duration kLongestLoad = absl::Seconds(4);
+
+// Loads at once, the fewest that bring all engines there in half of the time: the rest is for what goes
+// wrong.
+uint32_t loadsAtOnce(size_t engines, absl::Duration within, absl::Duration load_time,
+                     const RolloutSettings& settings) {
+  uint32_t at_once = settings.fewest_at_once;
+  while (at_once < settings.most_at_once &&
+         load_time * static_cast<double>((engines + at_once - 1) / at_once) > within * 0.6) {
+    ++at_once;
+  }
+  return at_once;
+}
+
+}  // namespace
+
+void LoadTime::note(absl::Duration taken) {
+  expected_ += kSmoothing * (std::clamp(taken, kShortestLoad, kLongestLoad) - expected_);
+}
+
+RolloutPlan planRollout(const std::vector<RolloutEngine>& engines, const ModelName& model,
+                        const WeightsRegister& weights, absl::Duration all_within, absl::Duration load_time,
+                        const RolloutSettings& settings, absl::Time now) {
+  const WeightsVersion newest = weights.newest(model);
+  std::vector<RolloutEngine> pending;
+  uint32_t loading = 0;
+  for (const RolloutEngine& engine : engines) {
+    if (engine.is_loading) {
+      ++loading;
+    } else if (engine.version < newest && engine.is_reachable) {
+      pending.push_back(engine);
+    }
+  }
+  RolloutPlan plan;
+  if (pending.empty()) {
+    return plan;
+  }
+  std::sort(pending.begin(), pending.end(), [&](const RolloutEngine& left, const RolloutEngine& right) {
+    return std::tuple(weights.deadlineOf(model, left.version), !left.is_reserved, left.running) <
+           std::tuple(weights.deadlineOf(model, right.version), !right.is_reserved, right.running);
+  });
+  const uint32_t at_once = loadsAtOnce(engines.size(), all_within, load_time, settings);
+  // The last engine of each deadline must be done by it: the latest start is the least over all prefixes.
+  absl::Time latest_start = absl::InfiniteFuture();
+  for (size_t index = 0; index < pending.size(); ++index) {
+    const auto rounds = static_cast<double>((index + at_once) / at_once);
+    const absl::Time deadline = weights.deadlineOf(model, pending[index].version);
+    latest_start = std::min(latest_start, deadline - settings.margin - load_time * rounds);
+  }
+  plan.next_start = latest_start;
+  plan.is_due = now >= latest_start;
+  if (!plan.is_due) {
+    return plan;
+  }
+  const size_t free = at_once > loading ? at_once - loading : 0;
+  for (size_t index = 0; index < pending.size() && index < free + at_once; ++index) {
+    if (index < free) {
+      plan.order.push_back(pending[index].id);
+    } else {
+      plan.reserve.push_back(pending[index].id);
+    }
+  }
+  return plan;
+}
+
+}  // namespace quincewick::forwarding
--- /dev/null
+++ b/src/forwarding/rollout_planner.h
@@ -0,0 +1,54 @@
+// When which engines take a new version of a model's weights: as late as the bound allows, so that versions
+// named in between need no load of their own, and a few at a time. Pure.
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "forwarding/server_entry.h"
+#include "forwarding/weights_register.h"
+
+namespace quincewick::forwarding {
+
+// An engine that has the model.
+struct RolloutEngine {
+  std::string id;
+  WeightsVersion version;
+  bool is_loading = false;   // an order is under way
+  bool is_reserved = false;  // it is next, and gets no new requests
+  bool is_reachable = true;
+  uint32_t running = 0;
+};
+
+struct RolloutPlan {
+  std::vector<std::string> order;                  // give the order now
+  std::vector<std::string> reserve;                // send nothing new there
+  absl::Time next_start = absl::InfiniteFuture();  // when the next load must begin at the latest
+  bool is_due = false;                             // loads have begun, or begin now
+};
+
+struct RolloutSettings {
+  uint32_t fewest_at_once = 2;
+  uint32_t most_at_once = 4;
+  absl::Duration margin = absl::Milliseconds(1200);  // before the bound
+};
+
+// How long one load takes, from the order to an engine that serves again; learnt.
+class LoadTime {
+ public:
+  absl::Duration expected() const { return expected_; }
+  void note(absl::Duration taken);
+
+ private:
+  absl::Duration expected_ = absl::Milliseconds(900);
+};
+
+// Plans for all engines of one model. `all_within`: the time from a version's naming until it is in force.
+RolloutPlan planRollout(const std::vector<RolloutEngine>& engines, const ModelName& model,
+                        const WeightsRegister& weights, absl::Duration all_within, absl::Duration load_time,
+                        const RolloutSettings& settings, absl::Time now);
+
+}  // namespace quincewick::forwarding
--- a/src/forwarding/server_directory.cc
+++ b/src/forwarding/server_directory.cc
@@ -58,6 +58,7 @@
   server->identity_hash = XXH3_64bits(server->entry.id.data(), server->entry.id.size());
   by_slot_[static_cast<size_t>(server->slot)] = server;
   by_service_[server->entry.service].push_back(server);
+  by_hash_.emplace(server->identity_hash, server);
   servers_.emplace(server->entry.id, server);
   return true;
 }
@@ -70,6 +71,7 @@
   const ServerPointer server = found->second;
   server->is_listed = false;
   servers_.erase(found);
+  by_hash_.erase(server->identity_hash);
   std::erase(by_service_[server->entry.service], server);
   by_slot_[static_cast<size_t>(server->slot)] = nullptr;
   freed_.push_back(server->slot);
@@ -92,6 +94,11 @@
   return found == servers_.end() ? nullptr : found->second;
 }
 
+ServerDirectory::ServerPointer ServerDirectory::findByHash(uint64_t identity_hash) const {
+  const auto found = by_hash_.find(identity_hash);
+  return found == by_hash_.end() ? nullptr : found->second;
+}
+
 const std::vector<ServerDirectory::ServerPointer>& ServerDirectory::ofService(
     const ServiceName& service) const {
   static const std::vector<ServerPointer> none;
@@ -157,7 +164,7 @@
 // Only what was added is taken away again: a server that came between has none of the last account.
 void ServerDirectory::addPeerLoad(const std::vector<PeerLoad>& loads, bool add) {
   for (const PeerLoad& peer_load : loads) {
-    const ServerPointer server = find(peer_load.server_id);
+    const ServerPointer server = findByHash(peer_load.server);
     if (server == nullptr) {
       continue;
     }
--- a/src/forwarding/server_directory.h
+++ b/src/forwarding/server_directory.h
@@ -53,7 +53,7 @@
 
 // A peer's account of its own work at a server.
 struct PeerLoad {
-  std::string server_id;
+  uint64_t server = 0;  // the hash of its id
   ServerLoad load;
 };
 
@@ -71,6 +71,8 @@
   ServerPointer find(const std::string& id) const;
   const std::vector<ServerPointer>& ofService(const ServiceName& service) const;
   const absl::btree_map<std::string, ServerPointer>& all() const { return servers_; }
+  // By the hash of its id; null: there is none.
+  ServerPointer findByHash(uint64_t identity_hash) const;
   // Of a slot in use; null: it is free.
   ServerPointer bySlot(EngineSlot slot) const;
 
@@ -94,6 +96,7 @@
 
   absl::btree_map<std::string, ServerPointer> servers_;
   absl::flat_hash_map<ServiceName, std::vector<ServerPointer>> by_service_;
+  absl::flat_hash_map<uint64_t, ServerPointer> by_hash_;
   std::vector<ServerPointer> by_slot_;
   std::vector<EngineSlot> freed_;
   absl::flat_hash_map<NodeId, std::vector<PeerLoad>> peer_loads_;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -73,6 +73,8 @@
     : core_(std::move(settings), std::move(dialect), log_descriptor),
       pool_(core_),
       follower_(core_),
+      peers_(core_),
+      orders_(core_, peers_),
       signals_(core_.reactor, SIGTERM, SIGINT, SIGHUP) {}
 
 Gateway::~Gateway() = default;
@@ -91,6 +93,8 @@
   core_.log.event("start", reactor::steadyNow()).with("zone", core_.settings.zone.value());
   awaitSignal();
   follower_.start();
+  peers_.start();
+  orders_.start();
   tick();
   return outcome::success();
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -12,6 +12,8 @@
 #include "gateway/back_end_pool.h"
 #include "gateway/caller_connection.h"
 #include "gateway/core.h"
+#include "gateway/order_giver.h"
+#include "gateway/peer_exchange.h"
 #include "gateway/site_follower.h"
 #include "reactor/connection.h"
 
@@ -48,6 +50,8 @@
   Core core_;
   BackEndPool pool_;
   SiteFollower follower_;
+  PeerExchange peers_;
+  OrderGiver orders_;
   boost::asio::signal_set signals_;
   std::unique_ptr<reactor::Listener> callers_;
   std::unique_ptr<reactor::Listener> readiness_;
--- /dev/null
+++ b/src/gateway/order_giver.cc
@@ -0,0 +1,311 @@
+#include "gateway/order_giver.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace quincewick::gateway {
+namespace {
+
+constexpr const char* kTable = "gateway-lease";
+constexpr const char* kRow = "orders";
+constexpr absl::Duration kTick = absl::Milliseconds(100);
+constexpr absl::Duration kRenewal = absl::Milliseconds(700);
+constexpr absl::Duration kCallLimit = absl::Milliseconds(500);
+constexpr absl::Duration kReportPause = absl::Milliseconds(150);
+constexpr absl::Duration kTurnStep =
+    absl::Milliseconds(400);  // between the turns of gateways to take the lease
+constexpr absl::Duration kPursuitPause = absl::Milliseconds(500);
+constexpr absl::Duration kClosedFor =
+    absl::Milliseconds(3500);  // an engine with an order, unless told otherwise
+constexpr absl::Duration kReservedFor = absl::Milliseconds(1500);
+constexpr absl::Duration kReportLag =
+    absl::Milliseconds(700);  // after which a report must show an order taken
+constexpr absl::Duration kLoadLimit = absl::Seconds(6);
+constexpr uint32_t kFailuresAtMost = 3;
+constexpr int kOk = 200;
+constexpr int kAccepted = 202;
+constexpr int kFenced = 412;
+constexpr int kMisdirected = 421;
+
+}  // namespace
+
+OrderGiver::OrderGiver(Core& core, PeerExchange& peers)
+    : core_(core),
+      peers_(peers),
+      store_(core),
+      lease_(core.settings.gateway_id, core.settings.bounds.order_lease) {}
+
+void OrderGiver::tick() {
+  const absl::Time now = reactor::steadyNow();
+  bool is_due = false;
+  for (const auto& [model, versions] : core_.weights.all()) {
+    const auto plan = forwarding::planRollout(enginesOf(model, now), model, core_.weights,
+                                              core_.settings.bounds.weights_in_force, load_time_.expected(),
+                                              forwarding::RolloutSettings(), now);
+    // The lease is taken a moment before the first order.
+    is_due = is_due || now >= plan.next_start - kTurnStep;
+  }
+  is_due = is_due || !loads_.empty();
+  if (!is_due || core_.is_stopping) {
+    due_since_ = absl::InfiniteFuture();
+  } else {
+    due_since_ = std::min(due_since_, now);
+    if (lease_.holds(now)) {
+      renewLease(now);
+    } else if (now >= std::max(due_since_ + turnDelay(now), next_pursuit_)) {
+      next_pursuit_ = now + kPursuitPause;
+      pursueLease(now);
+    }
+  }
+  if (lease_.mayOrder(now) && !core_.is_stopping) {
+    for (const auto& [model, versions] : core_.weights.all()) {
+      plan(model, now);
+    }
+  }
+  core_.timers.schedule(now + kTick, [this] { tick(); });
+}
+
+// Gateways try in the order of their ids, so that they don't all write at once.
+absl::Duration OrderGiver::turnDelay(absl::Time now) const {
+  const std::vector<NodeId> peers = peers_.livePeers(now);
+  const auto before = std::count_if(peers.begin(), peers.end(),
+                                    [this](const NodeId& peer) { return peer < core_.settings.gateway_id; });
+  return kTurnStep * std::min<double>(static_cast<double>(before), 5);
+}
+
+std::vector<forwarding::RolloutEngine> OrderGiver::enginesOf(const ModelName& model, absl::Time now) const {
+  std::vector<forwarding::RolloutEngine> engines;
+  for (const auto& [id, server] : core_.directory.all()) {
+    const auto version = server->versionOf(model);
+    if (version && !server->entry.is_draining) {
+      const bool is_reachable = now >= server->ejected_until;
+      engines.push_back(
+          {id, *version, loads_.contains(id), now < server->loading_until, is_reachable, server->running()});
+    }
+  }
+  return engines;
+}
+
+void OrderGiver::pursueLease(absl::Time now) {
+  if (std::exchange(store_call_under_way_, true)) {
+    return;
+  }
+  store_.read(kTable, kRow, 1, [this, now](StoreStatus status, const forwarding::StoreRows& answer) {
+    store_call_under_way_ = false;
+    if (status != StoreStatus::kDone) {
+      due_since_ = reactor::steadyNow();
+      return;
+    }
+    const bool is_there = !answer.rows.empty() && answer.rows.front().key == kRow;
+    const auto record = is_there ? forwarding::parseLeaseRecord(answer.rows.front().value) : std::nullopt;
+    const uint64_t version = is_there ? answer.rows.front().version : 0;
+    const auto write = lease_.onRead(record, version, {answer.clock, now, reactor::steadyNow()});
+    if (write) {
+      writeLease(*write);
+    } else {
+      due_since_ = reactor::steadyNow();  // another holds it
+    }
+  });
+}
+
+void OrderGiver::renewLease(absl::Time now) {
+  if (now < next_renewal_ || store_call_under_way_) {
+    return;
+  }
+  if (const auto write = lease_.renew(now)) {
+    writeLease(*write);
+  }
+}
+
+void OrderGiver::writeLease(const forwarding::LeaseWrite& write) {
+  store_call_under_way_ = true;
+  const absl::Time began = reactor::steadyNow();
+  next_renewal_ = began + kRenewal;
+  forwarding::StoreRow row;
+  row.table = kTable;
+  row.key = kRow;
+  row.value = forwarding::printLeaseRecord(write.record);
+  store_.write(
+      row, write.expected_version, [this, began](StoreStatus status, const forwarding::StoreRows& answer) {
+        store_call_under_way_ = false;
+        const absl::Time now = reactor::steadyNow();
+        const bool was_held = lease_.holds(now);
+        if (status == StoreStatus::kDone) {
+          lease_.onWritten(answer.version, {answer.clock, began, now});
+          if (!was_held) {
+            core_.log.event("lease_taken", now).with("fence", static_cast<int64_t>(lease_.fence().value()));
+          }
+          return;
+        }
+        lease_.onNotWritten();
+        if (was_held) {
+          core_.log.event("lease_lost", now).with("why", static_cast<int64_t>(status));
+        }
+      });
+}
+
+void OrderGiver::plan(const ModelName& model, absl::Time now) {
+  const auto plan = forwarding::planRollout(enginesOf(model, now), model, core_.weights,
+                                            core_.settings.bounds.weights_in_force, load_time_.expected(),
+                                            forwarding::RolloutSettings(), now);
+  for (const std::string& id : plan.order) {
+    begin(id, model, now);
+  }
+  for (const std::string& id : plan.reserve) {
+    const auto server = core_.directory.find(id);
+    if (server != nullptr && now >= server->loading_until) {
+      close(server, model, kReservedFor);
+    }
+  }
+}
+
+void OrderGiver::begin(const std::string& server_id, const ModelName& model, absl::Time now) {
+  const auto server = core_.directory.find(server_id);
+  if (server == nullptr) {
+    return;
+  }
+  Load load;
+  load.server = server;
+  load.model = model;
+  load.target = core_.weights.newest(model);
+  load.began = now;
+  load.caller = std::make_unique<reactor::HttpCaller>(core_.reactor, core_.timers, server->entry.address);
+  loads_.emplace(server_id, std::move(load));
+  close(server, model, kClosedFor);
+  askReport(server_id);
+}
+
+void OrderGiver::close(const forwarding::ServerDirectory::ServerPointer& server, const ModelName& model,
+                       absl::Duration closed_for) {
+  const absl::Time now = reactor::steadyNow();
+  server->loading_until = closed_for == absl::ZeroDuration() ? absl::InfinitePast() : now + closed_for;
+  EngineDigest digest;
+  digest.server = server->identity_hash;
+  digest.model = XXH3_64bits(model.value().data(), model.value().size());
+  digest.version = server->versionOf(model).value_or(WeightsVersion()).value();
+  digest.closed_ms = static_cast<uint32_t>(absl::ToInt64Milliseconds(closed_for));
+  peers_.announce(digest);
+}
+
+void OrderGiver::askReport(const std::string& server_id) {
+  loads_.at(server_id).caller->call(
+      core_.dialect->askReport(), kCallLimit,
+      [this, server_id](const Result<reactor::HttpReply>& reply) { takeReport(server_id, reply); });
+}
+
+void OrderGiver::takeReport(const std::string& server_id, const Result<reactor::HttpReply>& reply) {
+  Load& load = loads_.at(server_id);
+  const absl::Time now = reactor::steadyNow();
+  const bool is_given_up = now - load.began > kLoadLimit || !load.server->is_listed || core_.is_stopping;
+  if (is_given_up) {
+    finish(server_id, false);
+    return;
+  }
+  if (reply.has_error() || reply.value().status != kOk) {
+    if (++load.failures >= kFailuresAtMost) {
+      forwarding::ServerDirectory::noteConnectFailure(*load.server, now);
+      finish(server_id, false);
+      return;
+    }
+    askAgain(server_id, kReportPause);
+    return;
+  }
+  const auto report = core_.dialect->readReport(reply.value().body);
+  if (report.has_error()) {
+    finish(server_id, false);
+    return;
+  }
+  for (const LoadedModel& model : report.value().models) {
+    if (model.model == load.model) {
+      forwarding::ServerDirectory::noteVersion(*load.server, load.model, model.weights_version);
+    }
+  }
+  if (load.server->versionOf(load.model).value_or(WeightsVersion()) >= load.target &&
+      !report.value().is_busy) {
+    finish(server_id, true);
+    return;
+  }
+  const bool may_be_under_way = report.value().is_busy || now - load.ordered < kReportLag;
+  if (may_be_under_way) {
+    askAgain(server_id, kReportPause);
+    return;
+  }
+  giveOrder(server_id, report.value().orders_taken);
+}
+
+void OrderGiver::giveOrder(const std::string& server_id, uint64_t orders_taken) {
+  Load& load = loads_.at(server_id);
+  const absl::Time now = reactor::steadyNow();
+  if (!lease_.mayOrder(now)) {
+    finish(server_id, false);
+    return;
+  }
+  load.target = core_.weights.newest(load.model);
+  load.ordered = now;
+  core_.log.event("order", now)
+      .with("server", server_id)
+      .with("version", static_cast<int64_t>(load.target.value()))
+      .with("fence", static_cast<int64_t>(lease_.fence().value()))
+      .with("orders_taken", static_cast<int64_t>(orders_taken));
+  load.caller->call(core_.dialect->loadWeights({load.model, load.target}, core_.settings.gateway_id.value(),
+                                               lease_.fence(), orders_taken, server_id),
+                    kCallLimit, [this, server_id](const Result<reactor::HttpReply>& reply) {
+                      takeOrderAnswer(server_id, reply);
+                    });
+}
+
+void OrderGiver::takeOrderAnswer(const std::string& server_id, const Result<reactor::HttpReply>& reply) {
+  Load& load = loads_.at(server_id);
+  const absl::Time now = reactor::steadyNow();
+  const int status = reply.has_value() ? reply.value().status : 0;
+  core_.log.event("order_answered", now).with("server", server_id).with("status", status);
+  if (status == kOk) {
+    forwarding::ServerDirectory::noteVersion(*load.server, load.model, load.target);
+    finish(server_id, true);
+    return;
+  }
+  if (status == kMisdirected) {
+    forwarding::ServerDirectory::noteReplaced(*load.server, now);
+    finish(server_id, false);
+    return;
+  }
+  if (status == kFenced) {
+    lease_.onFenced();
+    finish(server_id, false);
+    return;
+  }
+  const bool was_refused = reply.has_value() && status != kAccepted;
+  if (was_refused) {
+    load.ordered = absl::InfinitePast();
+  }
+  askAgain(server_id, kReportPause);
+}
+
+void OrderGiver::askAgain(const std::string& server_id, absl::Duration after) {
+  core_.timers.schedule(reactor::steadyNow() + after, [this, server_id] {
+    if (loads_.contains(server_id)) {
+      askReport(server_id);
+    }
+  });
+}
+
+void OrderGiver::finish(const std::string& server_id, bool is_done) {
+  const auto found = loads_.find(server_id);
+  Load load = std::move(found->second);
+  loads_.erase(found);
+  const absl::Time now = reactor::steadyNow();
+  if (is_done) {
+    load_time_.note(now - load.began);
+  }
+  core_.log.event("load_ended", now)
+      .with("server", server_id)
+      .with("done", is_done ? "true" : "false")
+      .with("took_ms", now - load.began);
+  close(load.server, load.model, absl::ZeroDuration());
+  // The caller is in the middle of its answer: it goes once the reactor is back.
+  core_.timers.schedule(now, [caller = std::shared_ptr<reactor::HttpCaller>(std::move(load.caller))] {});
+}
+
+}  // namespace quincewick::gateway
--- /dev/null
+++ b/src/gateway/order_giver.h
@@ -0,0 +1,69 @@
+// Brings engines to newly named weights: takes the lease when it is this gateway's turn, gives orders, and
+// follows each until the engine serves the new version.
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "forwarding/order_lease.h"
+#include "forwarding/rollout_planner.h"
+#include "gateway/core.h"
+#include "gateway/peer_exchange.h"
+#include "gateway/store_client.h"
+#include "reactor/http_caller.h"
+
+namespace quincewick::gateway {
+
+class OrderGiver {
+ public:
+  OrderGiver(Core& core, PeerExchange& peers);
+
+  void start() { tick(); }
+
+ private:
+  // One engine's order, from its first question to the engine's new version.
+  struct Load {
+    forwarding::ServerDirectory::ServerPointer server;
+    ModelName model;
+    WeightsVersion target;
+    absl::Time began;
+    absl::Time ordered = absl::InfinitePast();  // the last order that may have been accepted
+    std::unique_ptr<reactor::HttpCaller> caller;
+    uint32_t failures = 0;
+  };
+
+  void tick();
+  void plan(const ModelName& model, absl::Time now);
+  std::vector<forwarding::RolloutEngine> enginesOf(const ModelName& model, absl::Time now) const;
+  absl::Duration turnDelay(absl::Time now) const;
+  void pursueLease(absl::Time now);
+  void renewLease(absl::Time now);
+  void writeLease(const forwarding::LeaseWrite& write);
+
+  void begin(const std::string& server_id, const ModelName& model, absl::Time now);
+  void close(const forwarding::ServerDirectory::ServerPointer& server, const ModelName& model,
+             absl::Duration closed_for);
+  void askReport(const std::string& server_id);
+  void takeReport(const std::string& server_id, const Result<reactor::HttpReply>& reply);
+  void giveOrder(const std::string& server_id, uint64_t orders_taken);
+  void takeOrderAnswer(const std::string& server_id, const Result<reactor::HttpReply>& reply);
+  void askAgain(const std::string& server_id, absl::Duration after);
+  void finish(const std::string& server_id, bool is_done);
+
+  Core& core_;
+  PeerExchange& peers_;
+  StoreClient store_;
+  forwarding::OrderLease lease_;
+  bool store_call_under_way_ = false;
+  absl::Time next_renewal_ = absl::InfinitePast();
+  absl::Time next_pursuit_ = absl::InfinitePast();
+  absl::Time due_since_ = absl::InfiniteFuture();
+  forwarding::LoadTime load_time_;
+  absl::flat_hash_map<std::string, Load> loads_;  // by server id
+};
+
+}  // namespace quincewick::gateway
--- /dev/null
+++ b/src/gateway/peer_digest.h
@@ -0,0 +1,56 @@
+// What gateways tell each other, several times a second: their work at servers, where they placed shared
+// parts of prompts, and what the giver of orders knows of engines. One datagram, encoded by cereal.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "types/back_end.h"
+#include "types/block_key.h"
+#include "types/error.h"
+
+namespace quincewick::gateway {
+
+// A server is named by the hash of its id.
+struct LoadDigest {
+  uint64_t server = 0;
+  uint16_t running = 0;
+  uint32_t prefill_tokens = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(server, running, prefill_tokens);
+  }
+};
+
+struct PlacementDigest {
+  uint64_t server = 0;
+  std::vector<BlockKey> keys;
+};
+
+struct EngineDigest {
+  uint64_t server = 0;
+  uint64_t model = 0;      // the hash of its name
+  uint64_t version = 0;    // of the weights it has; 0: not known
+  uint32_t closed_ms = 0;  // it takes no new requests for so long
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(server, model, version, closed_ms);
+  }
+};
+
+struct PeerDigest {
+  Address address;  // where the sender takes datagrams
+  std::vector<LoadDigest> loads;
+  std::vector<PlacementDigest> placements;
+  std::vector<EngineDigest> engines;
+};
+
+std::string encodeDigest(const PeerDigest& digest);
+// Decodes untrusted bytes. Errors: kInvalidArgument.
+Result<PeerDigest> decodeDigest(std::string_view bytes);
+
+}  // namespace quincewick::gateway
