--- a/src/forwarding/rollout_planner.cc
+++ b/src/forwarding/rollout_planner.cc
@@ -63,7 +63,8 @@
     return plan;
   }
   const size_t free = at_once > loading ? at_once - loading : 0;
-  for (size_t index = 0; index < pending.size() && index < free + at_once; ++index) {
+  for (size_t index = 0; index < pending.size() && index < free + size_t{at_once} * settings.reserved_rounds;
+       ++index) {
     if (index < free) {
       plan.order.push_back(pending[index].id);
     } else {
--- a/src/forwarding/weights_register.cc
+++ b/src/forwarding/weights_register.cc
@@ -7,21 +7,25 @@
 namespace {
 
 // A version is learnt of some time after it was named.
-constexpr absl::Duration kLearningMargin = absl::Milliseconds(1200);
+constexpr absl::Duration kLearningMargin = absl::Milliseconds(600);
 constexpr size_t kVersionsKept = 16;
 
 }  // namespace
 
-bool WeightsRegister::note(const NamedWeights& weights, absl::Time now) {
+bool WeightsRegister::note(const NamedWeights& weights, absl::Time named) {
   auto& versions = versions_[weights.model];
-  if (!versions.empty() && weights.version <= versions.back().first) {
+  const auto place = std::find_if(versions.begin(), versions.end(),
+                                  [&weights](const auto& known) { return known.first >= weights.version; });
+  if (place != versions.end() && place->first == weights.version) {
+    place->second = std::min(place->second, named);
     return false;
   }
-  versions.emplace_back(weights.version, now);
+  const bool is_newest = place == versions.end();
+  versions.emplace(place, weights.version, named);
   if (versions.size() > kVersionsKept) {
     versions.erase(versions.begin());
   }
-  return true;
+  return is_newest;
 }
 
 WeightsVersion WeightsRegister::newest(const ModelName& model) const {
--- a/src/forwarding/weights_register.h
+++ b/src/forwarding/weights_register.h
@@ -15,8 +15,9 @@
   // `in_force`: from a version's naming until requests begin on no older one.
   explicit WeightsRegister(absl::Duration in_force) : in_force_(in_force) {}
 
-  // Returns whether the version is news.
-  bool note(const NamedWeights& weights, absl::Time now);
+  // The version was named at that time, or before; the earliest time counts. Returns whether it is the newest
+  // and news.
+  bool note(const NamedWeights& weights, absl::Time named);
   // The newest version that was named; zero: none.
   WeightsVersion newest(const ModelName& model) const;
   // The least version on which a request may begin now.
@@ -29,7 +30,7 @@
 
  private:
   absl::Duration in_force_;
-  // Rising versions, each with the time when it was learnt of.
+  // Rising versions, each with the time when it was named, as far as known.
   absl::flat_hash_map<ModelName, std::vector<std::pair<WeightsVersion, absl::Time>>> versions_;
 };
 
--- a/src/gateway/core.cc
+++ b/src/gateway/core.cc
@@ -38,6 +38,13 @@
       budget(budgetSettings(settings)),
       weights(settings.bounds.weights_in_force) {}
 
+std::optional<absl::Duration> Core::storeClock(absl::Time now) const {
+  if (!store_clock_ahead) {
+    return std::nullopt;
+  }
+  return *store_clock_ahead + (now - absl::UnixEpoch());
+}
+
 bool Core::keysAreConfirmed(absl::Time now) const {
   return now - in_force.confirmed < settings.bounds.key_revocation - kRevocationMargin;
 }
--- a/src/gateway/core.h
+++ b/src/gateway/core.h
@@ -6,6 +6,8 @@
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
+#include <optional>
+#include <vector>
 
 #include "forwarding/dialect.h"
 #include "forwarding/engine_placement.h"
@@ -45,11 +47,16 @@
     std::vector<BlockKey> keys;
   };
   std::vector<NewPlacement> new_placements;
+  // The store's clock less this node's, as its last answer told; nothing before the first one.
+  std::optional<absl::Duration> store_clock_ahead;
   bool is_stopping = false;
+  bool refuses_requests = false;  // late in a stop: what comes now is told to go elsewhere
   bool knows_servers = false;
   size_t requests_under_way = 0;
   uint64_t split_counter = 0;  // spreads requests over a route's services by their weights
 
+  // The store's clock now, as far as known.
+  std::optional<absl::Duration> storeClock(absl::Time now) const;
   // Whether a request under a key may be sent now.
   bool keysAreConfirmed(absl::Time now) const;
 };
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -74,6 +74,10 @@
 }
 
 bool Exchange::admit() {
+  if (core_.refuses_requests) {
+    refuse(kUnavailable, "stopping");
+    return false;
+  }
   if (configuration_ == nullptr) {
     refuse(kUnavailable, "no_configuration");
     return false;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -10,7 +10,8 @@
 namespace {
 
 constexpr absl::Duration kTick = absl::Milliseconds(200);
-// Callers' entry asks each second and takes a gateway out after two answers that it is not ready.
+// Callers' entry asks each second and takes a gateway out after two answers that it is not ready. What still
+// comes after that is told at once to go elsewhere.
 constexpr absl::Duration kShortestStop = absl::Milliseconds(2600);
 constexpr absl::Duration kStopMargin = absl::Milliseconds(400);
 constexpr reactor::MessageLimits kReadinessLimits = {8192, 8192};
@@ -168,6 +169,8 @@
   if (stopping < kShortestStop) {
     return;
   }
+  core_.refuses_requests = true;
+  callers_->close();
   std::vector<std::shared_ptr<CallerConnection>> idle;
   for (const auto& [pointer, connection] : connections_) {
     if (!connection->isServing()) {
--- a/src/gateway/site_follower.cc
+++ b/src/gateway/site_follower.cc
@@ -27,6 +27,7 @@
 
 SiteFollower::SiteFollower(Core& core)
     : core_(core),
+      weights_record_(core),
       operator_rows_(
           core, operatorSettings(core),
           [this](const auto& rows, bool whole, absl::Time began) { takeOperatorRows(rows, whole, began); }),
@@ -34,6 +35,7 @@
                [this](const auto& rows, bool whole, absl::Time /*began*/) { takeServers(rows, whole); }) {}
 
 void SiteFollower::start() {
+  weights_record_.start();
   operator_rows_.start();
   servers_.start();
 }
@@ -50,9 +52,13 @@
         core_.log.event("weights_named", reactor::steadyNow())
             .with("model", weights.value().model.value())
             .with("version", static_cast<int64_t>(weights.value().version.value()));
+        if (has_read_rows_) {
+          weights_record_.record(weights.value());
+        }
       }
     }
   }
+  has_read_rows_ = has_read_rows_ || whole;
 }
 
 // Only a whole reading confirms: a change that is told late must not pass for a newer look.
--- a/src/gateway/site_follower.h
+++ b/src/gateway/site_follower.h
@@ -5,6 +5,7 @@
 
 #include "gateway/core.h"
 #include "gateway/table_follower.h"
+#include "gateway/weights_record.h"
 
 namespace quincewick::gateway {
 
@@ -22,6 +23,8 @@
 
   Core& core_;
   uint64_t configuration_row_ = 0;  // the store's version of the row in force
+  bool has_read_rows_ = false;      // what is named from now on is news
+  WeightsRecord weights_record_;
   TableFollower operator_rows_;
   TableFollower servers_;
 };
--- a/src/gateway/store_client.cc
+++ b/src/gateway/store_client.cc
@@ -37,6 +37,7 @@
                    auto read = core_.dialect->readRowsAnswer(reply.value().body);
                    if (read.has_value()) {
                      rows = std::move(read.value());
+                     core_.store_clock_ahead = rows.clock - (reactor::steadyNow() - absl::UnixEpoch());
                    } else {
                      status = StoreStatus::kUnknown;
                    }
--- /dev/null
+++ b/src/gateway/weights_record.h
@@ -0,0 +1,26 @@
+// When each version of weights was named, kept in the store: a gateway that starts later knows by when
+// engines must have it.
+#pragma once
+
+#include <string>
+
+#include "gateway/core.h"
+#include "gateway/store_client.h"
+
+namespace quincewick::gateway {
+
+class WeightsRecord {
+ public:
+  explicit WeightsRecord(Core& core) : core_(core), store_(core) {}
+
+  // Reads what was recorded before this process began.
+  void start();
+  // A version was named just now, as the store told.
+  void record(const forwarding::NamedWeights& weights);
+
+ private:
+  Core& core_;
+  StoreClient store_;
+};
+
+}  // namespace quincewick::gateway
