A stopping giver of orders carries on with them; engines near a version's bound are avoided

Change: a gateway that stops goes on with the orders of its lease to the end of its grace; engines whose version runs out within 1.8 s are used only where there is no other, within 1 s not at all.

--- a/src/forwarding/weights_register.cc
+++ b/src/forwarding/weights_register.cc
@@ -8,6 +8,9 @@
 
 // A version is learnt of some time after it was named.
 constexpr absl::Duration kLearningMargin = absl::Milliseconds(600);
+// A request may wait at a full engine before it begins.
+constexpr absl::Duration kQueueMargin = absl::Milliseconds(400);
+constexpr absl::Duration kPreferenceMargin = absl::Milliseconds(1200);
 constexpr size_t kVersionsKept = 16;
 
 }  // namespace
@@ -34,6 +37,14 @@
 }
 
 WeightsVersion WeightsRegister::required(const ModelName& model, absl::Time now) const {
+  return dueAt(model, now + kQueueMargin);
+}
+
+WeightsVersion WeightsRegister::preferred(const ModelName& model, absl::Time now) const {
+  return dueAt(model, now + kPreferenceMargin);
+}
+
+WeightsVersion WeightsRegister::dueAt(const ModelName& model, absl::Time now) const {
   WeightsVersion required;
   const auto found = versions_.find(model);
   if (found != versions_.end()) {
--- a/src/forwarding/weights_register.h
+++ b/src/forwarding/weights_register.h
@@ -20,8 +20,10 @@
   bool note(const NamedWeights& weights, absl::Time named);
   // The newest version that was named; zero: none.
   WeightsVersion newest(const ModelName& model) const;
-  // The least version on which a request may begin now.
+  // The least version on which a request may be sent now: it may still wait at the engine.
   WeightsVersion required(const ModelName& model, absl::Time now) const;
+  // The least version that requests should be sent to where there is a choice.
+  WeightsVersion preferred(const ModelName& model, absl::Time now) const;
   // By when an engine with that version must have a newer one; InfiniteFuture: it has the newest.
   absl::Time deadlineOf(const ModelName& model, WeightsVersion version) const;
   const absl::flat_hash_map<ModelName, std::vector<std::pair<WeightsVersion, absl::Time>>>& all() const {
@@ -29,6 +31,8 @@
   }
 
  private:
+  WeightsVersion dueAt(const ModelName& model, absl::Time now) const;
+
   absl::Duration in_force_;
   // Rising versions, each with the time when it was named, as far as known.
   absl::flat_hash_map<ModelName, std::vector<std::pair<WeightsVersion, absl::Time>>> versions_;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -177,9 +177,14 @@
   request.model = facts_.model;
   request.prompt = facts_.prompt;
   request.isolation = tenant_ != nullptr && tenant_->is_isolated ? tenant_->id.value() : "";
-  engine_ = core_.placement.choose(request, core_.directory.ofService(service_), core_.directory,
-                                   configuration_->cacheStore(), tried_,
-                                   core_.weights.required(facts_.model, now), now);
+  const auto choose = [&](WeightsVersion least) {
+    return core_.placement.choose(request, core_.directory.ofService(service_), core_.directory,
+                                  configuration_->cacheStore(), tried_, least, now);
+  };
+  engine_ = choose(core_.weights.preferred(facts_.model, now));
+  if (!engine_) {
+    engine_ = choose(core_.weights.required(facts_.model, now));
+  }
   if (!engine_) {
     return false;
   }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -180,7 +180,8 @@
   for (const auto& connection : idle) {
     connection->stopSoon();
   }
-  if (core_.requests_under_way == 0 || grace_is_over) {
+  const bool is_done = core_.requests_under_way == 0 && !orders_.isCarryingOut(reactor::steadyNow());
+  if (is_done || grace_is_over) {
     core_.log.event("stopped", reactor::steadyNow())
         .with("under_way", static_cast<int64_t>(core_.requests_under_way));
     core_.reactor.stop();
--- a/src/gateway/order_giver.cc
+++ b/src/gateway/order_giver.cc
@@ -39,16 +39,16 @@
 
 void OrderGiver::tick() {
   const absl::Time now = reactor::steadyNow();
-  bool is_due = false;
+  is_due_ = !loads_.empty();
   for (const auto& [model, versions] : core_.weights.all()) {
     const auto plan = forwarding::planRollout(enginesOf(model, now), model, core_.weights,
                                               core_.settings.bounds.weights_in_force, load_time_.expected(),
                                               forwarding::RolloutSettings(), now);
     // The lease is taken a moment before the first order.
-    is_due = is_due || now >= plan.next_start - kTurnStep;
+    is_due_ = is_due_ || now >= plan.next_start - kTurnStep;
   }
-  is_due = is_due || !loads_.empty();
-  if (!is_due || core_.is_stopping) {
+  // A gateway that stops goes on with what it holds, but takes nothing new.
+  if (!is_due_ || (core_.is_stopping && !lease_.holds(now))) {
     due_since_ = absl::InfiniteFuture();
   } else {
     due_since_ = std::min(due_since_, now);
@@ -59,7 +59,7 @@
       pursueLease(now);
     }
   }
-  if (lease_.mayOrder(now) && !core_.is_stopping) {
+  if (lease_.mayOrder(now)) {
     for (const auto& [model, versions] : core_.weights.all()) {
       plan(model, now);
     }
@@ -198,7 +198,7 @@
 void OrderGiver::takeReport(const std::string& server_id, const Result<reactor::HttpReply>& reply) {
   Load& load = loads_.at(server_id);
   const absl::Time now = reactor::steadyNow();
-  const bool is_given_up = now - load.began > kLoadLimit || !load.server->is_listed || core_.is_stopping;
+  const bool is_given_up = now - load.began > kLoadLimit || !load.server->is_listed;
   if (is_given_up) {
     finish(server_id, false);
     return;
--- a/src/gateway/order_giver.h
+++ b/src/gateway/order_giver.h
@@ -23,6 +23,8 @@
   OrderGiver(Core& core, PeerExchange& peers);
 
   void start() { tick(); }
+  // Whether orders are still to be given by this gateway, so that a planned stop waits for them.
+  bool isCarryingOut(absl::Time now) const { return lease_.holds(now) && is_due_; }
 
  private:
   // One engine's order, from its first question to the engine's new version.
@@ -59,6 +61,7 @@
   StoreClient store_;
   forwarding::OrderLease lease_;
   bool store_call_under_way_ = false;
+  bool is_due_ = false;  // some engine must be given an order now or soon
   absl::Time next_renewal_ = absl::InfinitePast();
   absl::Time next_pursuit_ = absl::InfinitePast();
   absl::Time due_since_ = absl::InfiniteFuture();
