The cache store is every request's source of last resort; digests each 100 ms

With digests each 250 ms, gateways chose by old loads. Change: where no engine is known to keep more, the store is the source (a miss costs 1 ms); small shared parts are kept there too.

--- a/src/forwarding/engine_placement.cc
+++ b/src/forwarding/engine_placement.cc
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr uint64_t kFewestTokensToFetch = 48;
-constexpr uint64_t kFewestTokensToStore = 512;
+constexpr uint64_t kFewestTokensToStore = 48;
 constexpr double kFailureSeconds = 0.05;  // one failure just now
 constexpr double kFullSeconds = 2;
 
@@ -173,12 +173,14 @@
   }
   choice.fetched_tokens = most - least.kept;
   choice.read_tokens = chain.all_tokens - most;
+  choice.shared_tokens = chain.shared_tokens;
   const uint64_t unknown = chain.shared_tokens - most;
   if (cache_store != nullptr && unknown >= kFewestTokensToStore) {
     choice.memory_target = cache_store->address;
-    if (!choice.memory_source) {
-      choice.memory_source = cache_store->address;
-    }
+  }
+  // An engine may have given up what it is believed to keep: a miss at the store costs next to nothing.
+  if (cache_store != nullptr && !choice.memory_source) {
+    choice.memory_source = cache_store->address;
   }
   return choice;
 }
--- a/src/forwarding/engine_placement.h
+++ b/src/forwarding/engine_placement.h
@@ -46,6 +46,7 @@
   uint64_t cached_tokens = 0;   // believed to be kept there
   uint64_t fetched_tokens = 0;  // believed to be fetched
   uint64_t read_tokens = 0;     // to be read there
+  uint64_t shared_tokens = 0;   // of all parts but the own one
   std::optional<Address> memory_source;
   std::optional<Address> memory_target;
   std::vector<BlockKey> shared_keys;  // of the shared parts, in order
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -317,12 +317,23 @@
     server_->own.prefill_tokens -= std::min(server_->own.prefill_tokens, counted_.prefill_tokens);
     counted_.prefill_tokens = 0;
   }
+  notePiece();
   passHead();
   if (sink_ != nullptr) {
     sink_->sendBody(out);
   }
 }
 
+void Exchange::notePiece() {
+  const absl::Time now = reactor::steadyNow();
+  if (first_piece_ == absl::InfiniteFuture()) {
+    first_piece_ = now;
+  } else {
+    longest_pause_ = std::max(longest_pause_, now - last_piece_);
+  }
+  last_piece_ = now;
+}
+
 void Exchange::passHead() {
   if (head_passed_) {
     return;
@@ -496,13 +507,25 @@
   done_ = true;
   core_.timers.cancel(deadline_timer_);
   const absl::Time now = reactor::steadyNow();
-  core_.log.event("request", now)
-      .with("request", facts_.attempt_id)
+  auto line = core_.log.event("request", now);
+  line.with("request", facts_.attempt_id)
       .with("route", route_ == nullptr ? "" : route_->name)
+      .with("tenant", tenant_ == nullptr ? "" : tenant_->id.value())
       .with("outcome", outcome)
       .with("status", answer_.status)
       .with("server", server_ == nullptr ? "" : server_->entry.id)
+      .with("tries", static_cast<int64_t>(tried_.size()))
       .with("took_ms", now - began_);
+  if (first_piece_ != absl::InfiniteFuture()) {
+    line.with("first_ms", first_piece_ - began_).with("pause_ms", longest_pause_);
+  }
+  if (engine_) {
+    line.with("weights", static_cast<int64_t>(engine_->version.value()))
+        .with("kept", static_cast<int64_t>(engine_->cached_tokens))
+        .with("moved", static_cast<int64_t>(engine_->fetched_tokens))
+        .with("read", static_cast<int64_t>(engine_->read_tokens))
+        .with("shared", static_cast<int64_t>(engine_->shared_tokens));
+  }
   AnswerSink* const sink = std::exchange(sink_, nullptr);
   if (sink != nullptr) {
     sink->finish();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -52,6 +52,7 @@
   void endAttempt(forwarding::AttemptEnd end);
   void releaseServer();
   void passEvents(std::string_view bytes);
+  void notePiece();
   void passHead();
   void passKeptAnswer();
   void keepOrPass(std::string bytes);
@@ -93,6 +94,9 @@
   // Of the answer to the caller.
   bool head_passed_ = false;
   std::optional<uint64_t> last_event_;
+  absl::Time first_piece_ = absl::InfiniteFuture();  // when the first one was passed on
+  absl::Time last_piece_ = absl::InfinitePast();
+  absl::Duration longest_pause_ = absl::ZeroDuration();  // between pieces
   bool done_ = false;
   std::shared_ptr<Exchange> keep_alive_;  // while it goes on without its caller
 };
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -16,7 +16,7 @@
 constexpr const char* kTable = "gateway-peers";
 constexpr const char* kKeyRow = "!key";  // sorts before the gateways' rows
 constexpr uint32_t kRowsAtOnce = 500;
-constexpr absl::Duration kDigestInterval = absl::Milliseconds(250);
+constexpr absl::Duration kDigestInterval = absl::Milliseconds(100);
 constexpr absl::Duration kSilence = absl::Milliseconds(1200);
 constexpr absl::Duration kRowsInterval = absl::Seconds(10);
 constexpr absl::Duration kRetryPause = absl::Milliseconds(300);
