--- /dev/null
+++ b/tests/forwarding/attempt_ledger_test.cc
@@ -0,0 +1,87 @@
+#include "forwarding/attempt_ledger.h"
+
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+#include <vector>
+
+namespace quincewick::forwarding {
+namespace {
+
+constexpr int kUnavailable = 503;
+
+// What truly happened at the servers, kept apart from the ledger.
+struct Truth {
+  uint32_t runs_possible = 0;
+  uint32_t sent = 0;
+};
+
+// Ends that the request's attempts meet in turn, while the ledger allows a further one.
+Truth play(AttemptLedger& ledger, const std::vector<AttemptEnd>& ends) {
+  Truth truth;
+  for (const AttemptEnd end : ends) {
+    if (!ledger.mayTryAgain()) {
+      break;
+    }
+    if (end != AttemptEnd::kNeverSent) {
+      ledger.noteSent();
+      ++truth.sent;
+      truth.runs_possible += end == AttemptEnd::kRefused ? 0 : 1;
+    }
+    ledger.noteEnd(end);
+  }
+  return truth;
+}
+
+rc::Gen<std::vector<AttemptEnd>> anyEnds() {
+  return rc::gen::container<std::vector<AttemptEnd>>(rc::gen::element(
+      AttemptEnd::kNeverSent, AttemptEnd::kRefused, AttemptEnd::kUnknown, AttemptEnd::kFailed));
+}
+
+TEST_CASE("a request that may run once is never sent again after it may have run") {
+  CHECK(rc::check([] {
+    AttemptLedger ledger(false, *rc::gen::inRange(1U, 5U));
+    RC_ASSERT(play(ledger, *anyEnds()).runs_possible <= 1);
+  }));
+}
+
+TEST_CASE("a repeatable request runs on no more servers than its route allows") {
+  CHECK(rc::check([] {
+    const uint32_t max_attempts = *rc::gen::inRange(1U, 5U);
+    AttemptLedger ledger(true, max_attempts);
+    RC_ASSERT(play(ledger, *anyEnds()).runs_possible <= max_attempts);
+  }));
+}
+
+TEST_CASE("503 is given only where no server may have run the request") {
+  CHECK(rc::check([] {
+    AttemptLedger ledger(*rc::gen::arbitrary<bool>(), *rc::gen::inRange(1U, 4U));
+    const Truth truth = play(ledger, *anyEnds());
+    const bool out_of_time = *rc::gen::arbitrary<bool>();
+    RC_ASSERT((ledger.finalStatus(out_of_time) == kUnavailable) == (truth.runs_possible == 0));
+  }));
+}
+
+TEST_CASE("attempts end, whatever the servers say") {
+  CHECK(rc::check([] {
+    AttemptLedger ledger(true, *rc::gen::inRange(1U, 5U));
+    const auto ends = *rc::gen::container<std::vector<AttemptEnd>>(
+        64, rc::gen::element(AttemptEnd::kNeverSent, AttemptEnd::kRefused));
+    play(ledger, ends);
+    RC_ASSERT(!ledger.mayTryAgain());
+  }));
+}
+
+TEST_CASE("an attempt under way counts as one that may have run") {
+  AttemptLedger ledger(false, 1);
+  CHECK(ledger.execution() == Execution::kNotRun);
+  ledger.noteSent();
+  CHECK(ledger.execution() == Execution::kUnknown);
+  CHECK(ledger.finalStatus(true) == 504);
+  ledger.noteEnd(AttemptEnd::kRefused);
+  CHECK(ledger.execution() == Execution::kNotRun);
+  CHECK(ledger.finalStatus(true) == kUnavailable);
+}
+
+}  // namespace
+}  // namespace quincewick::forwarding
--- /dev/null
+++ b/tests/forwarding/order_lease_test.cc
@@ -0,0 +1,168 @@
+// Several gateways, one row and its store, on virtual time: pauses, lost answers and late writes in any
+// order.
+#include "forwarding/order_lease.h"
+
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+#include <deque>
+#include <vector>
+
+namespace quincewick::forwarding {
+namespace {
+
+constexpr absl::Duration kLength = absl::Seconds(3);
+
+// The store's one row, with its own clock.
+class Store {
+ public:
+  bool write(const LeaseWrite& write) {
+    if (write.expected_version != version_) {
+      return false;
+    }
+    record_ = write.record;
+    ++version_;
+    return true;
+  }
+  const std::optional<LeaseRecord>& record() const { return record_; }
+  uint64_t version() const { return version_; }
+
+ private:
+  std::optional<LeaseRecord> record_;
+  uint64_t version_ = 0;
+};
+
+struct Order {
+  size_t holder = 0;
+  Epoch fence;
+  absl::Time at;
+};
+
+class Site {
+ public:
+  explicit Site(size_t gateways) {
+    for (size_t index = 0; index < gateways; ++index) {
+      leases_.emplace_back(NodeId("g" + std::to_string(index)), kLength);
+    }
+  }
+
+  void pass(absl::Duration time) {
+    now_ += time;
+    while (!late_.empty() && late_.front().first <= now_) {
+      store_.write(late_.front().second);  // done now, if its condition still holds
+      late_.pop_front();
+    }
+  }
+
+  // A gateway reads the row and, if it may, writes it. `delay`: of each answer.
+  void pursue(size_t gateway, absl::Duration delay, int fate) {
+    const absl::Time began = now_;
+    const auto record = store_.record();
+    const uint64_t version = store_.version();
+    const absl::Duration clock = storeClock();
+    pass(delay);
+    const auto write = leases_[gateway].onRead(record, version, {clock, began, now_});
+    if (write) {
+      finishWrite(gateway, *write, delay, fate);
+    }
+  }
+
+  void renew(size_t gateway, absl::Duration delay, int fate) {
+    if (const auto write = leases_[gateway].renew(now_)) {
+      finishWrite(gateway, *write, delay, fate);
+    }
+  }
+
+  void order(size_t gateway) {
+    if (leases_[gateway].mayOrder(now_)) {
+      orders_.push_back({gateway, leases_[gateway].fence(), now_});
+    }
+  }
+
+  const std::vector<Order>& orders() const { return orders_; }
+
+ private:
+  absl::Duration storeClock() const { return (now_ - absl::UnixEpoch()) + absl::Hours(7); }
+
+  // fate 0: done and answered; 1: done, the answer lost; 2: done late, not answered; 3: never done.
+  void finishWrite(size_t gateway, const LeaseWrite& write, absl::Duration delay, int fate) {
+    const absl::Time began = now_;
+    if (fate == 2) {
+      late_.emplace_back(now_ + absl::Seconds(2), write);
+    }
+    const bool done = fate <= 1 && store_.write(write);
+    const absl::Duration clock = storeClock();
+    pass(delay);
+    if (done && fate == 0) {
+      leases_[gateway].onWritten(store_.version(), {clock, began, now_});
+    } else {
+      leases_[gateway].onNotWritten();
+    }
+  }
+
+  std::vector<OrderLease> leases_;
+  Store store_;
+  std::deque<std::pair<absl::Time, LeaseWrite>> late_;
+  absl::Time now_ = absl::UnixEpoch() + absl::Hours(1);
+  std::vector<Order> orders_;
+};
+
+TEST_CASE("orders of two holders lie a lease apart, and fences only rise") {
+  CHECK(rc::check([] {
+    const size_t gateways = *rc::gen::inRange<size_t>(2, 5);
+    Site site(gateways);
+    for (int step = 0; step < 300; ++step) {
+      const size_t gateway = *rc::gen::inRange<size_t>(0, gateways);
+      const absl::Duration delay = absl::Milliseconds(*rc::gen::inRange(0, 600));
+      const int fate = *rc::gen::weightedElement<int>({{6, 0}, {1, 1}, {1, 2}, {1, 3}});
+      switch (*rc::gen::inRange(0, 4)) {
+        case 0:
+          site.pursue(gateway, delay, fate);
+          break;
+        case 1:
+          site.renew(gateway, delay, fate);
+          break;
+        case 2:
+          site.order(gateway);
+          break;
+        default:
+          site.pass(absl::Milliseconds(*rc::gen::inRange(0, 1500)));
+      }
+    }
+    for (size_t index = 1; index < site.orders().size(); ++index) {
+      const Order& before = site.orders()[index - 1];
+      const Order& after = site.orders()[index];
+      RC_ASSERT(before.fence <= after.fence);
+      if (before.holder != after.holder) {
+        RC_ASSERT(before.fence < after.fence);
+        RC_ASSERT(after.at - before.at >= kLength);
+      }
+    }
+  }));
+}
+
+TEST_CASE("a free lease is taken and used at once, another's only after its end") {
+  OrderLease first(NodeId("a"), kLength);
+  const absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+  const auto write = first.onRead(std::nullopt, 0, {absl::Seconds(50), now, now});
+  REQUIRE(write);
+  first.onWritten(1, {absl::Seconds(50), now, now});
+  CHECK(first.mayOrder(now));
+  CHECK_FALSE(first.mayOrder(now + absl::Milliseconds(2100)));
+
+  OrderLease second(NodeId("b"), kLength);
+  CHECK_FALSE(second.onRead(write->record, 1, {absl::Seconds(52), now, now}));
+  const auto taken = second.onRead(write->record, 1, {absl::Milliseconds(53200), now, now});
+  REQUIRE(taken);
+  CHECK(taken->record.fence == Epoch(2));
+}
+
+TEST_CASE("a record reads back as it was printed") {
+  const LeaseRecord record{NodeId("front-1"), Epoch(7), absl::Milliseconds(123456)};
+  CHECK(parseLeaseRecord(printLeaseRecord(record)) == record);
+  CHECK_FALSE(parseLeaseRecord("front-1 7"));
+  CHECK_FALSE(parseLeaseRecord("front-1 x 5"));
+}
+
+}  // namespace
+}  // namespace quincewick::forwarding
--- /dev/null
+++ b/tests/forwarding/rollout_planner_test.cc
@@ -0,0 +1,118 @@
+#include "forwarding/rollout_planner.h"
+
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace quincewick::forwarding {
+namespace {
+
+const ModelName kModel("m");
+constexpr absl::Duration kBound = absl::Seconds(8);
+
+std::vector<RolloutEngine> engines(size_t count) {
+  std::vector<RolloutEngine> result;
+  for (size_t index = 0; index < count; ++index) {
+    RolloutEngine engine;
+    engine.id = "e" + std::to_string(index);
+    engine.version = WeightsVersion(1);
+    result.push_back(engine);
+  }
+  return result;
+}
+
+struct Outcome {
+  uint32_t loads = 0;
+  uint32_t most_at_once = 0;
+  uint32_t late = 0;  // versions that were not on every engine by their bound
+};
+
+// Plays loads that take `load_time` each, with versions named at the given times, for 40 seconds.
+Outcome play(size_t count, absl::Duration load_time, const std::vector<absl::Duration>& named) {
+  const absl::Time start = absl::UnixEpoch();
+  WeightsRegister weights(kBound);
+  auto fleet = engines(count);
+  std::vector<std::pair<absl::Time, WeightsVersion>> done(count, {absl::InfiniteFuture(), WeightsVersion()});
+  Outcome outcome;
+  size_t next = 0;
+  for (absl::Time now = start; now < start + absl::Seconds(40); now += absl::Milliseconds(50)) {
+    if (next < named.size() && now >= start + named[next]) {
+      weights.note({kModel, WeightsVersion(next + 2)}, now);
+      ++next;
+    }
+    uint32_t loading = 0;
+    for (size_t index = 0; index < count; ++index) {
+      if (fleet[index].is_loading && now >= done[index].first) {
+        fleet[index].is_loading = false;
+        fleet[index].version = done[index].second;
+      }
+      loading += fleet[index].is_loading ? 1 : 0;
+    }
+    const RolloutPlan plan = planRollout(fleet, kModel, weights, kBound, load_time, RolloutSettings(), now);
+    for (const std::string& id : plan.order) {
+      const auto index = static_cast<size_t>(std::stoi(id.substr(1)));
+      fleet[index].is_loading = true;
+      done[index] = {now + load_time, weights.newest(kModel)};
+      ++outcome.loads;
+      ++loading;
+    }
+    outcome.most_at_once = std::max(outcome.most_at_once, loading);
+    for (size_t version = 0; version < named.size(); ++version) {
+      const bool is_due = now == start + named[version] + kBound;
+      for (const RolloutEngine& engine : fleet) {
+        outcome.late += is_due && engine.version < WeightsVersion(version + 2) ? 1 : 0;
+      }
+    }
+  }
+  return outcome;
+}
+
+TEST_CASE("every version is in force within its bound, a few loads at a time") {
+  CHECK(rc::check([] {
+    const size_t count = *rc::gen::inRange<size_t>(1, 19);
+    const absl::Duration load_time = absl::Milliseconds(*rc::gen::inRange(4, 18) * 50);
+    std::vector<absl::Duration> named;
+    absl::Duration at = absl::ZeroDuration();
+    for (int version = 0; version < *rc::gen::inRange(1, 5); ++version) {
+      at += absl::Milliseconds(*rc::gen::inRange(1, 120) * 50);
+      named.push_back(at);
+    }
+    const Outcome outcome = play(count, load_time, named);
+    RC_ASSERT(outcome.late == 0);
+    RC_ASSERT(outcome.most_at_once <= RolloutSettings().most_at_once);
+  }));
+}
+
+TEST_CASE("versions named in between need no load of their own") {
+  const auto named = {absl::Seconds(2), absl::Milliseconds(5200), absl::Milliseconds(8400),
+                      absl::Milliseconds(11600)};
+  const Outcome outcome = play(12, absl::Milliseconds(900), named);
+  CHECK(outcome.late == 0);
+  CHECK(outcome.loads <= 30);  // 48 with a load for each version
+  CHECK(outcome.loads >= 12);
+}
+
+TEST_CASE("nothing is ordered where every engine has the newest version, or none was named") {
+  WeightsRegister weights(kBound);
+  const absl::Time now = absl::UnixEpoch();
+  CHECK(planRollout(engines(3), kModel, weights, kBound, absl::Seconds(1), {}, now).order.empty());
+  weights.note({kModel, WeightsVersion(1)}, now);
+  const auto plan = planRollout(engines(3), kModel, weights, kBound, absl::Seconds(1), {}, now + kBound);
+  CHECK(plan.order.empty());
+  CHECK(plan.reserve.empty());
+}
+
+TEST_CASE("engines of the next rounds are emptied first") {
+  WeightsRegister weights(kBound);
+  const absl::Time now = absl::UnixEpoch();
+  weights.note({kModel, WeightsVersion(2)}, now);
+  const auto plan =
+      planRollout(engines(12), kModel, weights, kBound, absl::Milliseconds(700), {}, now + kBound);
+  CHECK(plan.order.size() == 2);
+  CHECK(plan.reserve.size() == 4);
+}
+
+}  // namespace
+}  // namespace quincewick::forwarding
--- /dev/null
+++ b/tests/forwarding/server_directory_test.cc
@@ -0,0 +1,108 @@
+#include "forwarding/server_directory.h"
+
+#include <absl/random/random.h>
+
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+#include <random>
+
+#include "forwarding/server_choice.h"
+
+namespace quincewick::forwarding {
+namespace {
+
+const ServiceName kService("pool");
+const absl::Time kNow = absl::UnixEpoch() + absl::Hours(1);
+
+ServerEntry entry(const std::string& id) {
+  ServerEntry result;
+  result.id = id;
+  result.service = kService;
+  result.zone = ZoneName("z");
+  result.slots = 4;
+  result.models = {{ModelName("m"), WeightsVersion(1), {}}};
+  return result;
+}
+
+TEST_CASE("versions of one start only rise, whatever an old entry says") {
+  ServerDirectory directory;
+  CHECK(directory.upsert(entry("a")));
+  const auto server = directory.find("a");
+  ServerDirectory::noteVersion(*server, ModelName("m"), WeightsVersion(3));
+  CHECK_FALSE(directory.upsert(entry("a")));
+  CHECK(server->versionOf(ModelName("m")) == WeightsVersion(3));
+}
+
+TEST_CASE("a draining server takes no work and never comes back") {
+  ServerDirectory directory;
+  ServerEntry draining = entry("a");
+  draining.is_draining = true;
+  directory.upsert(draining);
+  directory.upsert(entry("a"));
+  CHECK_FALSE(directory.find("a")->takesWork(kNow));
+}
+
+TEST_CASE("a server that went frees its slot, and what was believed of it is void") {
+  ServerDirectory directory;
+  directory.upsert(entry("a"));
+  const auto server = directory.find("a");
+  directory.keepOnly({});
+  CHECK_FALSE(server->takesWork(kNow));
+  CHECK(directory.ofService(kService).empty());
+  CHECK(directory.takeFreedSlots() == std::vector<EngineSlot>{server->slot});
+  directory.upsert(entry("b"));
+  CHECK(directory.find("b")->slot == server->slot);
+  CHECK(directory.takeFreedSlots().empty());
+}
+
+TEST_CASE("peers' loads add up, and a silent peer's are forgotten") {
+  CHECK(rc::check([] {
+    ServerDirectory directory;
+    directory.upsert(entry("a"));
+    const uint64_t hash = directory.find("a")->identity_hash;
+    std::vector<uint32_t> last(4, 0);
+    for (int step = 0; step < 30; ++step) {
+      const size_t peer = *rc::gen::inRange<size_t>(0, last.size());
+      const uint32_t running = *rc::gen::inRange(0U, 9U);
+      last[peer] = running;
+      std::vector<PeerLoad> loads;
+      if (running > 0) {
+        loads.push_back({hash, {running, 0}});
+      }
+      directory.setPeerLoad(NodeId("p" + std::to_string(peer)), loads);
+    }
+    RC_ASSERT(directory.find("a")->peers.running == last[0] + last[1] + last[2] + last[3]);
+  }));
+}
+
+TEST_CASE("a server whose connections fail rests for longer each time") {
+  ServerDirectory directory;
+  directory.upsert(entry("a"));
+  const auto server = directory.find("a");
+  ServerDirectory::noteConnectFailure(*server, kNow);
+  const absl::Time first = server->ejected_until;
+  CHECK_FALSE(server->takesWork(kNow));
+  CHECK(server->takesWork(first));
+  ServerDirectory::noteConnectFailure(*server, first);
+  CHECK(server->ejected_until - first > first - kNow);
+}
+
+TEST_CASE("the choice avoids crowded, failing and excluded servers") {
+  ServerDirectory directory;
+  for (const char* id : {"a", "b", "c"}) {
+    directory.upsert(entry(id));
+  }
+  std::mt19937 random(7);
+  const auto choose = [&](const std::vector<std::string>& excluded) {
+    return chooseServer(directory.ofService(kService), excluded, ZoneName("z"), kNow, random)->entry.id;
+  };
+  directory.find("a")->own.running = 8;
+  ServerDirectory::noteFailure(*directory.find("b"), 4, kNow);
+  CHECK(choose({}) == "c");
+  CHECK(choose({"c", "b"}) == "a");
+  CHECK(chooseServer(directory.ofService(kService), {"a", "b", "c"}, ZoneName("z"), kNow, random) == nullptr);
+}
+
+}  // namespace
+}  // namespace quincewick::forwarding
--- /dev/null
+++ b/tests/forwarding/weights_register_test.cc
@@ -0,0 +1,44 @@
+#include "forwarding/weights_register.h"
+
+#include <catch2/catch.hpp>
+
+namespace quincewick::forwarding {
+namespace {
+
+const ModelName kModel("m");
+constexpr absl::Duration kBound = absl::Seconds(8);
+const absl::Time kNamed = absl::UnixEpoch() + absl::Hours(1);
+
+TEST_CASE("a version is required before its bound, and preferred a while earlier") {
+  WeightsRegister weights(kBound);
+  CHECK(weights.note({kModel, WeightsVersion(2)}, kNamed));
+  CHECK(weights.required(kModel, kNamed) == WeightsVersion());
+  CHECK(weights.required(kModel, kNamed + kBound) == WeightsVersion(2));
+  const absl::Time before = kNamed + kBound - absl::Milliseconds(1500);
+  CHECK(weights.required(kModel, before) == WeightsVersion());
+  CHECK(weights.preferred(kModel, before) == WeightsVersion(2));
+}
+
+// Finding F2: a gateway that restarted took its own start for the time of naming.
+TEST_CASE("the earliest time of naming that is learnt counts") {
+  WeightsRegister weights(kBound);
+  const absl::Time started = kNamed + absl::Seconds(7);
+  weights.note({kModel, WeightsVersion(2)}, started);
+  CHECK_FALSE(weights.note({kModel, WeightsVersion(2)}, kNamed));
+  CHECK(weights.deadlineOf(kModel, WeightsVersion(1)) < kNamed + kBound);
+  weights.note({kModel, WeightsVersion(2)}, started);
+  CHECK(weights.deadlineOf(kModel, WeightsVersion(1)) < kNamed + kBound);
+}
+
+TEST_CASE("an engine's deadline is that of the first version newer than its own") {
+  WeightsRegister weights(kBound);
+  weights.note({kModel, WeightsVersion(4)}, kNamed + absl::Seconds(2));
+  CHECK_FALSE(weights.note({kModel, WeightsVersion(2)}, kNamed));
+  CHECK(weights.newest(kModel) == WeightsVersion(4));
+  CHECK(weights.deadlineOf(kModel, WeightsVersion(1)) < weights.deadlineOf(kModel, WeightsVersion(2)));
+  CHECK(weights.deadlineOf(kModel, WeightsVersion(4)) == absl::InfiniteFuture());
+  CHECK(weights.deadlineOf(ModelName("other"), WeightsVersion()) == absl::InfiniteFuture());
+}
+
+}  // namespace
+}  // namespace quincewick::forwarding
--- /dev/null
+++ b/tests/gateway/gateway_test.cc
@@ -0,0 +1,269 @@
+// The whole way of a request, on loopback: caller, gateway, store and servers.
+#include "gateway/gateway.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <thread>
+
+#include "platform/platform_dialect.h"
+#include "stand_in_site.h"
+
+namespace quincewick::gateway {
+namespace {
+
+using boost::asio::ip::tcp;
+
+constexpr const char* kConfiguration = R"({"version":3,"routes":[
+  {"name":"safe","host":"h","pathPrefix":"/safe/","kind":"safe","timeoutMs":5000,"service":"pool","maxAttempts":2},
+  {"name":"once","host":"h","pathPrefix":"/once/","kind":"unsafe","timeoutMs":5000,"service":"pool","maxAttempts":2},
+  {"name":"short","host":"h","pathPrefix":"/short/","kind":"unsafe","timeoutMs":200,"service":"pool","maxAttempts":1},
+  {"name":"resumed","host":"h","pathPrefix":"/resumed/","kind":"streaming","timeoutMs":5000,"service":"pool",
+   "maxAttempts":2,"resumable":true},
+  {"name":"stream","host":"h","pathPrefix":"/stream/","kind":"streaming","timeoutMs":5000,"service":"pool",
+   "maxAttempts":2},
+  {"name":"open","host":"h","pathPrefix":"/open/","kind":"safe","service":"pool","public":true}],
+ "services":[{"name":"pool","maxConnections":100}],
+ "limits":{"maxHeaderBytes":2000,"maxBodyBytes":5000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+ "tenants":[{"name":"t","apiKeys":["key"]}]})";
+
+// A gateway on a thread of its own.
+class RunningGateway {
+ public:
+  explicit RunningGateway(const StandInSite& site)
+      : gateway_(settings(site), platform_dialect::makePlatformDialect(), -1) {
+    REQUIRE(gateway_.start().has_value());
+    thread_ = std::thread([this] { gateway_.run(); });
+    awaitReady();
+  }
+  ~RunningGateway() {
+    gateway_.stop();
+    thread_.join();
+  }
+  RunningGateway(const RunningGateway&) = delete;
+  RunningGateway& operator=(const RunningGateway&) = delete;
+
+  // Sends bytes on a new connection and reads until it ends.
+  std::string ask(const std::string& bytes) const { return askAt(gateway_.callersPort(), bytes); }
+
+  std::string ask(const std::string& target, const HeaderFields& more, const std::string& body = "") const {
+    HeaderFields fields = {{"Host", "h"},
+                           {"Connection", "close"},
+                           {"Quincewick-Attempt-Id", "attempt-1"},
+                           {"Content-Length", std::to_string(body.size())}};
+    fields.insert(fields.end(), more.begin(), more.end());
+    return ask(printRequestHead("POST", target, fields) + body);
+  }
+
+ private:
+  static GatewaySettings settings(const StandInSite& site) {
+    GatewaySettings result;
+    result.gateway_id = NodeId("g");
+    result.zone = ZoneName("z");
+    result.listen.callers = {"127.0.0.1", 0};
+    result.listen.readiness = {"127.0.0.1", 0};
+    result.store = site.storeAddress();
+    return result;
+  }
+
+  static std::string askAt(uint16_t port, const std::string& bytes) {
+    boost::asio::io_context reactor;
+    tcp::socket socket(reactor);
+    socket.connect(tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), port));
+    boost::system::error_code error;
+    boost::asio::write(socket, boost::asio::buffer(bytes), error);
+    std::string answer;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
+    return answer;
+  }
+
+  void awaitReady() const {
+    const std::string question = "GET /ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+    while (askAt(gateway_.readinessPort(), question).find(" 200 ") == std::string::npos) {
+      std::this_thread::yield();
+    }
+  }
+
+  Gateway gateway_;
+  std::thread thread_;
+};
+
+const HeaderFields kKey = {{"Authorization", "Bearer key"}};
+
+std::string signedAnswer(const std::string& body) {
+  return answerOf(200, {{"Quincewick-Response-Signature", "s"}, {"Quincewick-Attempt-Id", "attempt-1"}},
+                  body);
+}
+
+std::string streamHead(const std::string& signature) {
+  return printAnswerHead(200, "OK",
+                         {{"Quincewick-Response-Signature", signature}, {"Transfer-Encoding", "chunked"}});
+}
+
+std::string event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: x\n\n";
+}
+
+bool has(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+// Two servers that fail the first request which reaches either, and serve all others.
+void addFailingOnce(StandInSite& site, const Script& failure, const Script& then) {
+  auto failed = std::make_shared<bool>(false);
+  for (const char* id : {"i-1", "i-2"}) {
+    site.addServer(id, [failed, failure, then](const Seen& /*seen*/) {
+      return std::exchange(*failed, true) ? then : failure;
+    });
+  }
+}
+
+struct Fixture {
+  StandInSite site;
+  Fixture() { site.setRow("op", "config", kConfiguration); }
+};
+
+TEST_CASE_METHOD(Fixture, "a request and its answer pass unchanged, the key stays here") {
+  site.addServer("i-1", [](const Seen& /*seen*/) { return Script{signedAnswer("the body")}; });
+  const RunningGateway gateway(site);
+  const std::string answer =
+      gateway.ask("/once/a?b=%20c", {{"Authorization", "Bearer key"}, {"X-Mine", "1"}}, "asked");
+  CHECK(has(answer, "HTTP/1.1 200"));
+  CHECK(has(answer, "Quincewick-Response-Signature: s"));
+  CHECK(answer.ends_with("\r\n\r\nthe body"));
+  REQUIRE(site.seen().size() == 1);
+  const Seen seen = site.seen()[0];
+  CHECK(seen.head.target == "/once/a?b=%20c");
+  CHECK(seen.body == "asked");
+  CHECK(findField(seen.head.fields, "Authorization") == nullptr);
+  CHECK(*findField(seen.head.fields, "Quincewick-Tenant") == "t");
+  CHECK(*findField(seen.head.fields, "Quincewick-Target-Instance") == "i-1");
+  CHECK(*findField(seen.head.fields, "X-Mine") == "1");
+}
+
+TEST_CASE_METHOD(Fixture, "unknown routes, missing keys and bad input have statuses of their own") {
+  site.addServer("i-1", [](const Seen& /*seen*/) { return Script{signedAnswer("")}; });
+  const RunningGateway gateway(site);
+  CHECK(has(gateway.ask("/none/", kKey), "HTTP/1.1 404"));
+  CHECK(has(gateway.ask("/safe/", {}), "HTTP/1.1 401"));
+  CHECK(has(gateway.ask("/safe/", {{"Authorization", "Bearer other"}}), "HTTP/1.1 401"));
+  CHECK(has(gateway.ask("/open/", {}), "HTTP/1.1 200"));
+  CHECK(has(gateway.ask("/safe/", kKey, std::string(6000, 'x')), "HTTP/1.1 413"));
+  CHECK(has(gateway.ask("/safe/", {{"X", std::string(3000, 'x')}}), "HTTP/1.1 431"));
+  CHECK(has(gateway.ask("nonsense\r\n\r\n"), "HTTP/1.1 400"));
+  CHECK(site.seen().size() == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "what may run once is not sent again when its answer is lost") {
+  addFailingOnce(site, {"", false, true}, {signedAnswer("late")});
+  const RunningGateway gateway(site);
+  CHECK(has(gateway.ask("/once/a", kKey), "HTTP/1.1 502"));
+  CHECK(site.seen().size() == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "what may be repeated is sent to another server when its answer is lost") {
+  addFailingOnce(site, {"", false, true}, {signedAnswer("again")});
+  const RunningGateway gateway(site);
+  CHECK(gateway.ask("/safe/a", kKey).ends_with("again"));
+  REQUIRE(site.seen().size() == 2);
+  CHECK(site.seen()[0].server != site.seen()[1].server);
+}
+
+TEST_CASE_METHOD(Fixture, "a request that a server says it did not run goes to another") {
+  addFailingOnce(site, {answerOf(503, {{"Quincewick-Not-Executed", "1"}}, "")}, {signedAnswer("ran")});
+  const RunningGateway gateway(site);
+  CHECK(gateway.ask("/once/a", kKey).ends_with("ran"));
+  CHECK(site.seen().size() == 2);
+}
+
+TEST_CASE_METHOD(Fixture, "a 503 without the server's word promises nothing to the caller") {
+  site.addServer("i-1", [](const Seen& /*seen*/) { return Script{answerOf(503, {}, "")}; });
+  const RunningGateway gateway(site);
+  CHECK(has(gateway.ask("/once/a", kKey), "HTTP/1.1 502"));
+}
+
+TEST_CASE_METHOD(Fixture, "a refusal of all servers says when to come back") {
+  site.addServer("i-1", [](const Seen& /*seen*/) {
+    return Script{answerOf(503, {{"Quincewick-Not-Executed", "1"}}, "")};
+  });
+  const RunningGateway gateway(site);
+  const std::string answer = gateway.ask("/once/a", kKey);
+  CHECK(has(answer, "HTTP/1.1 503"));
+  CHECK(has(answer, "Retry-After: "));
+}
+
+TEST_CASE_METHOD(Fixture, "a success without a signature is no answer") {
+  site.addServer("i-1", [](const Seen& /*seen*/) { return Script{answerOf(200, {}, "spoilt")}; });
+  const RunningGateway gateway(site);
+  const std::string answer = gateway.ask("/once/a", kKey);
+  CHECK(has(answer, "HTTP/1.1 502"));
+  CHECK_FALSE(has(answer, "spoilt"));
+}
+
+TEST_CASE_METHOD(Fixture, "a late answer to another attempt is passed over") {
+  const std::string late = answerOf(
+      200, {{"Quincewick-Response-Signature", "s"}, {"Quincewick-Attempt-Id", "attempt-0"}}, "not yours");
+  site.addServer("i-1", [late](const Seen& /*seen*/) { return Script{late + signedAnswer("yours")}; });
+  const RunningGateway gateway(site);
+  CHECK(gateway.ask("/once/a", kKey).ends_with("\r\n\r\nyours"));
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "a stream goes on at another server after its last whole event, under its first head") {
+  Script first;
+  first.answer = streamHead("s1") + printChunk(event(1)) + printChunk(event(2) + "id: 3\ndata:");
+  first.resets = true;
+  Script second;
+  second.answer = streamHead("s2") + printChunk(event(3)) + std::string(kLastChunk);
+  first.closes = true;
+  first.resets = false;
+  addFailingOnce(site, first, second);
+  const RunningGateway gateway(site);
+  const std::string answer = gateway.ask("/resumed/a", kKey);
+  CHECK(has(answer, "Quincewick-Response-Signature: s1"));
+  CHECK_FALSE(has(answer, "s2"));
+  std::string events;
+  for (int id = 1; id <= 3; ++id) {
+    const size_t place = answer.find(event(id));
+    CHECK(place != std::string::npos);
+    CHECK(answer.find(event(id), place + 1) == std::string::npos);
+  }
+  CHECK(answer.ends_with(kLastChunk));
+  REQUIRE(site.seen().size() == 2);
+  CHECK(*findField(site.seen()[1].head.fields, "Last-Event-Id") == "2");
+}
+
+TEST_CASE_METHOD(Fixture, "a stream that can't be resumed is cut visibly") {
+  Script cut;
+  cut.answer = streamHead("s1") + printChunk(event(1));
+  cut.closes = true;
+  addFailingOnce(site, cut, {signedAnswer("no")});
+  const RunningGateway gateway(site);
+  const std::string answer = gateway.ask("/stream/a", kKey);
+  CHECK(has(answer, event(1)));
+  CHECK_FALSE(answer.ends_with(kLastChunk));
+  CHECK(site.seen().size() == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "a request that may have run is given up by its route's timeout with 504") {
+  site.addServer("i-1", [](const Seen& /*seen*/) { return Script{}; });
+  const RunningGateway gateway(site);
+  CHECK(has(gateway.ask("/short/a", kKey), "HTTP/1.1 504"));
+}
+
+TEST_CASE_METHOD(Fixture, "requests on one connection are answered in turn") {
+  site.addServer("i-1", [](const Seen& seen) { return Script{signedAnswer(seen.head.target)}; });
+  const RunningGateway gateway(site);
+  const HeaderFields fields = {
+      {"Host", "h"}, {"Quincewick-Attempt-Id", "attempt-1"}, {"Authorization", "Bearer key"}};
+  HeaderFields last = fields;
+  last.push_back({"Connection", "close"});
+  const std::string answer =
+      gateway.ask(printRequestHead("GET", "/safe/1", fields) + printRequestHead("GET", "/safe/2", last));
+  CHECK(answer.find("/safe/1") < answer.find("/safe/2"));
+  CHECK(answer.ends_with("/safe/2"));
+}
+
+}  // namespace
+}  // namespace quincewick::gateway
--- /dev/null
+++ b/tests/gateway/stand_in_site.h
@@ -0,0 +1,196 @@
+// A site on loopback for the gateway's tests: a store with rows, and servers that answer by script. It runs
+// on a thread of its own.
+#pragma once
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/str_cat.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <functional>
+#include <future>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "reactor/connection.h"
+#include "reactor/message_reader.h"
+
+namespace quincewick::gateway {
+
+// What a stand-in does with one request.
+struct Script {
+  std::string answer;      // its bytes
+  bool closes = false;     // the connection ends after the answer
+  bool resets = false;     // it is reset after the answer
+  bool is_silent = false;  // no answer
+};
+
+// Takes requests at a port of its own and answers each by the handler, which runs on the site's thread.
+class StandInServer {
+ public:
+  using Handler = std::function<Script(const HttpHead& head, const std::string& body)>;
+
+  StandInServer(boost::asio::io_context& reactor, Handler handler)
+      : handler_(std::move(handler)),
+        listener_(reactor, Address{"127.0.0.1", 0},
+                  [this](reactor::Connection::Socket socket) { accept(std::move(socket)); }) {}
+
+  Address address() const { return {"127.0.0.1", listener_.port()}; }
+
+ private:
+  class Talk final : public reactor::ConnectionHandler {
+   public:
+    Talk(StandInServer& server, reactor::Connection::Socket socket)
+        : server_(server),
+          connection_(std::make_shared<reactor::Connection>(std::move(socket))),
+          reader_(reactor::MessageKind::kRequest, {}) {}
+    void start() { connection_->start(this); }
+
+   private:
+    void onBytes(std::string_view bytes) override {
+      reader_.take(bytes);
+      while (reader_.status() == reactor::ReadStatus::kDone) {
+        const Script script = server_.handler_(reader_.head(), reader_.takeBody());
+        connection_->send(script.answer);
+        if (script.resets) {
+          connection_->abort();
+          return;
+        }
+        if (script.closes) {
+          connection_->closeWhenSent();
+          return;
+        }
+        reader_.next();
+        reader_.take({});
+      }
+    }
+    void onEnd(reactor::EndKind /*kind*/) override {}
+
+    StandInServer& server_;
+    std::shared_ptr<reactor::Connection> connection_;
+    reactor::MessageReader reader_;
+  };
+
+  void accept(reactor::Connection::Socket socket) {
+    talks_.push_back(std::make_unique<Talk>(*this, std::move(socket)));
+    talks_.back()->start();
+  }
+
+  Handler handler_;
+  std::vector<std::unique_ptr<Talk>> talks_;
+  reactor::Listener listener_;
+};
+
+inline std::string answerOf(int status, HeaderFields fields, const std::string& body) {
+  fields.push_back({"Content-Length", absl::StrCat(body.size())});
+  return printAnswerHead(status, "Any", fields) + body;
+}
+
+// One request as a server got it.
+struct Seen {
+  std::string server;
+  HttpHead head;
+  std::string body;
+};
+
+class StandInSite {
+ public:
+  StandInSite() : work_(boost::asio::make_work_guard(reactor_)) {
+    store_ = std::make_unique<StandInServer>(reactor_, [this](const HttpHead& head, const std::string& body) {
+      return answerAsStore(head, body);
+    });
+    thread_ = std::thread([this] { reactor_.run(); });
+  }
+  ~StandInSite() {
+    reactor_.stop();
+    thread_.join();
+  }
+  StandInSite(const StandInSite&) = delete;
+  StandInSite& operator=(const StandInSite&) = delete;
+
+  Address storeAddress() const { return store_->address(); }
+
+  void setRow(const std::string& table, const std::string& key, const std::string& value) {
+    const std::lock_guard lock(mutex_);
+    rows_[table][key] = {value, ++version_};
+  }
+
+  // Adds a server of the service "pool" that answers by script; `answers` gets what it was asked.
+  void addServer(const std::string& id, std::function<Script(const Seen& seen)> answers,
+                 const std::string& models = "[]") {
+    std::promise<void> done;
+    boost::asio::post(reactor_, [&] {
+      servers_.push_back(std::make_unique<StandInServer>(
+          reactor_, [this, id, answers](const HttpHead& head, const std::string& body) {
+            const Seen seen{id, head, body};
+            const Script script = answers(seen);
+            const std::lock_guard lock(mutex_);
+            seen_.push_back(seen);
+            return script;
+          }));
+      done.set_value();
+    });
+    done.get_future().wait();
+    const Address address = servers_.back()->address();
+    setRow("servers", id,
+           absl::StrCat(R"({"service":"pool","address":")", address.host, ":", address.port,
+                        R"(","zone":"z","slots":4,"state":"ready","models":)", models, "}"));
+  }
+
+  std::vector<Seen> seen() const {
+    const std::lock_guard lock(mutex_);
+    return seen_;
+  }
+
+ private:
+  struct Row {
+    std::string value;
+    uint64_t version = 0;
+  };
+
+  static std::string parameter(const std::string& target, const std::string& name) {
+    const size_t begin = target.find(name + "=");
+    if (begin == std::string::npos) {
+      return "";
+    }
+    const size_t value = begin + name.size() + 1;
+    return target.substr(value, target.find('&', value) - value);
+  }
+
+  Script answerAsStore(const HttpHead& head, const std::string& /*body*/) {
+    const std::lock_guard lock(mutex_);
+    std::string rows;
+    const bool is_read = head.target.starts_with("/v1/rows-get");
+    for (const auto& [key, row] : rows_[parameter(head.target, "table")]) {
+      if (is_read && key >= parameter(head.target, "from")) {
+        absl::StrAppend(&rows, rows.empty() ? "" : ",", R"({"table":")", parameter(head.target, "table"),
+                        R"(","key":")", key, R"(","value":")", absl::Base64Escape(row.value), R"(","ver":)",
+                        row.version, "}");
+      }
+    }
+    if (head.target.starts_with("/v1/rows-feed")) {
+      return {answerOf(503, {}, ""), false, false, false};  // changes are seen by whole readings
+    }
+    return {answerOf(200, {},
+                     absl::StrCat(R"({"rows":[)", rows, R"(],"more":false,"ver":)", version_,
+                                  R"(,"now_ms":1000})")),
+            false, false, false};
+  }
+
+  boost::asio::io_context reactor_;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
+  mutable std::mutex mutex_;
+  std::map<std::string, std::map<std::string, Row>> rows_;
+  uint64_t version_ = 0;
+  std::vector<Seen> seen_;
+  std::unique_ptr<StandInServer> store_;
+  std::vector<std::unique_ptr<StandInServer>> servers_;
+  std::thread thread_;
+};
+
+}  // namespace quincewick::gateway
--- /dev/null
+++ b/tests/platform_dialect/platform_dialect_test.cc
@@ -0,0 +1,157 @@
+#include "platform/platform_dialect.h"
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/str_cat.h>
+
+#include <catch2/catch.hpp>
+
+namespace quincewick::platform_dialect {
+namespace {
+
+using forwarding::RepeatKind;
+using forwarding::SendFacts;
+
+const auto& dialect() {
+  static const auto* const made = new std::unique_ptr<forwarding::Dialect>(makePlatformDialect());
+  return **made;
+}
+
+constexpr const char* kConfiguration = R"({"version":7,"routes":[
+  {"name":"s","host":"A.example","pathPrefix":"/l/","kind":"streaming","timeoutMs":6000,"targetLatencyMs":800,
+   "priority":1,"trafficSplit":[{"service":"x","weight":90},{"service":"y","weight":10}],"maxAttempts":2,
+   "public":false,"stickySessions":true,"resumable":true,"gapTargetMs":500},
+  {"name":"o","host":"b.example","pathPrefix":"/m/","kind":"unsafe","service":"y"}],
+ "services":[{"name":"x","healthPath":"/health","maxConnections":360,"engine":{"slots":64,"kvCapacity":110556,
+   "models":[{"name":"m"}]}},{"name":"k","kvStoreAddr":"172.20.0.2:8781","zone":"z"}],
+ "limits":{"maxHeaderBytes":1000,"maxBodyBytes":2000,"headerTimeoutMs":300,"idleTimeoutMs":400},
+ "tenants":[{"name":"t","apiKeys":["k1"],"priority":0,"isolated":true}],"something":{"new":1}})";
+
+TEST_CASE("a configuration is read whole, unknown fields passed over") {
+  const auto read = dialect().readConfiguration(kConfiguration);
+  REQUIRE(read.has_value());
+  const auto& site = read.value();
+  CHECK(site.version() == ConfigurationVersion(7));
+  const auto* const route = site.findRoute("a.example", "/l/1");
+  REQUIRE(route != nullptr);
+  CHECK(route->kind == RepeatKind::kStream);
+  CHECK(route->mayRunAgain());
+  CHECK(route->timeout == absl::Seconds(6));
+  CHECK(route->shares.size() == 2);
+  const auto* const once = site.findRoute("b.example", "/m/");
+  REQUIRE(once != nullptr);
+  CHECK_FALSE(once->mayRunAgain());
+  CHECK_FALSE(once->timeout);
+  CHECK(site.limits().header_timeout == absl::Milliseconds(300));
+  CHECK(site.findTenant("k1")->is_isolated);
+  REQUIRE(site.cacheStore() != nullptr);
+  CHECK(site.cacheStore()->address == Address{"172.20.0.2", 8781});
+  CHECK(site.findService(forwarding::ServiceName("x"))->engine->models.size() == 1);
+}
+
+TEST_CASE("malformed rows are refused, not read in part") {
+  CHECK(dialect().readConfiguration("{\"version\":7}").has_error());
+  CHECK(dialect().readConfiguration("[]").has_error());
+  CHECK(dialect().readConfiguration("{").has_error());
+  CHECK(dialect().readServer("i", R"({"service":"x","address":"10.0.0.1"})").has_error());
+  CHECK(dialect().readRowsAnswer("{}").has_error());
+  CHECK(dialect().readReport("nonsense").has_error());
+  CHECK(dialect().readNamedWeights(R"({"model":"m"})").has_error());
+}
+
+TEST_CASE("a server's entry") {
+  const auto entry = dialect().readServer(
+      "i-1", R"({"service":"x","address":"10.0.0.1:80","zone":"z","slots":6,"state":"draining",)"
+             R"("models":[{"name":"m","version":3,"adapters":[]}]})");
+  REQUIRE(entry.has_value());
+  CHECK(entry.value().is_draining);
+  CHECK(entry.value().models[0].weights_version == WeightsVersion(3));
+}
+
+HttpHead request() {
+  HttpHead head;
+  head.fields = {{"Host", "a"},
+                 {"Quincewick-Attempt-Id", "id1"},
+                 {"Quincewick-Deadline-Ms", "6000"},
+                 {"Quincewick-Model", "m"},
+                 {"Quincewick-Token-Usage", "1460,80"},
+                 {"Quincewick-Prompt-Prefix", "5c:800,91:410, e4:250"},
+                 {"Authorization", "Bearer k1"},
+                 {"Quincewick-Tenant", "forged"},
+                 {"quincewick-cache-salt", "forged"},
+                 {"Last-Event-Id", "12"},
+                 {"Connection", "keep-alive, X-Mine"},
+                 {"X-Mine", "1"},
+                 {"X-Other", "2"},
+                 {"Content-Length", "3"}};
+  return head;
+}
+
+TEST_CASE("a request's facts") {
+  const auto facts = dialect().readRequest(request());
+  CHECK(facts.attempt_id == "id1");
+  CHECK(facts.deadline == absl::Seconds(6));
+  CHECK(facts.key == "k1");
+  CHECK(facts.model == ModelName("m"));
+  REQUIRE(facts.prompt.size() == 3);
+  CHECK(facts.prompt[2].id == "e4");
+  CHECK(facts.prompt[2].tokens == 250);
+  CHECK(facts.output_tokens == 80);
+}
+
+TEST_CASE("what the system sets goes before what the caller sent; keys and connection fields stay here") {
+  SendFacts send;
+  send.server_id = "i-1";
+  send.tenant = TenantId("t");
+  send.time_left = absl::Milliseconds(5500);
+  const HeaderFields fields = dialect().fieldsForServer(request(), send);
+  CHECK(*findField(fields, "Quincewick-Tenant") == "t");
+  CHECK(*findField(fields, "Quincewick-Deadline-Ms") == "5500");
+  CHECK(*findField(fields, "Quincewick-Target-Instance") == "i-1");
+  CHECK(*findField(fields, "Quincewick-Attempt-Id") == "id1");
+  CHECK(*findField(fields, "Last-Event-Id") == "12");
+  CHECK(*findField(fields, "X-Other") == "2");
+  for (const char* gone :
+       {"Authorization", "Quincewick-Cache-Salt", "Connection", "X-Mine", "Content-Length"}) {
+    CHECK(findField(fields, gone) == nullptr);
+  }
+  send.last_event_id = "15";
+  CHECK(*findField(dialect().fieldsForServer(request(), send), "Last-Event-Id") == "15");
+}
+
+TEST_CASE("an answer's facts") {
+  HttpHead head;
+  head.status = 421;
+  head.fields = {{"Quincewick-Instance-Id", "i-2"},
+                 {"Quincewick-Weight-Versions", "3, 4"},
+                 {"Keep-Alive", "timeout=5, max=10"},
+                 {"Quincewick-Not-Executed", "1"}};
+  const auto facts = dialect().readAnswer(head);
+  CHECK(facts.is_other_server);
+  CHECK(facts.is_not_run);
+  CHECK_FALSE(facts.is_signed);
+  CHECK(facts.server_id == "i-2");
+  CHECK(facts.weights_version == WeightsVersion(4));
+  CHECK(facts.idle_limit == absl::Seconds(5));
+}
+
+TEST_CASE("rows read back as they were written") {
+  forwarding::StoreRow row;
+  row.table = "t";
+  row.key = "k";
+  row.value = std::string("\0\xff text", 7);
+  const HttpCall call = dialect().writeRow(row, 5);
+  CHECK(call.body.find("\"ver\":5") != std::string::npos);
+  const std::string answer =
+      absl::StrCat(R"({"rows":[{"table":"t","key":"k","value":")", absl::Base64Escape(row.value),
+                   R"(","ver":6},{"table":"t","key":"g","gone":true,"ver":7}],)",
+                   R"("more":false,"ver":9,"now_ms":51230})");
+  const auto rows = dialect().readRowsAnswer(answer);
+  REQUIRE(rows.has_value());
+  CHECK(rows.value().rows[0].value == row.value);
+  CHECK(rows.value().rows[1].is_gone);
+  CHECK(rows.value().version == 9);
+  CHECK(rows.value().clock == absl::Milliseconds(51230));
+}
+
+}  // namespace
+}  // namespace quincewick::platform_dialect
