A gateway tells eight peers a tick, whatever the size of the site

Change: each 125 ms eight peers are told, in turn; how long a peer may be unheard follows from that.

--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -16,8 +16,9 @@
 constexpr const char* kTable = "gateway-peers";
 constexpr const char* kKeyRow = "!key";  // sorts before the gateways' rows
 constexpr uint32_t kRowsAtOnce = 500;
-constexpr absl::Duration kDigestInterval = absl::Milliseconds(100);
-constexpr absl::Duration kSilence = absl::Milliseconds(1200);
+constexpr absl::Duration kDigestInterval = absl::Milliseconds(125);
+constexpr size_t kPeersATick = 8;
+constexpr absl::Duration kSilence = absl::Milliseconds(1200);  // of a peer, on a small site
 constexpr absl::Duration kRowsInterval = absl::Seconds(10);
 constexpr absl::Duration kRetryPause = absl::Milliseconds(300);
 constexpr absl::Duration kAnnouncedFor = absl::Milliseconds(1500);
@@ -156,7 +157,7 @@
     readRows();
   }
   forgetSilent(now);
-  sendDigest();
+  sendDigest(kPeersATick);
   core_.timers.schedule(now + kDigestInterval, [this] { tick(); });
 }
 
@@ -165,7 +166,7 @@
   const absl::Duration closed = absl::Milliseconds(engine.closed_ms);
   engines_[engine.server] = {engine, now + std::max(closed, kAnnouncedFor)};
   if (authenticator_ != nullptr) {
-    sendDigest();
+    sendDigest(peers_.size());
   }
 }
 
@@ -197,12 +198,21 @@
   return digest;
 }
 
-void PeerExchange::sendDigest() {
+absl::Duration PeerExchange::silence() const {
+  const auto ticks_a_round = static_cast<double>((peers_.size() + kPeersATick - 1) / kPeersATick);
+  return std::max(kSilence, kDigestInterval * ticks_a_round * 4);
+}
+
+void PeerExchange::sendDigest(size_t most) {
   if (peers_.empty()) {
     return;
   }
   const std::string payload = encodeDigest(makeDigest(reactor::steadyNow()));
-  for (const auto& [id, peer] : peers_) {
+  auto next = peers_.upper_bound(last_told_);
+  for (size_t told = 0; told < std::min(most, peers_.size()); ++told) {
+    next = next == peers_.end() ? peers_.begin() : next;
+    const auto& [id, peer] = *next++;
+    last_told_ = id;
     const auto sealed =
         authenticator_->seal(peer::Channel::kDatagram, id, peer::PeerModule::kRouting, payload);
     boost::system::error_code ignored;
@@ -233,7 +243,7 @@
 
 void PeerExchange::takeDigest(const NodeId& from, const PeerDigest& digest, absl::Time now) {
   Peer& peer = peers_[from];
-  if (now - peer.heard > kSilence) {
+  if (now - peer.heard > silence()) {
     core_.log.event("peer_up", now).with("peer", from.value());
   }
   peer.address = digest.address;
@@ -272,7 +282,7 @@
 
 void PeerExchange::forgetSilent(absl::Time now) {
   for (auto& [id, peer] : peers_) {
-    if (peer.heard != absl::InfinitePast() && now - peer.heard > kSilence) {
+    if (peer.heard != absl::InfinitePast() && now - peer.heard > silence()) {
       core_.log.event("peer_down", now).with("peer", id.value());
       peer.heard = absl::InfinitePast();
       core_.directory.setPeerLoad(id, {});
@@ -283,7 +293,7 @@
 std::vector<NodeId> PeerExchange::livePeers(absl::Time now) const {
   std::vector<NodeId> live;
   for (const auto& [id, peer] : peers_) {
-    if (now - peer.heard <= kSilence) {
+    if (now - peer.heard <= silence()) {
       live.push_back(id);
     }
   }
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -1,7 +1,8 @@
 // Finds the other gateways through rows of the store, then tells them digests by datagrams and takes theirs.
 //
-// Datagrams are sealed with a key that the first gateway wrote to the store. A site of up to some dozens of
-// gateways talks all to all; docs/CAPACITY.md names the mechanism beyond.
+// Datagrams are sealed with a key that the first gateway wrote to the store. Each tick tells a bounded number
+// of peers, in turn: what a gateway sends a second does not grow with the site, only the age of what it
+// knows.
 #pragma once
 
 #include <absl/container/btree_map.h>
@@ -42,7 +43,9 @@
   void writeOwnRow();
   void readRows();
   void tick();
-  void sendDigest();
+  void sendDigest(size_t most);
+  // For how long a peer may be unheard before it counts as down.
+  absl::Duration silence() const;
   PeerDigest makeDigest(absl::Time now);
   void receive();
   void takeDigest(const NodeId& from, const PeerDigest& digest, absl::Time now);
@@ -57,6 +60,7 @@
   std::unique_ptr<peer::Authenticator> authenticator_;
   absl::btree_map<NodeId, Peer> peers_;
   absl::flat_hash_map<uint64_t, std::pair<EngineDigest, absl::Time>> engines_;  // announced, until when
+  NodeId last_told_;                                                            // the round goes on behind it
   absl::Time next_rows_ = absl::InfinitePast();
   uint64_t own_row_ = 0;
 };
