Engines of one further round are emptied before a load, not of two

Cause: closed engines cost more than the pauses that emptying spares: prompts are read by fewer engines. Change: one round. The planner's test named the four engines of two rounds; it names the two of one now, as exactly as before.

--- a/src/forwarding/rollout_planner.h
+++ b/src/forwarding/rollout_planner.h
@@ -33,7 +33,7 @@
 struct RolloutSettings {
   uint32_t fewest_at_once = 2;
   uint32_t most_at_once = 4;
-  uint32_t reserved_rounds = 2;  // engines of so many further rounds get no new requests, so that runs end
+  uint32_t reserved_rounds = 1;  // engines of so many further rounds get no new requests, so that runs end
   absl::Duration margin = absl::Milliseconds(900);  // before the bound
 };
 
