--- a/src/gateway/core.h
+++ b/src/gateway/core.h
@@ -15,6 +15,7 @@
 #include "forwarding/server_directory.h"
 #include "forwarding/site_configuration.h"
 #include "forwarding/weights_register.h"
+#include "gateway/gateway_metrics.h"
 #include "gateway/gateway_settings.h"
 #include "reactor/timer_queue.h"
 #include "telemetry/event_log.h"
@@ -35,6 +36,7 @@
   boost::asio::io_context reactor;
   reactor::TimerQueue timers;
   telemetry::EventLog log;
+  GatewayMetrics metrics;
   absl::InsecureBitGen random;
   ConfigurationInForce in_force;
   forwarding::ServerDirectory directory;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -205,6 +205,15 @@
   kept_body_.clear();
   events_ = {};
   counted_ = {1, engine_ ? engine_->read_tokens : 0};
+  if (ledger_.wouldRepeat()) {
+    core_.metrics.countRetry();
+    if (head_passed_) {
+      core_.metrics.countResumed();
+    }
+  }
+  if (engine_) {
+    core_.metrics.countPromptTokens(engine_->cached_tokens, engine_->fetched_tokens, engine_->read_tokens);
+  }
   server_->own.running += counted_.running;
   server_->own.prefill_tokens += counted_.prefill_tokens;
 
@@ -328,6 +337,7 @@
   const absl::Time now = reactor::steadyNow();
   if (first_piece_ == absl::InfiniteFuture()) {
     first_piece_ = now;
+    core_.metrics.observeFirstPiece(now - began_);
   } else {
     longest_pause_ = std::max(longest_pause_, now - last_piece_);
   }
@@ -417,6 +427,7 @@
 }
 
 void Exchange::endAttempt(AttemptEnd end) {
+  core_.metrics.countAttempt(end);
   core_.log.event("attempt_ended", reactor::steadyNow())
       .with("request", facts_.attempt_id)
       .with("server", server_->entry.id)
@@ -469,6 +480,7 @@
     return;
   }
   if (head_passed_) {
+    core_.metrics.countCut();
     if (sink_ != nullptr) {
       std::exchange(sink_, nullptr)->cut();
     }
@@ -491,6 +503,7 @@
     sink_->sendHead(status, std::string(reasonOf(status)), std::move(fields), body.size());
     sink_->sendBody(body);
   }
+  core_.metrics.countRefusal(status, why);
   core_.log.event("refused", reactor::steadyNow())
       .with("request", facts_.attempt_id)
       .with("status", status)
@@ -507,6 +520,8 @@
   done_ = true;
   core_.timers.cancel(deadline_timer_);
   const absl::Time now = reactor::steadyNow();
+  core_.metrics.countRequest(route_ == nullptr ? std::nullopt : std::optional(route_->kind), outcome);
+  core_.metrics.observeAnswer(now - began_);
   auto line = core_.log.event("request", now);
   line.with("request", facts_.attempt_id)
       .with("route", route_ == nullptr ? "" : route_->name)
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -14,62 +14,11 @@
 // comes after that is told at once to go elsewhere.
 constexpr absl::Duration kShortestStop = absl::Milliseconds(2600);
 constexpr absl::Duration kStopMargin = absl::Milliseconds(400);
-constexpr reactor::MessageLimits kReadinessLimits = {8192, 8192};
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 
 }  // namespace
 
-// Answers each question on a connection with whether the gateway is ready.
-class Gateway::ReadinessConnection final : public reactor::ConnectionHandler {
- public:
-  ReadinessConnection(Gateway& gateway, reactor::Connection::Socket socket)
-      : gateway_(gateway),
-        connection_(std::make_shared<reactor::Connection>(std::move(socket))),
-        reader_(reactor::MessageKind::kRequest, kReadinessLimits) {}
-
-  void start() { connection_->start(this); }
-
- private:
-  void onBytes(std::string_view bytes) override {
-    reader_.take(bytes);
-    while (reader_.status() == reactor::ReadStatus::kDone) {
-      const int status = gateway_.isReady() ? kOk : kUnavailable;
-      const bool keeps_alive = reader_.keepsAlive();
-      HeaderFields fields = {{"Content-Length", "0"}};
-      if (!keeps_alive) {
-        fields.push_back({"Connection", "close"});
-      }
-      connection_->send(printAnswerHead(status, reasonOf(status), fields));
-      if (!keeps_alive) {
-        close(true);
-        return;
-      }
-      reader_.next();
-      reader_.take({});
-    }
-    if (reader_.status() != reactor::ReadStatus::kNeedsMore) {
-      close(false);
-    }
-  }
-  void onEnd(reactor::EndKind /*kind*/) override { close(false); }
-
-  void close(bool linger) {
-    if (linger) {
-      connection_->closeWhenSent();
-    } else {
-      connection_->abort();
-    }
-    // Called from within this object: it goes once the reactor is back.
-    boost::asio::post(gateway_.core_.reactor,
-                      [&gateway = gateway_, self = this] { gateway.readiness_connections_.erase(self); });
-  }
-
-  Gateway& gateway_;
-  std::shared_ptr<reactor::Connection> connection_;
-  reactor::MessageReader reader_;
-};
-
 Gateway::Gateway(GatewaySettings settings, std::unique_ptr<forwarding::Dialect> dialect, int log_descriptor)
     : core_(std::move(settings), std::move(dialect), log_descriptor),
       pool_(core_),
@@ -85,10 +34,15 @@
   callers_ = std::make_unique<reactor::Listener>(
       core_.reactor, listen.callers,
       [this](reactor::Connection::Socket socket) { acceptCaller(std::move(socket)); });
-  readiness_ = std::make_unique<reactor::Listener>(
-      core_.reactor, listen.readiness,
-      [this](reactor::Connection::Socket socket) { acceptReadiness(std::move(socket)); });
-  if (!callers_->isListening() || !readiness_->isListening()) {
+  readiness_ = std::make_unique<reactor::PlainServer>(core_.reactor, listen.readiness,
+                                                      [this](const HttpHead&) { return answerReadiness(); });
+  if (listen.metrics) {
+    metrics_ = std::make_unique<reactor::PlainServer>(core_.reactor, *listen.metrics,
+                                                      [this](const HttpHead&) { return answerMetrics(); });
+  }
+  const bool are_bound = callers_->isListening() && readiness_->isListening() &&
+                         (metrics_ == nullptr || metrics_->isListening());
+  if (!are_bound) {
     return fail(ErrorCode::kUnavailable, "an address to listen at can't be bound");
   }
   core_.log.event("start", reactor::steadyNow()).with("zone", core_.settings.zone.value());
@@ -120,10 +74,27 @@
   connection->start();
 }
 
-void Gateway::acceptReadiness(reactor::Connection::Socket socket) {
-  auto connection = std::make_shared<ReadinessConnection>(*this, std::move(socket));
-  readiness_connections_.emplace(connection.get(), connection);
-  connection->start();
+reactor::PlainAnswer Gateway::answerReadiness() const {
+  reactor::PlainAnswer answer;
+  answer.status = isReady() ? kOk : kUnavailable;
+  return answer;
+}
+
+reactor::PlainAnswer Gateway::answerMetrics() {
+  const absl::Time now = reactor::steadyNow();
+  GatewayMetrics::Levels levels;
+  if (core_.in_force.configuration != nullptr) {
+    levels.configuration_version = static_cast<double>(core_.in_force.configuration->version().value());
+    levels.configuration_age_seconds = absl::ToDoubleSeconds(now - core_.in_force.confirmed);
+  }
+  levels.holds_lease = orders_.holdsLease(now) ? 1 : 0;
+  levels.peers = static_cast<double>(peers_.livePeers(now).size());
+  levels.servers = static_cast<double>(core_.directory.all().size());
+  levels.caller_connections = static_cast<double>(connections_.size());
+  levels.server_connections_opened = static_cast<double>(pool_.openedConnections());
+  levels.requests_under_way = static_cast<double>(core_.requests_under_way);
+  levels.log_lines_dropped = static_cast<double>(core_.log.droppedLines());
+  return {kOk, "text/plain; version=0.0.4", core_.metrics.print(levels)};
 }
 
 void Gateway::awaitSignal() {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -16,6 +16,7 @@
 #include "gateway/peer_exchange.h"
 #include "gateway/site_follower.h"
 #include "reactor/connection.h"
+#include "reactor/plain_server.h"
 
 namespace quincewick::gateway {
 
@@ -39,10 +40,9 @@
   bool isReady() const;
 
  private:
-  class ReadinessConnection;
-
   void acceptCaller(reactor::Connection::Socket socket);
-  void acceptReadiness(reactor::Connection::Socket socket);
+  reactor::PlainAnswer answerReadiness() const;
+  reactor::PlainAnswer answerMetrics();
   void awaitSignal();
   void tick();
   void checkStopped();
@@ -54,9 +54,9 @@
   OrderGiver orders_;
   boost::asio::signal_set signals_;
   std::unique_ptr<reactor::Listener> callers_;
-  std::unique_ptr<reactor::Listener> readiness_;
+  std::unique_ptr<reactor::PlainServer> readiness_;
+  std::unique_ptr<reactor::PlainServer> metrics_;
   absl::flat_hash_map<CallerConnection*, std::shared_ptr<CallerConnection>> connections_;
-  absl::flat_hash_map<ReadinessConnection*, std::shared_ptr<ReadinessConnection>> readiness_connections_;
   absl::Time stop_began_ = absl::InfiniteFuture();
   bool was_ready_ = false;
 };
--- /dev/null
+++ b/src/gateway/gateway_metrics.cc
@@ -0,0 +1,124 @@
+#include "gateway/gateway_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+#include <utility>
+
+namespace quincewick::gateway {
+namespace {
+
+using forwarding::AttemptEnd;
+using forwarding::RepeatKind;
+
+const prometheus::Histogram::BucketBoundaries& latencyBuckets() {
+  static const prometheus::Histogram::BucketBoundaries buckets = {0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3,
+                                                                  0.5,   0.8,  1.5,   3,    6,   15};
+  return buckets;
+}
+
+prometheus::Family<prometheus::Counter>& counters(prometheus::Registry& registry, const char* name,
+                                                  const char* help) {
+  return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+prometheus::Counter* counter(prometheus::Registry& registry, const char* name, const char* help) {
+  return &counters(registry, name, help).Add({});
+}
+
+prometheus::Histogram* histogram(prometheus::Registry& registry, const char* name, const char* help) {
+  return &prometheus::BuildHistogram().Name(name).Help(help).Register(registry).Add({}, latencyBuckets());
+}
+
+const char* nameOf(std::optional<RepeatKind> kind) {
+  if (!kind) {
+    return "none";
+  }
+  switch (*kind) {
+    case RepeatKind::kRepeatable:
+      return "repeatable";
+    case RepeatKind::kOnce:
+      return "once";
+    case RepeatKind::kStream:
+      return "stream";
+  }
+  return "none";
+}
+
+const char* nameOf(AttemptEnd end) {
+  switch (end) {
+    case AttemptEnd::kNeverSent:
+      return "never_sent";
+    case AttemptEnd::kRefused:
+      return "refused";
+    case AttemptEnd::kUnknown:
+      return "unknown";
+    case AttemptEnd::kFailed:
+      return "failed";
+  }
+  return "unknown";
+}
+
+void addLevel(std::vector<prometheus::MetricFamily>& families, const char* name, const char* help,
+              double value) {
+  prometheus::MetricFamily family;
+  family.name = name;
+  family.help = help;
+  family.type = prometheus::MetricType::Gauge;
+  prometheus::ClientMetric metric;
+  metric.gauge.value = value;
+  family.metric.push_back(std::move(metric));
+  families.push_back(std::move(family));
+}
+
+}  // namespace
+
+GatewayMetrics::GatewayMetrics()
+    : requests_(counters(registry_, "quincewick_requests_total", "Requests by kind and outcome.")),
+      refusals_(counters(registry_, "quincewick_refusals_total", "Final answers of this gateway's own.")),
+      attempts_(counters(registry_, "quincewick_attempts_total", "Attempts that gave no answer to pass on.")),
+      prompt_tokens_(counters(registry_, "quincewick_prompt_tokens_total",
+                              "Tokens of prompts by what was expected when the engine was chosen.")),
+      retries_(counter(registry_, "quincewick_retries_total", "Requests sent to a further server.")),
+      streams_resumed_(
+          counter(registry_, "quincewick_streams_resumed_total", "Streams that went on elsewhere.")),
+      streams_cut_(counter(registry_, "quincewick_streams_cut_total", "Answers broken off midway.")),
+      first_piece_(histogram(registry_, "quincewick_first_piece_seconds", "Until a stream's first piece.")),
+      answer_(histogram(registry_, "quincewick_answer_seconds", "Until an answer was whole.")),
+      store_call_(
+          histogram(registry_, "quincewick_store_call_seconds", "Store calls, waits for changes apart.")) {}
+
+void GatewayMetrics::countRequest(std::optional<RepeatKind> kind, std::string_view outcome) {
+  requests_.Add({{"kind", nameOf(kind)}, {"outcome", std::string(outcome)}}).Increment();
+}
+
+void GatewayMetrics::countRefusal(int status, std::string_view why) {
+  refusals_.Add({{"status", std::to_string(status)}, {"reason", std::string(why)}}).Increment();
+}
+
+void GatewayMetrics::countAttempt(AttemptEnd end) {
+  attempts_.Add({{"end", nameOf(end)}}).Increment();
+}
+
+void GatewayMetrics::countPromptTokens(uint64_t kept, uint64_t moved, uint64_t read) {
+  prompt_tokens_.Add({{"how", "kept"}}).Increment(static_cast<double>(kept));
+  prompt_tokens_.Add({{"how", "moved"}}).Increment(static_cast<double>(moved));
+  prompt_tokens_.Add({{"how", "read"}}).Increment(static_cast<double>(read));
+}
+
+std::string GatewayMetrics::print(const Levels& levels) {
+  auto families = registry_.Collect();
+  addLevel(families, "quincewick_configuration_version", "In force here.", levels.configuration_version);
+  addLevel(families, "quincewick_configuration_age_seconds", "Since the store confirmed it.",
+           levels.configuration_age_seconds);
+  addLevel(families, "quincewick_holds_lease", "1: gives orders to engines.", levels.holds_lease);
+  addLevel(families, "quincewick_peers", "Gateways heard of lately.", levels.peers);
+  addLevel(families, "quincewick_servers", "Servers listed.", levels.servers);
+  addLevel(families, "quincewick_caller_connections", "Open.", levels.caller_connections);
+  addLevel(families, "quincewick_server_connections_opened", "Since the start.",
+           levels.server_connections_opened);
+  addLevel(families, "quincewick_requests_under_way", "Read and not ended.", levels.requests_under_way);
+  addLevel(families, "quincewick_log_lines_dropped", "Since the start.", levels.log_lines_dropped);
+  return prometheus::TextSerializer().Serialize(families);
+}
+
+}  // namespace quincewick::gateway
--- /dev/null
+++ b/src/gateway/gateway_metrics.h
@@ -0,0 +1,65 @@
+// Counts of what a gateway did, as Prometheus reads them. Labels have few values, whatever callers send.
+#pragma once
+
+#include <absl/time/time.h>
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "forwarding/attempt_ledger.h"
+#include "forwarding/site_configuration.h"
+
+namespace quincewick::gateway {
+
+class GatewayMetrics {
+ public:
+  GatewayMetrics();
+
+  // A request came to its end. `kind`: nothing where no route was found.
+  void countRequest(std::optional<forwarding::RepeatKind> kind, std::string_view outcome);
+  void countRefusal(int status, std::string_view why);
+  void countAttempt(forwarding::AttemptEnd end);
+  void countRetry() { retries_->Increment(); }
+  void countResumed() { streams_resumed_->Increment(); }
+  void countCut() { streams_cut_->Increment(); }
+  void countPromptTokens(uint64_t kept, uint64_t moved, uint64_t read);
+  void observeFirstPiece(absl::Duration time) { first_piece_->Observe(absl::ToDoubleSeconds(time)); }
+  void observeAnswer(absl::Duration time) { answer_->Observe(absl::ToDoubleSeconds(time)); }
+  void observeStoreCall(absl::Duration time) { store_call_->Observe(absl::ToDoubleSeconds(time)); }
+
+  // What is as of now, set just before it is told.
+  struct Levels {
+    double configuration_version = 0;
+    double configuration_age_seconds = 0;
+    double holds_lease = 0;
+    double peers = 0;
+    double servers = 0;
+    double caller_connections = 0;
+    double server_connections_opened = 0;
+    double requests_under_way = 0;
+    double log_lines_dropped = 0;
+  };
+  // All figures in Prometheus' text format.
+  std::string print(const Levels& levels);
+
+ private:
+  prometheus::Registry registry_;
+  prometheus::Family<prometheus::Counter>& requests_;
+  prometheus::Family<prometheus::Counter>& refusals_;
+  prometheus::Family<prometheus::Counter>& attempts_;
+  prometheus::Family<prometheus::Counter>& prompt_tokens_;
+  prometheus::Counter* retries_;
+  prometheus::Counter* streams_resumed_;
+  prometheus::Counter* streams_cut_;
+  prometheus::Histogram* first_piece_;
+  prometheus::Histogram* answer_;
+  prometheus::Histogram* store_call_;
+};
+
+}  // namespace quincewick::gateway
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -13,7 +13,8 @@
       YamlSchema<GatewayListenSettings>()
           .add("callers", &GatewayListenSettings::callers, Presence::kRequired)
           .add("readiness", &GatewayListenSettings::readiness, Presence::kRequired)
-          .add("peers", &GatewayListenSettings::peers, Presence::kOptional));
+          .add("peers", &GatewayListenSettings::peers, Presence::kOptional)
+          .add("metrics", &GatewayListenSettings::metrics, Presence::kOptional));
   return *schema;
 }
 
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -17,7 +17,8 @@
 struct GatewayListenSettings {
   Address callers;
   Address readiness;
-  std::optional<Address> peers;  // UDP, between the gateways of a site
+  std::optional<Address> peers;    // UDP, between the gateways of a site
+  std::optional<Address> metrics;  // Prometheus' text
 
   friend bool operator==(const GatewayListenSettings&, const GatewayListenSettings&) = default;
 };
--- a/src/gateway/order_giver.h
+++ b/src/gateway/order_giver.h
@@ -23,6 +23,7 @@
   OrderGiver(Core& core, PeerExchange& peers);
 
   void start() { tick(); }
+  bool holdsLease(absl::Time now) const { return lease_.holds(now); }
   // Whether orders are still to be given by this gateway, so that a planned stop waits for them.
   bool isCarryingOut(absl::Time now) const { return lease_.holds(now) && is_due_; }
 
--- a/src/gateway/store_client.cc
+++ b/src/gateway/store_client.cc
@@ -29,8 +29,13 @@
 }  // namespace
 
 void StoreClient::call(HttpCall call, absl::Duration time_limit, Done done) {
+  const absl::Time began = reactor::steadyNow();
+  const bool is_wait = time_limit > kCallLimit;
   caller_.call(std::move(call), time_limit,
-               [this, done = std::move(done)](const Result<reactor::HttpReply>& reply) {
+               [this, began, is_wait, done = std::move(done)](const Result<reactor::HttpReply>& reply) {
+                 if (!is_wait) {
+                   core_.metrics.observeStoreCall(reactor::steadyNow() - began);
+                 }
                  StoreStatus status = statusOf(reply);
                  forwarding::StoreRows rows;
                  if (status == StoreStatus::kDone || status == StoreStatus::kConflict) {
--- a/src/reactor/connection.cc
+++ b/src/reactor/connection.cc
@@ -19,9 +19,9 @@
 constexpr int kReadsInARow = 4;  // of one connection before others get their turn
 constexpr int kAcceptBacklog = 1024;
 
-// The process has one thread that reads, so one buffer serves all connections.
+// A reactor has one thread, so one buffer serves all its connections; handlers take what they need at once.
 std::array<char, kReadBytes>& sharedBuffer() {
-  static std::array<char, kReadBytes> buffer;
+  thread_local std::array<char, kReadBytes> buffer;
   return buffer;
 }
 
--- /dev/null
+++ b/src/reactor/plain_server.h
@@ -0,0 +1,44 @@
+// Answers small questions at an address of its own, each from memory: readiness, metrics.
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "reactor/connection.h"
+#include "types/back_end.h"
+#include "types/http_message.h"
+
+namespace quincewick::reactor {
+
+struct PlainAnswer {
+  int status = 200;
+  std::string content_type = "text/plain";
+  std::string body;
+};
+
+class PlainServer {
+ public:
+  using Handler = std::function<PlainAnswer(const HttpHead& question)>;
+
+  PlainServer(boost::asio::io_context& reactor, const Address& address, Handler handler);
+  ~PlainServer();
+  PlainServer(const PlainServer&) = delete;
+  PlainServer& operator=(const PlainServer&) = delete;
+
+  bool isListening() const { return listener_.isListening(); }
+  uint16_t port() const { return listener_.port(); }
+
+ private:
+  class Talk;
+
+  boost::asio::io_context& reactor_;
+  Handler handler_;
+  absl::flat_hash_map<Talk*, std::shared_ptr<Talk>> talks_;
+  Listener listener_;
+};
+
+}  // namespace quincewick::reactor
--- a/src/telemetry/event_log.cc
+++ b/src/telemetry/event_log.cc
@@ -55,7 +55,9 @@
   }
   ++rate.lines;
   const int64_t at = absl::ToInt64Milliseconds(now - absl::UnixEpoch());
-  return {this, absl::StrCat("event=", std::string(name), " node=", settings_.node, " at_ms=", at)};
+  const int64_t wall = absl::ToUnixMillis(settings_.wall_clock());
+  return {this, absl::StrCat("event=", std::string(name), " node=", settings_.node, " time_ms=", wall,
+                             " at_ms=", at)};
 }
 
 EventLog::Line::~Line() {
--- a/src/telemetry/event_log.h
+++ b/src/telemetry/event_log.h
@@ -8,6 +8,7 @@
 #include <absl/time/time.h>
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -16,7 +17,8 @@
 struct EventLogSettings {
   std::string node;
   size_t buffer_bytes = 65536;
-  uint32_t lines_a_second = 50;  // of one event's name
+  uint32_t lines_a_second = 50;                        // of one event's name
+  std::function<absl::Time()> wall_clock = absl::Now;  // orders lines of several processes
 };
 
 class EventLog {
--- a/tests/telemetry/event_log_test.cc
+++ b/tests/telemetry/event_log_test.cc
@@ -11,20 +11,26 @@
 
 const absl::Time kNow = absl::UnixEpoch() + absl::Seconds(5);
 
+// Settings of a log whose wall clock stands still.
+EventLogSettings settings(size_t buffer_bytes = 65536, uint32_t lines_a_second = 50) {
+  return {"n1", buffer_bytes, lines_a_second, [] { return absl::UnixEpoch() + absl::Seconds(9); }};
+}
+
 TEST_CASE("a line has its event, its node, its time and its fields") {
-  EventLog log({"n1"}, -1);
+  EventLog log(settings(), -1);
   log.event("refused", kNow).with("request", "r1").with("status", 503).with("why", "no server");
-  CHECK(log.buffered() == "event=refused node=n1 at_ms=5000 request=r1 status=503 why=\"no server\"\n");
+  CHECK(log.buffered() ==
+        "event=refused node=n1 time_ms=9000 at_ms=5000 request=r1 status=503 why=\"no server\"\n");
 }
 
 TEST_CASE("text of others can't begin a line or a field of its own") {
-  EventLog log({"n1"}, -1);
+  EventLog log(settings(), -1);
   log.event("x", kNow).with("v", "a\nevent=y \"b");
-  CHECK(log.buffered() == "event=x node=n1 at_ms=5000 v=\"a event=y \\\"b\"\n");
+  CHECK(log.buffered() == "event=x node=n1 time_ms=9000 at_ms=5000 v=\"a event=y \\\"b\"\n");
 }
 
 TEST_CASE("lines over the rate are dropped, counted and told") {
-  EventLog log({"n1", 65536, 3}, -1);
+  EventLog log(settings(65536, 3), -1);
   for (int line = 0; line < 10; ++line) {
     log.event("burst", kNow).with("line", line);
   }
@@ -37,7 +43,7 @@
 TEST_CASE("a reader that stopped never stops the process") {
   std::array<int, 2> ends{};
   REQUIRE(pipe(ends.data()) == 0);
-  EventLog log({"n1", 4096, 1000000}, ends[1]);
+  EventLog log(settings(4096, 1000000), ends[1]);
   for (int line = 0; line < 20000; ++line) {
     log.event("line", kNow).with("number", line);
     log.flush();
