--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -13,6 +13,7 @@
 #include "cli/load_command.h"
 #include "cli/serve_command.h"
 #include "cli/simulate_command.h"
+#include "cli/trace_command.h"
 
 namespace quincewick::cli {
 namespace {
@@ -30,6 +31,7 @@
     Command{"emulate", "run stand-ins for engines, action servers and the platform", runEmulateCommand},
     Command{"load", "drive callers' traffic and check every answer", runLoadCommand},
     Command{"demo", "run a small deployment in this process on loopback", runDemoCommand},
+    Command{"trace", "gather the log lines of one request", runTraceCommand},
     Command{"simulate", "run a site of hollow nodes on virtual time", runSimulateCommand},
 };
 
