--- a/src/cli/serve_command.cc
+++ b/src/cli/serve_command.cc
@@ -73,8 +73,13 @@
                  configuration::printDiagnostics(settings_file, settings.diagnostics).c_str());
     return kExitMisuse;
   }
+  const auto read_again = [settings_file]() -> std::optional<gateway::GatewaySettings> {
+    const Result<std::string> changed = readTextFile(settings_file);
+    return changed.has_value() ? gateway::parseGatewaySettings(changed.value()).value : std::nullopt;
+  };
   gateway::Gateway gateway(std::move(*settings.value), platform_dialect::makePlatformDialect(),
                            STDOUT_FILENO);
+  gateway.setReload(read_again);
   const Result<void> started = gateway.start();
   if (started.has_error()) {
     std::fprintf(stderr, "quincewick serve: %s\n", started.error().message.c_str());
--- a/src/forwarding/retry_budget.h
+++ b/src/forwarding/retry_budget.h
@@ -24,6 +24,8 @@
  public:
   explicit RetryBudget(const RetryBudgetSettings& settings) : settings_(settings) {}
 
+  // Takes other limits; what was counted stays.
+  void setSettings(const RetryBudgetSettings& settings) { settings_ = settings; }
   // A caller's request for the service.
   void noteRequest(const ServiceName& service, absl::Time now);
   // Whether one more repeat may be sent; it is counted if so.
--- a/src/forwarding/rollout_planner.cc
+++ b/src/forwarding/rollout_planner.cc
@@ -7,16 +7,19 @@
 namespace {
 
 constexpr double kSmoothing = 0.3;
+constexpr double kShareForLoads = 0.6;  // of the bound; the rest is for what goes wrong
 constexpr absl::Duration kShortestLoad = absl::Milliseconds(300);
 constexpr absl::Duration kLongestLoad = absl::Seconds(4);
 
-// Loads at once, the fewest that bring all engines there in half of the time: the rest is for what goes
-// wrong.
+// Loads at once, the fewest that bring all engines there within their share of the bound.
 uint32_t loadsAtOnce(size_t engines, absl::Duration within, absl::Duration load_time,
                      const RolloutSettings& settings) {
+  const auto time_for = [&](uint32_t loads) {
+    const size_t rounds = (engines + loads - 1) / loads;
+    return load_time * static_cast<double>(rounds);
+  };
   uint32_t at_once = settings.fewest_at_once;
-  while (at_once < settings.most_at_once &&
-         load_time * static_cast<double>((engines + at_once - 1) / at_once) > within * 0.6) {
+  while (at_once < settings.most_at_once && time_for(at_once) > within * kShareForLoads) {
     ++at_once;
   }
   return at_once;
@@ -53,9 +56,10 @@
   // The last engine of each deadline must be done by it: the latest start is the least over all prefixes.
   absl::Time latest_start = absl::InfiniteFuture();
   for (size_t index = 0; index < pending.size(); ++index) {
-    const auto rounds = static_cast<double>((index + at_once) / at_once);
+    const size_t rounds = (index + at_once) / at_once;
     const absl::Time deadline = weights.deadlineOf(model, pending[index].version);
-    latest_start = std::min(latest_start, deadline - settings.margin - load_time * rounds);
+    const absl::Duration loads = load_time * static_cast<double>(rounds);
+    latest_start = std::min(latest_start, deadline - settings.margin - loads);
   }
   plan.next_start = latest_start;
   plan.is_due = now >= latest_start;
--- a/src/forwarding/weights_register.h
+++ b/src/forwarding/weights_register.h
@@ -15,6 +15,7 @@
   // `in_force`: from a version's naming until requests begin on no older one.
   explicit WeightsRegister(absl::Duration in_force) : in_force_(in_force) {}
 
+  void setInForce(absl::Duration in_force) { in_force_ = in_force; }
   // The version was named at that time, or before; the earliest time counts. Returns whether it is the newest
   // and news.
   bool note(const NamedWeights& weights, absl::Time named);
--- a/src/gateway/core.cc
+++ b/src/gateway/core.cc
@@ -38,6 +38,12 @@
       budget(budgetSettings(settings)),
       weights(settings.bounds.weights_in_force) {}
 
+void Core::applyBounds(const GatewayBounds& bounds) {
+  settings.bounds = bounds;
+  budget.setSettings(budgetSettings(settings));
+  weights.setInForce(bounds.weights_in_force);
+}
+
 std::optional<absl::Duration> Core::storeClock(absl::Time now) const {
   if (!store_clock_ahead) {
     return std::nullopt;
--- a/src/gateway/core.h
+++ b/src/gateway/core.h
@@ -57,6 +57,8 @@
   size_t requests_under_way = 0;
   uint64_t split_counter = 0;  // spreads requests over a route's services by their weights
 
+  // Takes other bounds while serving; addresses and names stay as they were at the start.
+  void applyBounds(const GatewayBounds& bounds);
   // The store's clock now, as far as known.
   std::optional<absl::Duration> storeClock(absl::Time now) const;
   // Whether a request under a key may be sent now.
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -82,6 +82,10 @@
     refuse(kUnavailable, "no_configuration");
     return false;
   }
+  if (!core_.knows_servers) {
+    refuse(kUnavailable, "servers_not_read_yet");
+    return false;
+  }
   const std::string* const host = findField(head_.fields, "Host");
   route_ = configuration_->findRoute(host == nullptr ? "" : *host, head_.target);
   if (route_ == nullptr) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -3,6 +3,7 @@
 #include <signal.h>  // NOLINT: SIGHUP
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <utility>
 #include <vector>
 
@@ -103,7 +104,7 @@
       return;
     }
     if (signal == SIGHUP) {
-      core_.log.event("reload", reactor::steadyNow());
+      reload();
     } else {
       beginStop();
     }
@@ -111,6 +112,19 @@
   });
 }
 
+// A file that can't be read changes nothing: the process goes on with what it has.
+void Gateway::reload() {
+  const std::optional<GatewaySettings> settings = reload_ ? reload_() : std::nullopt;
+  core_.log.event("reload", reactor::steadyNow()).with("done", settings ? "true" : "false");
+  if (settings) {
+    core_.applyBounds(settings->bounds);
+  }
+}
+
+void Gateway::stopInGoodOrder() {
+  boost::asio::post(core_.reactor, [this] { beginStop(); });
+}
+
 void Gateway::beginStop() {
   if (core_.is_stopping) {
     return;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -32,8 +32,12 @@
   void run();
   // Ends `run` soon; for tests.
   void stop() { core_.reactor.stop(); }
-  // Begins the planned stop, as the signal does.
-  void beginStop();
+  // Begins the planned stop, as the signal does. From any thread.
+  void stopInGoodOrder();
+  // Where the settings come from when the signal to reload comes: nothing while they can't be read. Set
+  // before `run`.
+  using Reload = std::function<std::optional<GatewaySettings>()>;
+  void setReload(Reload reload) { reload_ = std::move(reload); }
 
   uint16_t callersPort() const { return callers_->port(); }
   uint16_t readinessPort() const { return readiness_->port(); }
@@ -44,6 +48,8 @@
   reactor::PlainAnswer answerReadiness() const;
   reactor::PlainAnswer answerMetrics();
   void awaitSignal();
+  void beginStop();
+  void reload();
   void tick();
   void checkStopped();
 
@@ -59,6 +65,7 @@
   absl::flat_hash_map<CallerConnection*, std::shared_ptr<CallerConnection>> connections_;
   absl::Time stop_began_ = absl::InfiniteFuture();
   bool was_ready_ = false;
+  Reload reload_;
 };
 
 }  // namespace quincewick::gateway
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -199,8 +199,9 @@
 }
 
 absl::Duration PeerExchange::silence() const {
-  const auto ticks_a_round = static_cast<double>((peers_.size() + kPeersATick - 1) / kPeersATick);
-  return std::max(kSilence, kDigestInterval * ticks_a_round * 4);
+  constexpr double rounds = 4;
+  const size_t ticks_a_round = (peers_.size() + kPeersATick - 1) / kPeersATick;
+  return std::max(kSilence, kDigestInterval * rounds * static_cast<double>(ticks_a_round));
 }
 
 void PeerExchange::sendDigest(size_t most) {
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -47,6 +47,13 @@
   // Sends bytes on a new connection and reads until it ends.
   std::string ask(const std::string& bytes) const { return askAt(gateway_.callersPort(), bytes); }
 
+  // Asks whether the gateway is ready.
+  bool isReady() const {
+    const std::string question = "GET /ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+    return askAt(gateway_.readinessPort(), question).find(" 200 ") != std::string::npos;
+  }
+  void stopInGoodOrder() { gateway_.stopInGoodOrder(); }
+
   std::string ask(const std::string& target, const HeaderFields& more, const std::string& body = "") const {
     HeaderFields fields = {{"Host", "h"},
                            {"Connection", "close"},
@@ -79,8 +86,7 @@
   }
 
   void awaitReady() const {
-    const std::string question = "GET /ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
-    while (askAt(gateway_.readinessPort(), question).find(" 200 ") == std::string::npos) {
+    while (!isReady()) {
       std::this_thread::yield();
     }
   }
@@ -265,5 +271,20 @@
   CHECK(answer.ends_with("/safe/2"));
 }
 
+// Finding F1.
+TEST_CASE_METHOD(Fixture, "a gateway that stops is not ready, serves on, and closes after each answer") {
+  site.addServer("i-1", [](const Seen& /*seen*/) { return Script{signedAnswer("served")}; });
+  RunningGateway gateway(site);
+  gateway.stopInGoodOrder();
+  while (gateway.isReady()) {
+    std::this_thread::yield();
+  }
+  const HeaderFields fields = {
+      {"Host", "h"}, {"Quincewick-Attempt-Id", "attempt-1"}, {"Authorization", "Bearer key"}};
+  const std::string answer = gateway.ask(printRequestHead("GET", "/safe/1", fields));
+  CHECK(has(answer, "Connection: close"));
+  CHECK(answer.ends_with("served"));
+}
+
 }  // namespace
 }  // namespace quincewick::gateway
