--- a/src/forwarding/attempt_ledger.cc
+++ b/src/forwarding/attempt_ledger.cc
@@ -6,9 +6,17 @@
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
+constexpr int kRequestTimeout = 408;
+constexpr int kMisdirected = 421;
+constexpr int kTooManyRequests = 429;
 
 }  // namespace
 
+bool promisesNotRun(int status) {
+  return status == kRequestTimeout || status == kMisdirected || status == kTooManyRequests ||
+         status == kUnavailable;
+}
+
 void AttemptLedger::noteEnd(AttemptEnd end) {
   switch (end) {
     case AttemptEnd::kNeverSent:
--- a/src/forwarding/attempt_ledger.h
+++ b/src/forwarding/attempt_ledger.h
@@ -19,6 +19,9 @@
   kFailed,     // the server ran it and says that it failed
 };
 
+// Whether an answer's status promises that the request has not run and never will.
+bool promisesNotRun(int status);
+
 class AttemptLedger {
  public:
   AttemptLedger() = default;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -16,31 +16,14 @@
 using forwarding::RepeatKind;
 using forwarding::ServerDirectory;
 
-constexpr size_t kKeptAnswerBytes = 262144;    // a longer answer is passed on as it comes
-constexpr size_t kUnsentBytesAtMost = 262144;  // of a slow caller
 constexpr absl::Duration kRetryAfter = absl::Milliseconds(250);
 constexpr absl::Duration kLeastTimeToTry = absl::Milliseconds(15);
 constexpr uint32_t kLeastUrgent = 9;
-constexpr double kRefusalWeight = 0.5;
-constexpr double kFailureWeight = 0.5;
-constexpr double kBrokenWeight = 1.0;
 constexpr double kGoldenRatioPart = 0.6180339887498949;  // spreads a counter evenly over 0 to 1
-constexpr int kFirstSuccess = 200;
-constexpr int kFirstRedirect = 300;
-constexpr int kFirstServerError = 500;
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
-constexpr int kRequestTimeout = 408;
-constexpr int kMisdirected = 421;
-constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
 
-// Statuses that promise that a request did not run.
-bool promisesNotRun(int status) {
-  return status == kRequestTimeout || status == kMisdirected || status == kTooManyRequests ||
-         status == kUnavailable;
-}
-
 }  // namespace
 
 Exchange::Exchange(Core& core, BackEndPool& pool, HttpHead head, std::string body, AnswerSink* sink)
@@ -263,173 +246,6 @@
   endAttempt(AttemptEnd::kNeverSent);
 }
 
-Exchange::Verdict Exchange::judge(const HttpHead& head, const forwarding::AnswerFacts& facts) const {
-  if (facts.is_not_run || facts.is_other_server) {
-    return Verdict::kRefused;
-  }
-  const bool is_success = head.status >= kFirstSuccess && head.status < kFirstRedirect;
-  if (is_success && !facts.is_signed) {
-    return Verdict::kBroken;
-  }
-  if (promisesNotRun(head.status)) {
-    return Verdict::kFailed;  // without the server's word the promise can't be passed on
-  }
-  if (head.status >= kFirstServerError && ledger_.execution() != Execution::kNotRun &&
-      route_->mayRunAgain()) {
-    return Verdict::kFailed;
-  }
-  return Verdict::kPassOn;
-}
-
-void Exchange::onAnswerHead(const HttpHead& head, const forwarding::AnswerFacts& facts) {
-  const absl::Time now = reactor::steadyNow();
-  answer_ = head;
-  verdict_ = judge(head, facts);
-  const std::string* const length = findField(head.fields, "Content-Length");
-  answer_length_ = length == nullptr ? std::nullopt : parseWhole(*length);
-  if (facts.weights_version && !facts_.model.empty()) {
-    ServerDirectory::noteVersion(*server_, facts_.model, *facts.weights_version);
-  }
-  if (facts.is_other_server && facts.server_id && *facts.server_id != server_->entry.id) {
-    ServerDirectory::noteReplaced(*server_, now);
-  }
-}
-
-void Exchange::onAnswerBody(std::string bytes) {
-  const auto self = shared_from_this();
-  if (verdict_ == Verdict::kRefused || verdict_ == Verdict::kBroken) {
-    return;
-  }
-  const bool is_success = answer_.status >= kFirstSuccess && answer_.status < kFirstRedirect;
-  if (route_->kind == RepeatKind::kStream && is_success) {
-    passEvents(bytes);
-  } else {
-    keepOrPass(std::move(bytes));
-  }
-  if (sink_ != nullptr && attempt_ != nullptr && sink_->unsentBytes() > kUnsentBytesAtMost) {
-    attempt_->pause();
-  }
-}
-
-// Only whole events go on, each once: what a server broke off in the middle is not seen by the caller.
-void Exchange::passEvents(std::string_view bytes) {
-  std::string out;
-  for (const forwarding::StreamEvent& event : events_.take(bytes)) {
-    if (event.id && last_event_ && *event.id <= *last_event_) {
-      continue;
-    }
-    if (event.id) {
-      last_event_ = event.id;
-    }
-    out += event.bytes;
-  }
-  if (out.empty()) {
-    return;
-  }
-  if (counted_.prefill_tokens > 0) {
-    server_->own.prefill_tokens -= std::min(server_->own.prefill_tokens, counted_.prefill_tokens);
-    counted_.prefill_tokens = 0;
-  }
-  notePiece();
-  passHead();
-  if (sink_ != nullptr) {
-    sink_->sendBody(out);
-  }
-}
-
-void Exchange::notePiece() {
-  const absl::Time now = reactor::steadyNow();
-  if (first_piece_ == absl::InfiniteFuture()) {
-    first_piece_ = now;
-    core_.metrics.observeFirstPiece(now - began_);
-  } else {
-    longest_pause_ = std::max(longest_pause_, now - last_piece_);
-  }
-  last_piece_ = now;
-}
-
-void Exchange::passHead() {
-  if (head_passed_) {
-    return;
-  }
-  head_passed_ = true;
-  if (sink_ == nullptr) {
-    return;
-  }
-  HeaderFields fields;
-  const std::string* const connection = findField(answer_.fields, "Connection");
-  for (const HeaderField& field : answer_.fields) {
-    if (!isHopByHop(field.name, connection == nullptr ? "" : *connection) &&
-        findField({field}, "Content-Length") == nullptr) {
-      fields.push_back(field);
-    }
-  }
-  const bool is_stream = route_->kind == RepeatKind::kStream;
-  std::optional<uint64_t> length = is_stream ? std::nullopt : answer_length_;
-  if (keeps_answer_ && !is_stream) {
-    length = head_.method == "HEAD" ? answer_length_ : std::optional<uint64_t>(kept_body_.size());
-  }
-  sink_->sendHead(answer_.status, answer_.reason, std::move(fields), length);
-}
-
-void Exchange::keepOrPass(std::string bytes) {
-  if (keeps_answer_) {
-    kept_body_ += bytes;
-    if (kept_body_.size() <= kKeptAnswerBytes) {
-      return;
-    }
-    keeps_answer_ = false;
-    verdict_ = Verdict::kPassOn;  // too long to be kept for another decision
-    bytes = std::exchange(kept_body_, std::string());
-    passHead();
-  }
-  if (sink_ != nullptr) {
-    sink_->sendBody(bytes);
-  }
-}
-
-void Exchange::onAnswerEnd() {
-  const auto self = shared_from_this();
-  const absl::Time now = reactor::steadyNow();
-  switch (verdict_) {
-    case Verdict::kRefused:
-      ServerDirectory::noteFailure(*server_, kRefusalWeight, now);
-      endAttempt(AttemptEnd::kRefused);
-      return;
-    case Verdict::kBroken:
-      ServerDirectory::noteFailure(*server_, kBrokenWeight, now);
-      endAttempt(AttemptEnd::kUnknown);
-      return;
-    case Verdict::kFailed:
-      ServerDirectory::noteFailure(*server_, kFailureWeight, now);
-      endAttempt(AttemptEnd::kFailed);
-      return;
-    case Verdict::kPassOn:
-      break;
-  }
-  ServerDirectory::noteSuccess(*server_, now - attempt_began_);
-  passKeptAnswer();
-  complete("answered");
-}
-
-void Exchange::passKeptAnswer() {
-  passHead();
-  if (sink_ == nullptr) {
-    return;
-  }
-  const std::string& rest =
-      route_->kind == RepeatKind::kStream && kept_body_.empty() ? events_.rest() : kept_body_;
-  if (!rest.empty()) {
-    sink_->sendBody(rest);
-  }
-}
-
-void Exchange::onAnswerBroken() {
-  const auto self = shared_from_this();
-  ServerDirectory::noteFailure(*server_, kBrokenWeight, reactor::steadyNow());
-  endAttempt(AttemptEnd::kUnknown);
-}
-
 void Exchange::endAttempt(AttemptEnd end) {
   core_.metrics.countAttempt(end);
   core_.log.event("attempt_ended", reactor::steadyNow())
@@ -441,7 +257,7 @@
   releaseServer();
   attempt_.reset();
   ledger_.noteEnd(end);
-  has_failure_ = end == AttemptEnd::kFailed && !head_passed_ && !promisesNotRun(answer_.status);
+  has_failure_ = end == AttemptEnd::kFailed && !head_passed_ && !forwarding::promisesNotRun(answer_.status);
   const bool is_cut = head_passed_ && !(route_->kind == RepeatKind::kStream && route_->is_resumable);
   if (done_ || sink_ == nullptr) {
     complete("caller_left");
