--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -14,7 +14,6 @@
 
 using forwarding::AttemptEnd;
 using forwarding::RepeatKind;
-using forwarding::ServerDirectory;
 
 constexpr absl::Duration kRetryAfter = absl::Milliseconds(250);
 constexpr absl::Duration kLeastTimeToTry = absl::Milliseconds(15);
