--- /dev/null
+++ b/tests/gateway/gateway_settings_test.cc
@@ -0,0 +1,58 @@
+#include "gateway/gateway_settings.h"
+
+#include <absl/strings/str_replace.h>
+
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <sstream>
+
+namespace quincewick::gateway {
+namespace {
+
+// The deployment's template with each of its gaps filled as a platform would.
+std::string filledTemplate() {
+  std::ifstream in(std::string(QUINCEWICK_SOURCE_FOLDER) + "/deploy/settings.template");
+  std::stringstream text;
+  text << in.rdbuf();
+  return absl::StrReplaceAll(text.str(), {{"{{nodeName}}", "front-a-1"},
+                                          {"{{zone}}", "a"},
+                                          {"{{region}}", "r"},
+                                          {"{{ip}}", "10.1.0.30"},
+                                          {"{{portRange.0}}", "7340"},
+                                          {"{{listen.front}}", "10.1.0.30:8782"},
+                                          {"{{listen.ready}}", "10.1.0.30:8789"},
+                                          {"{{platform.address}}", "10.200.1.7:8784"},
+                                          {"{{bounds.revokeMs}}", "5000"},
+                                          {"{{bounds.drainMs}}", "2000"},
+                                          {"{{bounds.graceS}}", "8"},
+                                          {"{{bounds.leaseMs}}", "3000"},
+                                          {"{{bounds.versionMs}}", "7500"},
+                                          {"{{bounds.retryBudgetRatio}}", "0.25"},
+                                          {"{{bounds.budgetMinRetries}}", "54"},
+                                          {"{{bounds.budgetWindowS}}", "10"}});
+}
+
+TEST_CASE("what the deployment's template gives is read whole") {
+  const std::string text = filledTemplate();
+  CHECK(text.find("{{") == std::string::npos);
+  CHECK(looksLikeGatewaySettings(text));
+  const auto parsed = parseGatewaySettings(text);
+  REQUIRE(parsed.ok());
+  CHECK(parsed.value->gateway_id == NodeId("front-a-1"));
+  CHECK(parsed.value->listen.peers == Address{"10.1.0.30", 7340});
+  CHECK(parsed.value->store == Address{"10.200.1.7", 8784});
+  CHECK(parsed.value->bounds.weights_in_force == absl::Milliseconds(7500));
+  CHECK(parsed.value->bounds.retry_ratio == 0.25);
+}
+
+TEST_CASE("faults are told with their place") {
+  const auto parsed = parseGatewaySettings("gateway_id: g\nzone: z\nregion: r\nsotre: 10.0.0.1:1\n");
+  CHECK_FALSE(parsed.ok());
+  const bool names_the_line = std::any_of(parsed.diagnostics.begin(), parsed.diagnostics.end(),
+                                          [](const auto& fault) { return fault.line == 4; });
+  CHECK(names_the_line);
+  CHECK_FALSE(looksLikeGatewaySettings("node_id: n\n"));
+}
+
+}  // namespace
+}  // namespace quincewick::gateway
--- /dev/null
+++ b/tests/gateway/peer_digest_test.cc
@@ -0,0 +1,40 @@
+#include "gateway/peer_digest.h"
+
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+namespace quincewick::gateway {
+namespace {
+
+TEST_CASE("a digest reads back as it was written, and no part of it passes for one") {
+  CHECK(rc::check([] {
+    PeerDigest digest;
+    digest.address = {"10.0.0.1", 7340};
+    for (int load = 0; load < *rc::gen::inRange(0, 20); ++load) {
+      digest.loads.push_back({*rc::gen::arbitrary<uint64_t>(), *rc::gen::arbitrary<uint16_t>(), 7});
+    }
+    digest.placements.push_back({*rc::gen::arbitrary<uint64_t>(), {{1, 2}, {3, 4}}});
+    digest.engines.push_back({1, 2, *rc::gen::arbitrary<uint64_t>(), 3500});
+    const std::string bytes = encodeDigest(digest);
+    const auto read = decodeDigest(bytes);
+    RC_ASSERT(read.has_value());
+    RC_ASSERT(read.value().address == digest.address);
+    RC_ASSERT(read.value().loads.size() == digest.loads.size());
+    RC_ASSERT(read.value().placements[0].keys == digest.placements[0].keys);
+    RC_ASSERT(read.value().engines[0].version == digest.engines[0].version);
+    const size_t kept = *rc::gen::inRange<size_t>(0, bytes.size());
+    RC_ASSERT(decodeDigest(std::string_view(bytes).substr(0, kept)).has_error());
+  }));
+}
+
+TEST_CASE("bytes of others are refused without taking memory for what they claim") {
+  CHECK(rc::check([] {
+    const std::string bytes = *rc::gen::arbitrary<std::string>();
+    const auto read = decodeDigest(bytes);
+    const bool is_bounded = read.has_error() || read.value().loads.size() <= 512;
+    RC_ASSERT(is_bounded);
+  }));
+}
+
+}  // namespace
+}  // namespace quincewick::gateway
