One reader and printer of addresses, one plan of loads a tick, and a limit that nobody asked goes

Cause, found on reading the whole change: HOST:PORT was read and printed twice over (platform/, src/gateway); OrderGiver planned the same loads twice in a tick; BackEndPool::hasRoom was called from nowhere, so a service's connection limit has never held.

--- a/src/gateway/back_end_pool.cc
+++ b/src/gateway/back_end_pool.cc
@@ -8,9 +8,6 @@
 namespace quincewick::gateway {
 namespace {
 
-// Gateways that may hold connections at once when the site's limit of a server is divided.
-constexpr uint32_t kConnectionSharers = 10;
-constexpr uint32_t kFewestConnections = 2;
 constexpr absl::Duration kFreshIdle = absl::Seconds(2);
 
 }  // namespace
@@ -27,20 +24,6 @@
   link_->resume(number_);
 }
 
-uint32_t BackEndPool::connectionsAtMost(const forwarding::Server& server) const {
-  const auto& configuration = core_.in_force.configuration;
-  const forwarding::Service* const service =
-      configuration == nullptr ? nullptr : configuration->findService(server.entry.service);
-  const uint32_t site_limit = service == nullptr ? kConnectionSharers : service->max_connections;
-  return std::max(site_limit / kConnectionSharers, kFewestConnections);
-}
-
-bool BackEndPool::hasRoom(const forwarding::Server& server) const {
-  const auto found = links_.find(server.entry.id);
-  return found == links_.end() || !found->second.idle.empty() ||
-         found->second.open < connectionsAtMost(server);
-}
-
 std::unique_ptr<Attempt> BackEndPool::start(const forwarding::ServerDirectory::ServerPointer& server,
                                             AttemptRequest request, AttemptListener* listener) {
   Links& links = links_[server->entry.id];
--- a/src/gateway/back_end_pool.h
+++ b/src/gateway/back_end_pool.h
@@ -75,8 +75,6 @@
   BackEndPool(const BackEndPool&) = delete;
   BackEndPool& operator=(const BackEndPool&) = delete;
 
-  // Whether a connection to the server is free or may be opened.
-  bool hasRoom(const forwarding::Server& server) const;
   // The listener outlives the attempt or cancels it.
   std::unique_ptr<Attempt> start(const forwarding::ServerDirectory::ServerPointer& server,
                                  AttemptRequest request, AttemptListener* listener);
@@ -93,7 +91,6 @@
   };
   void giveBack(const std::shared_ptr<BackEndLink>& link);
   void forget(const BackEndLink* link);
-  uint32_t connectionsAtMost(const forwarding::Server& server) const;
 
   Core& core_;
   absl::flat_hash_map<std::string, Links> links_;  // by server id
--- a/src/gateway/order_giver.cc
+++ b/src/gateway/order_giver.cc
@@ -40,12 +40,14 @@
 void OrderGiver::tick() {
   const absl::Time now = reactor::steadyNow();
   is_due_ = !loads_.empty();
+  std::vector<std::pair<ModelName, forwarding::RolloutPlan>> plans;
   for (const auto& [model, versions] : core_.weights.all()) {
-    const auto plan = forwarding::planRollout(enginesOf(model, now), model, core_.weights,
-                                              core_.settings.bounds.weights_in_force, load_time_.expected(),
-                                              forwarding::RolloutSettings(), now);
+    plans.emplace_back(model,
+                       forwarding::planRollout(enginesOf(model, now), model, core_.weights,
+                                               core_.settings.bounds.weights_in_force, load_time_.expected(),
+                                               forwarding::RolloutSettings(), now));
     // The lease is taken a moment before the first order.
-    is_due_ = is_due_ || now >= plan.next_start - kTurnStep;
+    is_due_ = is_due_ || now >= plans.back().second.next_start - kTurnStep;
   }
   // A gateway that stops goes on with what it holds, but takes nothing new.
   if (!is_due_ || (core_.is_stopping && !lease_.holds(now))) {
@@ -60,8 +62,8 @@
     }
   }
   if (lease_.mayOrder(now)) {
-    for (const auto& [model, versions] : core_.weights.all()) {
-      plan(model, now);
+    for (const auto& [model, plan] : plans) {
+      carryOut(model, plan, now);
     }
   }
   core_.timers.schedule(now + kTick, [this] { tick(); });
@@ -146,10 +148,7 @@
       });
 }
 
-void OrderGiver::plan(const ModelName& model, absl::Time now) {
-  const auto plan = forwarding::planRollout(enginesOf(model, now), model, core_.weights,
-                                            core_.settings.bounds.weights_in_force, load_time_.expected(),
-                                            forwarding::RolloutSettings(), now);
+void OrderGiver::carryOut(const ModelName& model, const forwarding::RolloutPlan& plan, absl::Time now) {
   for (const std::string& id : plan.order) {
     begin(id, model, now);
   }
--- a/src/gateway/order_giver.h
+++ b/src/gateway/order_giver.h
@@ -40,7 +40,7 @@
   };
 
   void tick();
-  void plan(const ModelName& model, absl::Time now);
+  void carryOut(const ModelName& model, const forwarding::RolloutPlan& plan, absl::Time now);
   std::vector<forwarding::RolloutEngine> enginesOf(const ModelName& model, absl::Time now) const;
   absl::Duration turnDelay(absl::Time now) const;
   void pursueLease(absl::Time now);
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -8,6 +8,8 @@
 #include <boost/asio/ip/address.hpp>
 #include <utility>
 
+#include "types/address_text.h"
+
 namespace quincewick::gateway {
 namespace {
 
@@ -36,22 +38,6 @@
   return secret;
 }
 
-std::string printAddress(const Address& address) {
-  return address.host + ":" + std::to_string(address.port);
-}
-
-std::optional<Address> parseAddress(const std::string& text) {
-  const size_t colon = text.rfind(':');
-  if (colon == std::string::npos) {
-    return std::nullopt;
-  }
-  const std::optional<uint64_t> port = parseWhole(std::string_view(text).substr(colon + 1));
-  if (!port || *port > UINT16_MAX) {
-    return std::nullopt;
-  }
-  return Address{text.substr(0, colon), static_cast<uint16_t>(*port)};
-}
-
 }  // namespace
 
 PeerExchange::PeerExchange(Core& core) : core_(core), store_(core), socket_(core.reactor) {}
--- /dev/null
+++ b/src/types/address_text.h
@@ -0,0 +1,16 @@
+// Addresses as "HOST:PORT".
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "types/back_end.h"
+
+namespace quincewick {
+
+std::string printAddress(const Address& address);
+// Nothing where there is no port, or none that fits.
+std::optional<Address> parseAddress(std::string_view text);
+
+}  // namespace quincewick
