--- a/src/forwarding/engine_placement.cc
+++ b/src/forwarding/engine_placement.cc
@@ -57,6 +57,13 @@
   uint64_t kept = 0;
 };
 
+// What besides the chain makes an engine cheap or dear for a request.
+struct EnginePlacement::Circumstances {
+  size_t rank = 0;               // among the chain's engines
+  bool has_old_weights = false;  // the request is worth less there
+  bool is_short_lane = false;
+};
+
 prefix::TrunkIndexSettings EnginePlacement::indexSettings(const EnginePlacementSettings& settings) {
   prefix::TrunkIndexSettings result;
   result.maximum_blocks = settings.index_entries;
@@ -86,7 +93,8 @@
 }
 
 EnginePlacement::Weighed EnginePlacement::weigh(const ServerDirectory::ServerPointer& server,
-                                                const Chain& chain, size_t rank, absl::Time now) const {
+                                                const Chain& chain, const Circumstances& circumstances,
+                                                absl::Time now) const {
   Weighed result;
   result.kept = chain.keptAt(server->slot);
   uint64_t elsewhere = 0;
@@ -103,8 +111,16 @@
   if (fetched > 0) {
     seconds += absl::ToDoubleSeconds(settings_.move_overhead + settings_.move_per_token * fetched);
   }
-  seconds += absl::ToDoubleSeconds(settings_.home_step) * static_cast<double>(std::min<size_t>(rank, 4));
+  seconds += absl::ToDoubleSeconds(settings_.home_step) *
+             static_cast<double>(std::min<size_t>(circumstances.rank, 4));
   seconds += server->entry.zone == settings_.zone ? 0 : absl::ToDoubleSeconds(settings_.other_zone);
+  seconds += circumstances.has_old_weights ? absl::ToDoubleSeconds(settings_.old_weights) : 0;
+  const bool is_short = chain.all_tokens <= settings_.short_prompt_tokens;
+  if (is_short && !circumstances.is_short_lane) {
+    seconds += absl::ToDoubleSeconds(settings_.short_in_long_lane);
+  } else if (!is_short && circumstances.is_short_lane) {
+    seconds += absl::ToDoubleSeconds(settings_.long_in_short_lane);
+  }
   seconds += kFailureSeconds * server->failureScore(now);
   const uint32_t full = server->entry.slots * settings_.slots_for_full;
   seconds += server->running() >= full ? kFullSeconds : 0;
@@ -113,6 +129,22 @@
   return result;
 }
 
+// Engines with a lesser hash of their id are the short lane: every node that lists the same ones finds them.
+uint64_t EnginePlacement::shortLaneEnd(const std::vector<ServerDirectory::ServerPointer>& engines) const {
+  const auto count = static_cast<size_t>(settings_.short_lane_share * static_cast<double>(engines.size()));
+  if (count == 0) {
+    return 0;
+  }
+  std::vector<uint64_t> hashes;
+  hashes.reserve(engines.size());
+  for (const auto& engine : engines) {
+    hashes.push_back(engine->identity_hash);
+  }
+  const auto end = hashes.begin() + static_cast<std::ptrdiff_t>(count);
+  std::nth_element(hashes.begin(), end, hashes.end());
+  return *end;
+}
+
 std::optional<EngineChoice> EnginePlacement::choose(
     const PlacementRequest& request, const std::vector<ServerDirectory::ServerPointer>& engines,
     const ServerDirectory& directory, const CacheStoreTraits* cache_store,
@@ -136,6 +168,7 @@
   std::sort(candidates.begin(), candidates.end(), [home](const Candidate& left, const Candidate& right) {
     return routing::rendezvousWeight(home, left.hash) > routing::rendezvousWeight(home, right.hash);
   });
+  const uint64_t short_lane_end = shortLaneEnd(engines);
   absl::btree_map<WeightsVersion, Chain> chains;
   const Candidate* best = nullptr;
   Weighed least;
@@ -144,7 +177,9 @@
     if (!chains.contains(candidate.version)) {
       chains.emplace(candidate.version, chainOf(request, candidate.version, now));
     }
-    const Weighed weighed = weigh(candidate.server, chains.at(candidate.version), rank, now);
+    const Circumstances circumstances{rank, candidate.version < request.wanted,
+                                      candidate.hash < short_lane_end};
+    const Weighed weighed = weigh(candidate.server, chains.at(candidate.version), circumstances, now);
     if (weighed.seconds < least.seconds) {
       least = weighed;
       best = &candidate;
--- a/src/forwarding/engine_placement.h
+++ b/src/forwarding/engine_placement.h
@@ -27,7 +27,14 @@
   absl::Duration move_overhead = absl::Milliseconds(2);
   double shared_read_weight = 3;  // reading a shared part again costs others more than this request's time
   absl::Duration other_zone = absl::Milliseconds(3);
-  absl::Duration home_step = absl::Milliseconds(4);  // for each rank below a chain's first engine
+  absl::Duration old_weights = absl::Milliseconds(250);  // what the loss of worth on them counts as
+  absl::Duration home_step = absl::Milliseconds(4);      // for each rank below a chain's first engine
+  // Reading a long prompt holds up every stream of its engine, for one step of all takes as long as the piece
+  // read with it. So short prompts have a share of the engines before all others, and long ones the rest.
+  uint64_t short_prompt_tokens = 2048;  // in all
+  double short_lane_share = 0.2;        // of the engines
+  absl::Duration long_in_short_lane = absl::Milliseconds(300);
+  absl::Duration short_in_long_lane = absl::Milliseconds(100);
   uint32_t slots_for_full = 2;  // running requests for each slot that make an engine full
   size_t index_entries = 4096;
 };
@@ -37,6 +44,7 @@
   ModelName model;
   std::vector<PromptPart> prompt;  // the last part is the request's own
   std::string isolation;           // the tenant's name where it shares nothing; else empty
+  WeightsVersion wanted;           // on an older one the request is worth less
 };
 
 struct EngineChoice {
@@ -78,9 +86,11 @@
   static prefix::TrunkIndexSettings indexSettings(const EnginePlacementSettings& settings);
   struct Chain;
   struct Weighed;
+  struct Circumstances;
   Chain chainOf(const PlacementRequest& request, WeightsVersion version, absl::Time now);
-  Weighed weigh(const ServerDirectory::ServerPointer& server, const Chain& chain, size_t rank,
-                absl::Time now) const;
+  Weighed weigh(const ServerDirectory::ServerPointer& server, const Chain& chain,
+                const Circumstances& circumstances, absl::Time now) const;
+  uint64_t shortLaneEnd(const std::vector<ServerDirectory::ServerPointer>& engines) const;
 
   EnginePlacementSettings settings_;
   prefix::TrunkIndex index_;
--- a/src/forwarding/rollout_planner.cc
+++ b/src/forwarding/rollout_planner.cc
@@ -11,20 +11,27 @@
 constexpr absl::Duration kShortestLoad = absl::Milliseconds(300);
 constexpr absl::Duration kLongestLoad = absl::Seconds(4);
 
-// Loads at once, the fewest that bring all engines there within their share of the bound.
+// Loads at once: as many as go at full speed, or the fewest that bring all engines there within their share
+// of the bound.
 uint32_t loadsAtOnce(size_t engines, absl::Duration within, absl::Duration load_time,
                      const RolloutSettings& settings) {
   const auto time_for = [&](uint32_t loads) {
     const size_t rounds = (engines + loads - 1) / loads;
     return load_time * static_cast<double>(rounds);
   };
-  uint32_t at_once = settings.fewest_at_once;
+  const auto at_full_speed = static_cast<uint32_t>(settings.share_at_once * static_cast<double>(engines));
+  uint32_t at_once = std::max(settings.fewest_at_once, at_full_speed);
   while (at_once < settings.most_at_once && time_for(at_once) > within * kShareForLoads) {
     ++at_once;
   }
   return at_once;
 }
 
+bool isEmptied(const RolloutEngine& engine, const RolloutSettings& settings, absl::Time now) {
+  const absl::Duration reserved = now - engine.reserved_since;
+  return reserved >= settings.emptying || (engine.running == 0 && reserved >= settings.shortest_emptying);
+}
+
 }  // namespace
 
 void LoadTime::note(absl::Duration taken) {
@@ -49,8 +56,8 @@
     return plan;
   }
   std::sort(pending.begin(), pending.end(), [&](const RolloutEngine& left, const RolloutEngine& right) {
-    return std::tuple(weights.deadlineOf(model, left.version), !left.is_reserved, left.running) <
-           std::tuple(weights.deadlineOf(model, right.version), !right.is_reserved, right.running);
+    return std::tuple(weights.deadlineOf(model, left.version), left.reserved_since, left.running) <
+           std::tuple(weights.deadlineOf(model, right.version), right.reserved_since, right.running);
   });
   const uint32_t at_once = loadsAtOnce(engines.size(), all_within, load_time, settings);
   // The last engine of each deadline must be done by it: the latest start is the least over all prefixes.
@@ -61,6 +68,7 @@
     const absl::Duration loads = load_time * static_cast<double>(rounds);
     latest_start = std::min(latest_start, deadline - settings.margin - loads);
   }
+  latest_start = std::min(latest_start, weights.namedAt(model, newest) + settings.patience);
   plan.next_start = latest_start;
   plan.is_due = now >= latest_start;
   if (!plan.is_due) {
@@ -69,7 +77,7 @@
   const size_t free = at_once > loading ? at_once - loading : 0;
   for (size_t index = 0; index < pending.size() && index < free + size_t{at_once} * settings.reserved_rounds;
        ++index) {
-    if (index < free) {
+    if (index < free && isEmptied(pending[index], settings, now)) {
       plan.order.push_back(pending[index].id);
     } else {
       plan.reserve.push_back(pending[index].id);
--- a/src/forwarding/rollout_planner.h
+++ b/src/forwarding/rollout_planner.h
@@ -1,5 +1,6 @@
-// When which engines take a new version of a model's weights: as late as the bound allows, so that versions
-// named in between need no load of their own, and a few at a time. Pure.
+// When which engines take a new version of a model's weights, and how many at a time. A version waits for a
+// moment, so that one named right after it needs no loads of its own; then its loads begin, for work on older
+// weights is worth less. Pure.
 #pragma once
 
 #include <absl/time/time.h>
@@ -17,8 +18,9 @@
 struct RolloutEngine {
   std::string id;
   WeightsVersion version;
-  bool is_loading = false;   // an order is under way
-  bool is_reserved = false;  // it is next, and gets no new requests
+  bool is_loading = false;  // an order is under way
+  // Since when it is reserved: it is next, and gets no new requests. InfiniteFuture: it is not.
+  absl::Time reserved_since = absl::InfiniteFuture();
   bool is_reachable = true;
   uint32_t running = 0;
 };
@@ -32,8 +34,14 @@
 
 struct RolloutSettings {
   uint32_t fewest_at_once = 2;
-  uint32_t most_at_once = 4;
+  double share_at_once = 0.2;  // of the engines: so many load at no loss of speed
+  uint32_t most_at_once = 4;   // unless the share is more; only where the bound can't be met otherwise
+  absl::Duration patience = absl::ZeroDuration();  // from a version's naming until its loads begin
   uint32_t reserved_rounds = 1;  // engines of so many further rounds get no new requests, so that runs end
+  // A reserved engine is given its order after so long, or as soon as it is empty: a load holds up what runs.
+  absl::Duration emptying = absl::Milliseconds(1200);
+  // Peers may have sent it something before they learnt that it is reserved.
+  absl::Duration shortest_emptying = absl::Milliseconds(200);
   absl::Duration margin = absl::Milliseconds(900);  // before the bound
 };
 
--- a/src/forwarding/weights_register.cc
+++ b/src/forwarding/weights_register.cc
@@ -11,6 +11,8 @@
 // A request may wait at a full engine before it begins.
 constexpr absl::Duration kQueueMargin = absl::Milliseconds(400);
 constexpr absl::Duration kPreferenceMargin = absl::Milliseconds(1200);
+// After a version was named, work on older ones is worth less; less the way to an engine.
+constexpr absl::Duration kWholeWorth = absl::Milliseconds(1300);
 constexpr size_t kVersionsKept = 16;
 
 }  // namespace
@@ -37,24 +39,41 @@
 }
 
 WeightsVersion WeightsRegister::required(const ModelName& model, absl::Time now) const {
-  return dueAt(model, now + kQueueMargin);
+  return namedBefore(model, now + kQueueMargin + kLearningMargin - in_force_);
 }
 
 WeightsVersion WeightsRegister::preferred(const ModelName& model, absl::Time now) const {
-  return dueAt(model, now + kPreferenceMargin);
+  return namedBefore(model, now + kPreferenceMargin + kLearningMargin - in_force_);
 }
 
-WeightsVersion WeightsRegister::dueAt(const ModelName& model, absl::Time now) const {
-  WeightsVersion required;
+WeightsVersion WeightsRegister::wanted(const ModelName& model, absl::Time now) const {
+  return namedBefore(model, now - kWholeWorth);
+}
+
+// The newest version that was named at that time or before.
+WeightsVersion WeightsRegister::namedBefore(const ModelName& model, absl::Time time) const {
+  WeightsVersion newest;
+  const auto found = versions_.find(model);
+  if (found != versions_.end()) {
+    for (const auto& [version, named] : found->second) {
+      if (named <= time) {
+        newest = version;
+      }
+    }
+  }
+  return newest;
+}
+
+absl::Time WeightsRegister::namedAt(const ModelName& model, WeightsVersion version) const {
   const auto found = versions_.find(model);
   if (found != versions_.end()) {
-    for (const auto& [version, learnt] : found->second) {
-      if (now >= learnt + in_force_ - kLearningMargin) {
-        required = version;
+    for (const auto& [known, named] : found->second) {
+      if (known == version) {
+        return named;
       }
     }
   }
-  return required;
+  return absl::InfiniteFuture();
 }
 
 absl::Time WeightsRegister::deadlineOf(const ModelName& model, WeightsVersion version) const {
--- a/src/forwarding/weights_register.h
+++ b/src/forwarding/weights_register.h
@@ -25,6 +25,10 @@
   WeightsVersion required(const ModelName& model, absl::Time now) const;
   // The least version that requests should be sent to where there is a choice.
   WeightsVersion preferred(const ModelName& model, absl::Time now) const;
+  // The least version on which a request earns its whole worth.
+  WeightsVersion wanted(const ModelName& model, absl::Time now) const;
+  // When the version was named, as far as known; InfiniteFuture: it was not.
+  absl::Time namedAt(const ModelName& model, WeightsVersion version) const;
   // By when an engine with that version must have a newer one; InfiniteFuture: it has the newest.
   absl::Time deadlineOf(const ModelName& model, WeightsVersion version) const;
   const absl::flat_hash_map<ModelName, std::vector<std::pair<WeightsVersion, absl::Time>>>& all() const {
@@ -32,7 +36,7 @@
   }
 
  private:
-  WeightsVersion dueAt(const ModelName& model, absl::Time now) const;
+  WeightsVersion namedBefore(const ModelName& model, absl::Time time) const;
 
   absl::Duration in_force_;
   // Rising versions, each with the time when it was named, as far as known.
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -163,6 +163,7 @@
   request.model = facts_.model;
   request.prompt = facts_.prompt;
   request.isolation = tenant_ != nullptr && tenant_->is_isolated ? tenant_->id.value() : "";
+  request.wanted = core_.weights.wanted(facts_.model, now);
   const auto choose = [&](WeightsVersion least) {
     return core_.placement.choose(request, core_.directory.ofService(service_), core_.directory,
                                   configuration_->cacheStore(), tried_, least, now);
--- a/src/gateway/order_giver.cc
+++ b/src/gateway/order_giver.cc
@@ -39,6 +39,9 @@
 
 void OrderGiver::tick() {
   const absl::Time now = reactor::steadyNow();
+  if (!lease_.holds(now)) {
+    reserved_.clear();
+  }
   is_due_ = !loads_.empty();
   std::vector<std::pair<ModelName, forwarding::RolloutPlan>> plans;
   for (const auto& [model, versions] : core_.weights.all()) {
@@ -56,7 +59,7 @@
     due_since_ = std::min(due_since_, now);
     if (lease_.holds(now)) {
       renewLease(now);
-    } else if (now >= std::max(due_since_ + turnDelay(now), next_pursuit_)) {
+    } else if (now >= std::max(std::max(due_since_, peers_.ordersHeard()) + turnDelay(now), next_pursuit_)) {
       next_pursuit_ = now + kPursuitPause;
       pursueLease(now);
     }
@@ -82,9 +85,16 @@
   for (const auto& [id, server] : core_.directory.all()) {
     const auto version = server->versionOf(model);
     if (version && !server->entry.is_draining) {
-      const bool is_reachable = now >= server->ejected_until;
-      engines.push_back(
-          {id, *version, loads_.contains(id), now < server->loading_until, is_reachable, server->running()});
+      forwarding::RolloutEngine engine;
+      engine.id = id;
+      engine.version = *version;
+      engine.is_loading = loads_.contains(id);
+      if (const auto reserved = reserved_.find(id); reserved != reserved_.end()) {
+        engine.reserved_since = reserved->second;
+      }
+      engine.is_reachable = now >= server->ejected_until;
+      engine.running = server->running();
+      engines.push_back(std::move(engine));
     }
   }
   return engines;
@@ -136,6 +146,7 @@
         const bool was_held = lease_.holds(now);
         if (status == StoreStatus::kDone) {
           lease_.onWritten(answer.version, {answer.clock, began, now});
+          peers_.announceOrders();
           if (!was_held) {
             core_.log.event("lease_taken", now).with("fence", static_cast<int64_t>(lease_.fence().value()));
           }
@@ -154,6 +165,7 @@
   }
   for (const std::string& id : plan.reserve) {
     const auto server = core_.directory.find(id);
+    reserved_.try_emplace(id, now);
     if (server != nullptr && now >= server->loading_until) {
       close(server, model, kReservedFor);
     }
@@ -170,6 +182,7 @@
   load.model = model;
   load.target = core_.weights.newest(model);
   load.began = now;
+  reserved_.erase(server_id);
   load.caller = std::make_unique<reactor::HttpCaller>(core_.reactor, core_.timers, server->entry.address);
   loads_.emplace(server_id, std::move(load));
   close(server, model, kClosedFor);
--- a/src/gateway/order_giver.h
+++ b/src/gateway/order_giver.h
@@ -67,7 +67,8 @@
   absl::Time next_pursuit_ = absl::InfinitePast();
   absl::Time due_since_ = absl::InfiniteFuture();
   forwarding::LoadTime load_time_;
-  absl::flat_hash_map<std::string, Load> loads_;  // by server id
+  absl::flat_hash_map<std::string, Load> loads_;           // by server id
+  absl::flat_hash_map<std::string, absl::Time> reserved_;  // since when, by server id
 };
 
 }  // namespace quincewick::gateway
--- a/tests/forwarding/weights_register_test.cc
+++ b/tests/forwarding/weights_register_test.cc
@@ -40,5 +40,16 @@
   CHECK(weights.deadlineOf(ModelName("other"), WeightsVersion()) == absl::InfiniteFuture());
 }
 
+TEST_CASE("work on older weights is worth less from a while after a version was named") {
+  WeightsRegister weights(absl::Seconds(8));
+  const ModelName model("m");
+  const absl::Time named = absl::UnixEpoch();
+  weights.note({model, WeightsVersion(2)}, named);
+  CHECK(weights.wanted(model, named + absl::Seconds(1)) == WeightsVersion());
+  CHECK(weights.wanted(model, named + absl::Milliseconds(1500)) == WeightsVersion(2));
+  CHECK(weights.namedAt(model, WeightsVersion(2)) == named);
+  CHECK(weights.namedAt(model, WeightsVersion(3)) == absl::InfiniteFuture());
+}
+
 }  // namespace
 }  // namespace quincewick::forwarding
