Each chain has its cache store, the source before any engine; the short lane follows the work seen; waiting for a slot is counted

Short requests (2 s in a slot) waited for slots in a lane of a fifth of the engines while others were free. CacheStoreWatch: a zone's reader looks whether the stores can be reached and tells its zone; dead ones are no sources.

--- a/src/forwarding/engine_placement.cc
+++ b/src/forwarding/engine_placement.cc
@@ -9,12 +9,13 @@
 #include <numeric>
 
 #include "routing/rendezvous.h"
+#include "types/address_text.h"
 
 namespace quincewick::forwarding {
 namespace {
 
 constexpr uint64_t kFewestTokensToFetch = 48;
-constexpr uint64_t kFewestTokensToStore = 48;
+constexpr uint64_t kFewestTokensToStore = 512;
 constexpr double kFailureSeconds = 0.05;  // one failure just now
 constexpr double kFullSeconds = 2;
 
@@ -122,6 +123,10 @@
     seconds += absl::ToDoubleSeconds(settings_.long_in_short_lane);
   }
   seconds += kFailureSeconds * server->failureScore(now);
+  if (server->running() >= server->entry.slots) {
+    const uint32_t waiting = server->running() + 1 - server->entry.slots;
+    seconds += absl::ToDoubleSeconds(settings_.wait_for_slot) * waiting;
+  }
   const uint32_t full = server->entry.slots * settings_.slots_for_full;
   seconds += server->running() >= full ? kFullSeconds : 0;
   seconds += 0.02 * server->running() / std::max<uint32_t>(server->entry.slots, 1);
@@ -129,9 +134,11 @@
   return result;
 }
 
-// Engines with a lesser hash of their id are the short lane: every node that lists the same ones finds them.
-uint64_t EnginePlacement::shortLaneEnd(const std::vector<ServerDirectory::ServerPointer>& engines) const {
-  const auto count = static_cast<size_t>(settings_.short_lane_share * static_cast<double>(engines.size()));
+// Engines with a lesser hash of their id are the short lane: nodes that list the same engines and saw alike
+// work find the same ones, but for a few at its end.
+uint64_t EnginePlacement::shortLaneEnd(const std::vector<ServerDirectory::ServerPointer>& engines,
+                                       absl::Time now) const {
+  const auto count = static_cast<size_t>(lanes_.share(now) * static_cast<double>(engines.size()));
   if (count == 0) {
     return 0;
   }
@@ -147,7 +154,7 @@
 
 std::optional<EngineChoice> EnginePlacement::choose(
     const PlacementRequest& request, const std::vector<ServerDirectory::ServerPointer>& engines,
-    const ServerDirectory& directory, const CacheStoreTraits* cache_store,
+    const ServerDirectory& directory, const std::vector<CacheStoreTraits>& cache_stores,
     const std::vector<std::string>& excluded, WeightsVersion required, absl::Time now) {
   struct Candidate {
     ServerDirectory::ServerPointer server;
@@ -168,7 +175,7 @@
   std::sort(candidates.begin(), candidates.end(), [home](const Candidate& left, const Candidate& right) {
     return routing::rendezvousWeight(home, left.hash) > routing::rendezvousWeight(home, right.hash);
   });
-  const uint64_t short_lane_end = shortLaneEnd(engines);
+  const uint64_t short_lane_end = shortLaneEnd(engines, now);
   absl::btree_map<WeightsVersion, Chain> chains;
   const Candidate* best = nullptr;
   Weighed least;
@@ -209,17 +216,47 @@
   choice.fetched_tokens = most - least.kept;
   choice.read_tokens = chain.all_tokens - most;
   choice.shared_tokens = chain.shared_tokens;
-  const uint64_t unknown = chain.shared_tokens - most;
-  if (cache_store != nullptr && unknown >= kFewestTokensToStore) {
-    choice.memory_target = cache_store->address;
-  }
-  // An engine may have given up what it is believed to keep: a miss at the store costs next to nothing.
-  if (cache_store != nullptr && !choice.memory_source) {
+  choice.is_short = chain.all_tokens <= settings_.short_prompt_tokens;
+  const bool is_stored = chain.shared_tokens >= kFewestTokensToStore;
+  const CacheStoreTraits* const cache_store = is_stored ? storeOf(chain, cache_stores) : nullptr;
+  // An engine may have given up what it is believed to keep, and does so sooner than a store, which is not
+  // crowded by requests' own parts; a miss at the store costs next to nothing. So the store is the source
+  // before any engine, and also gets what is read again of a chain that was believed to be kept.
+  if (cache_store != nullptr) {
     choice.memory_source = cache_store->address;
+    choice.memory_target = cache_store->address;
   }
   return choice;
 }
 
+// Each chain has one store, so that the stores together keep as many chains as they have room for.
+const CacheStoreTraits* EnginePlacement::storeOf(const Chain& chain,
+                                                 const std::vector<CacheStoreTraits>& stores) {
+  if (stores.empty() || chain.keys.empty()) {
+    return nullptr;
+  }
+  const uint64_t key = chain.keys.back().high;
+  const CacheStoreTraits* best = nullptr;
+  uint64_t most = 0;
+  for (const CacheStoreTraits& store : stores) {
+    const std::string name = printAddress(store.address);
+    const uint64_t weight = routing::rendezvousWeight(key, XXH3_64bits(name.data(), name.size()));
+    if (best == nullptr || weight > most) {
+      best = &store;
+      most = weight;
+    }
+  }
+  return best;
+}
+
+void EnginePlacement::noteRun(const EngineChoice& choice, absl::Duration held, absl::Time now) {
+  if (choice.is_short) {
+    lanes_.noteShort(held, choice.server->entry.slots, now);
+  } else {
+    lanes_.noteLong(settings_.prefill_per_token * choice.read_tokens, now);
+  }
+}
+
 void EnginePlacement::noteKept(EngineSlot engine, const std::vector<BlockKey>& keys, absl::Time now) {
   PrefixChain chain;
   chain.blocks = keys;
--- a/src/forwarding/site_configuration.cc
+++ b/src/forwarding/site_configuration.cc
@@ -31,6 +31,11 @@
   if (tenants) {
     tenants_ = std::move(*tenants);
   }
+  for (const Service& service : services_) {
+    if (service.cache_store) {
+      cache_stores_.push_back(*service.cache_store);
+    }
+  }
   std::sort(routes_.begin(), routes_.end(), [](const Route& left, const Route& right) {
     return std::pair(left.host, right.path_prefix.size()) < std::pair(right.host, left.path_prefix.size());
   });
@@ -69,10 +74,4 @@
   return found == services_.end() ? nullptr : &*found;
 }
 
-const CacheStoreTraits* SiteConfiguration::cacheStore() const {
-  const auto found = std::find_if(services_.begin(), services_.end(),
-                                  [](const Service& service) { return service.cache_store.has_value(); });
-  return found == services_.end() ? nullptr : &*found->cache_store;
-}
-
 }  // namespace quincewick::forwarding
--- a/src/forwarding/site_configuration.h
+++ b/src/forwarding/site_configuration.h
@@ -102,13 +102,14 @@
   // The tenant that holds the key; null: none does.
   const Tenant* findTenant(const std::string& key) const;
   const Service* findService(const ServiceName& name) const;
-  // The site's store of kept cache; null: there is none.
-  const CacheStoreTraits* cacheStore() const;
+  // The site's stores of kept cache, by address.
+  const std::vector<CacheStoreTraits>& cacheStores() const { return cache_stores_; }
 
  private:
   ConfigurationVersion version_;
   std::vector<Route> routes_;  // by host, longest prefix first
   std::vector<Service> services_;
+  std::vector<CacheStoreTraits> cache_stores_;
   CallerLimits limits_;
   bool needs_keys_ = false;
   std::vector<Tenant> tenants_;
--- /dev/null
+++ b/src/gateway/cache_store_watch.h
@@ -0,0 +1,41 @@
+// Watches whether the site's stores of kept cache can be reached: an engine that is told to fetch from a dead
+// one waits for it. A zone's reader of the store of rows watches for its zone; the others hear it from its
+// digests.
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+#include "gateway/core.h"
+#include "reactor/connection.h"
+
+namespace quincewick::gateway {
+
+class CacheStoreWatch {
+ public:
+  // `watches`: whether it is this gateway that looks.
+  CacheStoreWatch(Core& core, std::function<bool()> watches) : core_(core), watches_(std::move(watches)) {}
+
+  void start() { tick(); }
+
+ private:
+  struct Look {
+    std::shared_ptr<reactor::Connection> connection;  // null: none is under way
+    reactor::TimerQueue::Key limit;
+    uint32_t failures = 0;  // in a row
+  };
+
+  void tick();
+  void look(const Address& store);
+  void end(uint64_t name, bool is_reached);
+
+  Core& core_;
+  std::function<bool()> watches_;
+  absl::flat_hash_map<uint64_t, Look> looks_;  // by the store's name
+};
+
+}  // namespace quincewick::gateway
--- a/src/gateway/core.cc
+++ b/src/gateway/core.cc
@@ -1,7 +1,11 @@
 #include "gateway/core.h"
 
+#include <xxhash.h>
+
 #include <utility>
 
+#include "types/address_text.h"
+
 namespace quincewick::gateway {
 namespace {
 
@@ -39,6 +43,24 @@
       budget(budgetSettings(settings)),
       weights(settings.bounds.weights_in_force) {}
 
+uint64_t Core::nameOfStore(const Address& store) {
+  const std::string text = printAddress(store);
+  return XXH3_64bits(text.data(), text.size());
+}
+
+std::vector<forwarding::CacheStoreTraits> Core::liveCacheStores() const {
+  std::vector<forwarding::CacheStoreTraits> live;
+  if (in_force.configuration != nullptr) {
+    live = in_force.configuration->cacheStores();
+  }
+  if (!dead_cache_stores.empty()) {
+    std::erase_if(live, [this](const forwarding::CacheStoreTraits& store) {
+      return dead_cache_stores.contains(nameOfStore(store.address));
+    });
+  }
+  return live;
+}
+
 void Core::applyBounds(const GatewayBounds& bounds) {
   settings.bounds = bounds;
   budget.setSettings(budgetSettings(settings));
--- a/src/gateway/core.h
+++ b/src/gateway/core.h
@@ -1,6 +1,7 @@
 // What the parts of one gateway share: the reactor, what is known of the site, and how requests are counted.
 #pragma once
 
+#include <absl/container/flat_hash_set.h>
 #include <absl/random/random.h>
 #include <absl/time/time.h>
 
@@ -49,6 +50,8 @@
     std::vector<BlockKey> keys;
   };
   std::vector<NewPlacement> new_placements;
+  // Stores of kept cache that can't be reached, by name.
+  absl::flat_hash_set<uint64_t> dead_cache_stores;
   // The store's clock less this node's, as its last answer told; nothing before the first one.
   std::optional<absl::Duration> store_clock_ahead;
   bool is_stopping = false;
@@ -57,6 +60,9 @@
   size_t requests_under_way = 0;
   uint64_t split_counter = 0;  // spreads requests over a route's services by their weights
 
+  static uint64_t nameOfStore(const Address& store);
+  // The configuration's stores of kept cache that can be reached, as far as known.
+  std::vector<forwarding::CacheStoreTraits> liveCacheStores() const;
   // Takes other bounds while serving; addresses and names stay as they were at the start.
   void applyBounds(const GatewayBounds& bounds);
   // The store's clock now, as far as known.
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -164,9 +164,10 @@
   request.prompt = facts_.prompt;
   request.isolation = tenant_ != nullptr && tenant_->is_isolated ? tenant_->id.value() : "";
   request.wanted = core_.weights.wanted(facts_.model, now);
+  const std::vector<forwarding::CacheStoreTraits> cache_stores = core_.liveCacheStores();
   const auto choose = [&](WeightsVersion least) {
-    return core_.placement.choose(request, core_.directory.ofService(service_), core_.directory,
-                                  configuration_->cacheStore(), tried_, least, now);
+    return core_.placement.choose(request, core_.directory.ofService(service_), core_.directory, cache_stores,
+                                  tried_, least, now);
   };
   engine_ = choose(core_.weights.preferred(facts_.model, now));
   if (!engine_) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -28,6 +28,7 @@
       relay_(core_, peer_directory_),
       follower_(core_, peer_directory_, peers_, relay_),
       orders_(core_, peers_),
+      cache_stores_(core_, [this] { return follower_.readsWell(); }),
       signals_(core_.reactor, SIGTERM, SIGINT, SIGHUP) {}
 
 Gateway::~Gateway() = default;
@@ -53,6 +54,7 @@
   follower_.start();
   startPeers();
   orders_.start();
+  cache_stores_.start();
   tick();
   return outcome::success();
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include <optional>
 
 #include "gateway/back_end_pool.h"
+#include "gateway/cache_store_watch.h"
 #include "gateway/caller_connection.h"
 #include "gateway/core.h"
 #include "gateway/order_giver.h"
@@ -65,6 +66,7 @@
   RowRelay relay_;
   SiteFollower follower_;
   OrderGiver orders_;
+  CacheStoreWatch cache_stores_;
   boost::asio::signal_set signals_;
   std::unique_ptr<reactor::Listener> callers_;
   std::unique_ptr<reactor::PlainServer> readiness_;
--- a/src/gateway/peer_digest.cc
+++ b/src/gateway/peer_digest.cc
@@ -28,6 +28,7 @@
   archive(digest.address.port);
   archiveText(archive, digest.zone, kMaximumName);
   archive(digest.capacity, digest.reads_well, digest.gives_orders);
+  archiveList(archive, digest.dead_stores, kMaximumElements);
   archiveList(archive, digest.loads, kMaximumElements);
   archiveList(archive, digest.zones, kMaximumElements);
   archiveList(archive, digest.placements, kMaximumElements);
--- a/src/gateway/peer_digest.h
+++ b/src/gateway/peer_digest.h
@@ -51,9 +51,10 @@
 struct PeerDigest {
   Address address;  // where the sender takes datagrams
   std::string zone;
-  double capacity = 0;        // of the sender's machine
-  bool reads_well = false;    // the sender reads the store for its zone
-  bool gives_orders = false;  // the sender holds the lease for orders to engines
+  double capacity = 0;                // of the sender's machine
+  bool reads_well = false;            // the sender reads the store for its zone
+  bool gives_orders = false;          // the sender holds the lease for orders to engines
+  std::vector<uint64_t> dead_stores;  // of kept cache, by name; from a reader, for its zone
   std::vector<LoadDigest> loads;
   std::vector<ZoneDigest> zones;  // from a reader: its own zone's for other readers, theirs for its zone
   std::vector<PlacementDigest> placements;
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -26,6 +26,8 @@
 constexpr size_t kEngineBytes = 28;
 constexpr size_t kPlacementBytes = 12;  // and its keys
 constexpr size_t kKeyBytes = 16;
+constexpr size_t kStoreBytes = 8;
+constexpr size_t kStoresAtMost = 32;
 constexpr size_t kLoadsAtMost = 24;
 constexpr size_t kZoneLoadsAtMost = kRoom / kLoadBytes;
 constexpr size_t kPlacementsKept = 512;
@@ -245,7 +247,10 @@
 
 PeerDigest PeerExchange::digestFor(Peer& peer, absl::Time now) {
   PeerDigest digest = emptyDigest();
-  size_t room = kRoom;
+  if (was_reading_ && directory_.isOwnZone(peer)) {
+    digest.dead_stores.assign(core_.dead_cache_stores.begin(), core_.dead_cache_stores.end());
+  }
+  size_t room = kRoom - kStoreBytes * std::min<size_t>(digest.dead_stores.size(), kStoresAtMost);
   if (isNear(peer)) {
     for (const auto& [id, server] : core_.directory.all()) {
       if (server->own.running > 0 && digest.loads.size() < kLoadsAtMost) {
@@ -343,6 +348,10 @@
   }
   if (digest.zones.empty()) {
     core_.directory.setPeerLoad(from, loadsOf(digest.loads));
+    const bool watches_for_us = digest.reads_well && !was_reading_ && directory_.isOwnZone(peer);
+    if (watches_for_us) {
+      core_.dead_cache_stores = {digest.dead_stores.begin(), digest.dead_stores.end()};
+    }
   } else {
     takeZones(peer, digest.zones, now);
   }
