--- a/tests/forwarding/retry_budget_test.cc
+++ b/tests/forwarding/retry_budget_test.cc
@@ -55,7 +55,7 @@
 
 TEST_CASE("a node that knows no others has none of the constant part, one that just started half") {
   const absl::Time start = absl::UnixEpoch();
-  const auto repeatsAt = [](RetryBudget budget, absl::Time now) {
+  const auto repeats_at = [](RetryBudget budget, absl::Time now) {
     int repeats = 0;
     while (budget.tryRepeat(kService, now)) {
       ++repeats;
@@ -63,10 +63,10 @@
     return repeats;
   };
   RetryBudget budget({0, 320, absl::Seconds(10), 16});
-  CHECK(repeatsAt(budget, start) == 0);
+  CHECK(repeats_at(budget, start) == 0);
   budget.noteNodes(20, start);
-  CHECK(repeatsAt(budget, start + absl::Seconds(9)) == 5);
-  CHECK(repeatsAt(budget, start + absl::Seconds(10)) == 10);
+  CHECK(repeats_at(budget, start + absl::Seconds(9)) == 5);
+  CHECK(repeats_at(budget, start + absl::Seconds(10)) == 10);
 }
 
 // Finding F9: a sixteenth each was a budget five times over at 79 gateways.
--- a/tests/forwarding/row_cache_test.cc
+++ b/tests/forwarding/row_cache_test.cc
@@ -77,6 +77,7 @@
       }
       if (*rc::gen::inRange(0, 5) == 0) {
         std::vector<StoreRow> all;
+        all.reserve(store.size());
         for (const auto& [name, kept] : store) {
           all.push_back(kept);
         }
