One length-checked archive for records and messages of peers

src/gateway and src/configuration each had a twin of 70 and 100 lines; the gateway's took memory for a told length before the elements came, and passed over bytes behind a message.

--- a/src/configuration/change_record.h
+++ b/src/configuration/change_record.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
-#include "configuration/bounded_archive.h"
 #include "configuration/policy_objects.h"
+#include "types/bounded_archive.h"
 #include "types/cereal_time.h"
 #include "types/error.h"
 #include "types/identifiers.h"
--- a/src/gateway/peer_digest.cc
+++ b/src/gateway/peer_digest.cc
@@ -1,6 +1,6 @@
 #include "gateway/peer_digest.h"
 
-#include "gateway/bounded_archive.h"
+#include "types/bounded_archive.h"
 
 namespace quincewick::gateway {
 namespace {
@@ -36,11 +36,11 @@
 }
 
 std::string encodeDigest(const PeerDigest& digest) {
-  return encodeMessage(digest);
+  return encodeArchive(digest);
 }
 
 Result<PeerDigest> decodeDigest(std::string_view bytes) {
-  return decodeMessage<PeerDigest>(bytes);
+  return decodeArchive<PeerDigest>(bytes);
 }
 
 }  // namespace quincewick::gateway
--- a/src/gateway/relay_messages.cc
+++ b/src/gateway/relay_messages.cc
@@ -1,6 +1,6 @@
 #include "gateway/relay_messages.h"
 
-#include "gateway/bounded_archive.h"
+#include "types/bounded_archive.h"
 #include "types/cereal_time.h"
 
 namespace quincewick::forwarding {
@@ -14,8 +14,8 @@
 
 template <class Archive>
 void serialize(Archive& archive, StoreRow& row) {
-  gateway::archiveText(archive, row.key, kLongestKey);
-  gateway::archiveText(archive, row.value, kLongestValue);
+  archiveText(archive, row.key, kLongestKey);
+  archiveText(archive, row.value, kLongestValue);
   archive(row.version, row.is_gone);
 }
 
@@ -42,19 +42,19 @@
 }
 
 std::string encodeRelayQuestion(const RelayQuestion& question) {
-  return encodeMessage(question);
+  return encodeArchive(question);
 }
 
 std::string encodeRelayAnswer(const RelayAnswer& answer) {
-  return encodeMessage(answer);
+  return encodeArchive(answer);
 }
 
 Result<RelayQuestion> decodeRelayQuestion(std::string_view bytes) {
-  return decodeMessage<RelayQuestion>(bytes);
+  return decodeArchive<RelayQuestion>(bytes);
 }
 
 Result<RelayAnswer> decodeRelayAnswer(std::string_view bytes) {
-  return decodeMessage<RelayAnswer>(bytes);
+  return decodeArchive<RelayAnswer>(bytes);
 }
 
 }  // namespace quincewick::gateway
--- a/src/configuration/bounded_archive.h
+++ b/src/types/bounded_archive.h
@@ -1,4 +1,5 @@
-// Texts and lists for cereal whose lengths are checked before memory is taken. Internal to this folder.
+// Texts and lists for cereal whose lengths are checked before memory is taken: for records in stores and
+// messages of peers.
 #pragma once
 
 #include <cereal/archives/portable_binary.hpp>
@@ -7,13 +8,14 @@
 #include <exception>
 #include <sstream>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
 #include "types/error.h"
 #include "types/strong_id.h"
 
-namespace quincewick::configuration {
+namespace quincewick {
 
 // The greatest text in a record or message, in bytes.
 inline constexpr uint32_t kMaximumArchivedText = 1U << 20;
@@ -44,11 +46,11 @@
 
 // Grows the list as its elements arrive, so that a false length costs nothing.
 template <class Archive, class Element>
-void archiveList(Archive& archive, std::vector<Element>& elements) {
+void archiveList(Archive& archive, std::vector<Element>& elements, uint32_t most = kMaximumArchivedElements) {
   auto count = static_cast<uint32_t>(elements.size());
   archive(count);
   if constexpr (Archive::is_loading::value) {
-    if (count > kMaximumArchivedElements) {
+    if (count > most) {
       throw cereal::Exception("list is too long");
     }
     elements.clear();
@@ -73,9 +75,9 @@
 
 // Decodes untrusted bytes; kInvalidArgument where they are no T, or more than one.
 template <class T>
-Result<T> decodeArchive(const std::string& bytes) {
+Result<T> decodeArchive(std::string_view bytes) {
   try {
-    std::istringstream in(bytes);
+    std::istringstream in{std::string(bytes)};
     cereal::PortableBinaryInputArchive archive(in);
     T value{};
     archive(value);
@@ -88,4 +90,4 @@
   }
 }
 
-}  // namespace quincewick::configuration
+}  // namespace quincewick
