Chains stay at home, the store gets only what nobody keeps, no engines set aside for short prompts

Every request named the cache store as its target. An engine sends all that it reads there, the own part as well: 80,000 tokens a second that nobody asks for again, into room for 635,000 and over a link of 170,000 a second. Now only where a shared part is kept by nobody, as far as known. A rank below a chain's first engine counted 15 ms.

--- a/src/forwarding/engine_placement.cc
+++ b/src/forwarding/engine_placement.cc
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <limits>
-#include <numeric>
 
 #include "routing/rendezvous.h"
 #include "types/address_text.h"
@@ -18,6 +17,7 @@
 constexpr uint64_t kFewestTokensToStore = 512;
 constexpr double kFailureSeconds = 0.05;  // one failure just now
 constexpr double kFullSeconds = 2;
+constexpr size_t kRanksThatCount = 4;  // an engine further down is as far from home as this
 
 BlockKey chainKey(const BlockKey& parent, const PromptPart& part) {
   const std::string text = absl::StrCat(parent.high, ":", parent.low, ":", part.id, ":", part.tokens);
@@ -62,7 +62,6 @@
 struct EnginePlacement::Circumstances {
   size_t rank = 0;               // among the chain's engines
   bool has_old_weights = false;  // the request is worth less there
-  bool is_short_lane = false;
 };
 
 prefix::TrunkIndexSettings EnginePlacement::indexSettings(const EnginePlacementSettings& settings) {
@@ -93,6 +92,17 @@
   return chain;
 }
 
+// What it counts to place a chain of so many tokens with the engine of that rank, in seconds.
+double EnginePlacement::awayFromHome(uint64_t shared_tokens, size_t rank) const {
+  if (!settings_.switches.home_rank) {
+    return 0;
+  }
+  const double displaced = settings_.switches.home_by_size ? settings_.displaced_read_weight : 0;
+  const absl::Duration step =
+      std::max(settings_.home_step, settings_.prefill_per_token * shared_tokens * displaced);
+  return absl::ToDoubleSeconds(step) * static_cast<double>(std::min(rank, kRanksThatCount));
+}
+
 EnginePlacement::Weighed EnginePlacement::weigh(const ServerDirectory::ServerPointer& server,
                                                 const Chain& chain, const Circumstances& circumstances,
                                                 absl::Time now) const {
@@ -112,16 +122,9 @@
   if (fetched > 0) {
     seconds += absl::ToDoubleSeconds(settings_.move_overhead + settings_.move_per_token * fetched);
   }
-  seconds += absl::ToDoubleSeconds(settings_.home_step) *
-             static_cast<double>(std::min<size_t>(circumstances.rank, 4));
+  seconds += awayFromHome(chain.shared_tokens, circumstances.rank);
   seconds += server->entry.zone == settings_.zone ? 0 : absl::ToDoubleSeconds(settings_.other_zone);
   seconds += circumstances.has_old_weights ? absl::ToDoubleSeconds(settings_.old_weights) : 0;
-  const bool is_short = chain.all_tokens <= settings_.short_prompt_tokens;
-  if (is_short && !circumstances.is_short_lane) {
-    seconds += absl::ToDoubleSeconds(settings_.short_in_long_lane);
-  } else if (!is_short && circumstances.is_short_lane) {
-    seconds += absl::ToDoubleSeconds(settings_.long_in_short_lane);
-  }
   seconds += kFailureSeconds * server->failureScore(now);
   if (server->running() >= server->entry.slots) {
     const uint32_t waiting = server->running() + 1 - server->entry.slots;
@@ -134,24 +137,6 @@
   return result;
 }
 
-// Engines with a lesser hash of their id are the short lane: nodes that list the same engines and saw alike
-// work find the same ones, but for a few at its end.
-uint64_t EnginePlacement::shortLaneEnd(const std::vector<ServerDirectory::ServerPointer>& engines,
-                                       absl::Time now) const {
-  const auto count = static_cast<size_t>(lanes_.share(now) * static_cast<double>(engines.size()));
-  if (count == 0) {
-    return 0;
-  }
-  std::vector<uint64_t> hashes;
-  hashes.reserve(engines.size());
-  for (const auto& engine : engines) {
-    hashes.push_back(engine->identity_hash);
-  }
-  const auto end = hashes.begin() + static_cast<std::ptrdiff_t>(count);
-  std::nth_element(hashes.begin(), end, hashes.end());
-  return *end;
-}
-
 std::optional<EngineChoice> EnginePlacement::choose(
     const PlacementRequest& request, const std::vector<ServerDirectory::ServerPointer>& engines,
     const ServerDirectory& directory, const std::vector<CacheStoreTraits>& cache_stores,
@@ -159,23 +144,24 @@
   struct Candidate {
     ServerDirectory::ServerPointer server;
     WeightsVersion version;
-    uint64_t hash = 0;
+    uint64_t weight = 0;  // for the request's chain: the greatest is its home
   };
   std::vector<Candidate> candidates;
   for (const auto& server : engines) {
     const bool is_excluded = std::find(excluded.begin(), excluded.end(), server->entry.id) != excluded.end();
     const std::optional<WeightsVersion> version = server->versionOf(request.model);
     if (!is_excluded && server->takesWork(now) && version && *version >= required) {
-      candidates.push_back({server, *version, server->identity_hash});
+      candidates.push_back({server, *version});
     }
   }
   // Every node ranks a chain's engines alike, whatever their versions.
   const Chain unversioned = chainOf(request, WeightsVersion(), now);
   const uint64_t home = unversioned.keys.empty() ? 0 : unversioned.keys.back().low;
-  std::sort(candidates.begin(), candidates.end(), [home](const Candidate& left, const Candidate& right) {
-    return routing::rendezvousWeight(home, left.hash) > routing::rendezvousWeight(home, right.hash);
-  });
-  const uint64_t short_lane_end = shortLaneEnd(engines, now);
+  for (Candidate& candidate : candidates) {
+    candidate.weight = routing::rendezvousWeight(home, candidate.server->identity_hash);
+  }
+  std::sort(candidates.begin(), candidates.end(),
+            [](const Candidate& left, const Candidate& right) { return left.weight > right.weight; });
   absl::btree_map<WeightsVersion, Chain> chains;
   const Candidate* best = nullptr;
   Weighed least;
@@ -184,8 +170,7 @@
     if (!chains.contains(candidate.version)) {
       chains.emplace(candidate.version, chainOf(request, candidate.version, now));
     }
-    const Circumstances circumstances{rank, candidate.version < request.wanted,
-                                      candidate.hash < short_lane_end};
+    const Circumstances circumstances{rank, candidate.version < request.wanted};
     const Weighed weighed = weigh(candidate.server, chains.at(candidate.version), circumstances, now);
     if (weighed.seconds < least.seconds) {
       least = weighed;
@@ -207,8 +192,8 @@
   for (const prefix::TrunkView::Holder& holder : chain.view.holders) {
     const ServerDirectory::ServerPointer source = directory.bySlot(holder.engine);
     const uint64_t kept = chain.keptAt(holder.engine);
-    if (source != nullptr && source != best->server && source->is_listed && now >= source->ejected_until &&
-        kept >= most + kFewestTokensToFetch) {
+    if (settings_.switches.fetch_from_engines && source != nullptr && source != best->server &&
+        source->is_listed && now >= source->ejected_until && kept >= most + kFewestTokensToFetch) {
       most = kept;
       choice.memory_source = source->entry.address;
     }
@@ -216,15 +201,18 @@
   choice.fetched_tokens = most - least.kept;
   choice.read_tokens = chain.all_tokens - most;
   choice.shared_tokens = chain.shared_tokens;
-  choice.is_short = chain.all_tokens <= settings_.short_prompt_tokens;
-  const bool is_stored = chain.shared_tokens >= kFewestTokensToStore;
+  const bool is_stored = settings_.switches.cache_stores && chain.shared_tokens >= kFewestTokensToStore;
   const CacheStoreTraits* const cache_store = is_stored ? storeOf(chain, cache_stores) : nullptr;
   // An engine may have given up what it is believed to keep, and does so sooner than a store, which is not
   // crowded by requests' own parts; a miss at the store costs next to nothing. So the store is the source
-  // before any engine, and also gets what is read again of a chain that was believed to be kept.
+  // before any engine. An engine sends all that it reads to the target, the request's own part as well: named
+  // for every request, it would crowd the store with parts that nobody asks for again, and fill its link.
   if (cache_store != nullptr) {
     choice.memory_source = cache_store->address;
-    choice.memory_target = cache_store->address;
+    const bool is_kept = most == chain.shared_tokens;
+    if (!is_kept || !settings_.switches.store_only_unkept) {
+      choice.memory_target = cache_store->address;
+    }
   }
   return choice;
 }
@@ -249,14 +237,6 @@
   return best;
 }
 
-void EnginePlacement::noteRun(const EngineChoice& choice, absl::Duration held, absl::Time now) {
-  if (choice.is_short) {
-    lanes_.noteShort(held, choice.server->entry.slots, now);
-  } else {
-    lanes_.noteLong(settings_.prefill_per_token * choice.read_tokens, now);
-  }
-}
-
 void EnginePlacement::noteKept(EngineSlot engine, const std::vector<BlockKey>& keys, absl::Time now) {
   PrefixChain chain;
   chain.blocks = keys;
--- a/src/forwarding/engine_placement.h
+++ b/src/forwarding/engine_placement.h
@@ -14,29 +14,36 @@
 #include <string>
 #include <vector>
 
-#include "forwarding/lane_share.h"
 #include "forwarding/request_facts.h"
 #include "forwarding/server_directory.h"
 #include "prefix/trunk_index.h"
 
 namespace quincewick::forwarding {
 
+// What an operator may switch off, one at a time, to see what it is worth on a site (tools/ablate).
+struct PlacementSwitches {
+  bool home_rank = true;           // a chain prefers its first engines, alike on every node
+  bool home_by_size = true;        // the more so the longer it is: elsewhere it takes room from other chains
+  bool fetch_from_engines = true;  // an engine that keeps a chain is the source where no store can be reached
+  bool cache_stores = true;        // stores of kept cache are source and target
+  bool store_only_unkept = true;   // a store gets what is read only of chains that nobody is believed to keep
+
+  friend bool operator==(const PlacementSwitches&, const PlacementSwitches&) = default;
+};
+
 struct EnginePlacementSettings {
   ZoneName zone;  // this node's
+  PlacementSwitches switches;
   absl::Duration prefill_per_token = absl::Microseconds(26);
-  absl::Duration move_per_token =
-      absl::Microseconds(16);  // fetched from another engine: a copy takes room from others
+  absl::Duration move_per_token = absl::Microseconds(16);  // fetched from another engine or a store
   absl::Duration move_overhead = absl::Milliseconds(2);
   double shared_read_weight = 3;  // reading a shared part again costs others more than this request's time
   absl::Duration other_zone = absl::Milliseconds(3);
   absl::Duration old_weights = absl::Milliseconds(250);  // what the loss of worth on them counts as
-  absl::Duration home_step = absl::Milliseconds(15);     // for each rank below a chain's first engine
-  // Reading a long prompt holds up every stream of its engine, for one step of all takes as long as the piece
-  // read with it. So short prompts have a share of the engines before all others, and long ones the rest.
-  uint64_t short_prompt_tokens = 2048;  // in all
-  LaneShareSettings lanes;
-  absl::Duration long_in_short_lane = absl::Milliseconds(300);
-  absl::Duration short_in_long_lane = absl::Milliseconds(100);
+  absl::Duration home_step = absl::Milliseconds(15);  // for each rank below a chain's first engine, at least
+  // A chain that leaves its home takes the place of as many tokens of other chains there, which are read
+  // again then: each rank counts as so much of the time to read the chain's shared tokens.
+  double displaced_read_weight = 1.2;
   absl::Duration wait_for_slot = absl::Milliseconds(40);  // for each request beyond an engine's slots
   uint32_t slots_for_full = 2;  // running requests for each slot that make an engine full
   size_t index_entries = 4096;
@@ -58,7 +65,6 @@
   uint64_t fetched_tokens = 0;  // believed to be fetched
   uint64_t read_tokens = 0;     // to be read there
   uint64_t shared_tokens = 0;   // of all parts but the own one
-  bool is_short = false;        // by its prompt
   std::optional<Address> memory_source;
   std::optional<Address> memory_target;
   std::vector<BlockKey> shared_keys;  // of the shared parts, in order
@@ -68,7 +74,7 @@
 class EnginePlacement {
  public:
   explicit EnginePlacement(const EnginePlacementSettings& settings)
-      : settings_(settings), lanes_(settings.lanes), index_(indexSettings(settings)) {}
+      : settings_(settings), index_(indexSettings(settings)) {}
 
   // Among the engines that take work, aren't excluded and have at least the required version. Nothing where
   // there is none.
@@ -79,8 +85,6 @@
                                      const std::vector<std::string>& excluded, WeightsVersion required,
                                      absl::Time now);
 
-  // A request came to its end after so long at the engine.
-  void noteRun(const EngineChoice& choice, absl::Duration held, absl::Time now);
   // The engine now keeps the parts.
   void noteKept(EngineSlot engine, const std::vector<BlockKey>& keys, absl::Time now);
   // All that was believed of the engine is void: it went, or took new weights.
@@ -95,13 +99,12 @@
   struct Weighed;
   struct Circumstances;
   Chain chainOf(const PlacementRequest& request, WeightsVersion version, absl::Time now);
+  double awayFromHome(uint64_t shared_tokens, size_t rank) const;
   Weighed weigh(const ServerDirectory::ServerPointer& server, const Chain& chain,
                 const Circumstances& circumstances, absl::Time now) const;
   static const CacheStoreTraits* storeOf(const Chain& chain, const std::vector<CacheStoreTraits>& stores);
-  uint64_t shortLaneEnd(const std::vector<ServerDirectory::ServerPointer>& engines, absl::Time now) const;
 
   EnginePlacementSettings settings_;
-  LaneShare lanes_;
   prefix::TrunkIndex index_;
 };
 
--- a/src/gateway/core.cc
+++ b/src/gateway/core.cc
@@ -14,6 +14,7 @@
 forwarding::EnginePlacementSettings placementSettings(const GatewaySettings& settings) {
   forwarding::EnginePlacementSettings result;
   result.zone = settings.zone;
+  result.switches = settings.placement;
   return result;
 }
 
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -167,9 +167,6 @@
       break;
   }
   ServerDirectory::noteSuccess(*server_, now - attempt_began_);
-  if (engine_) {
-    core_.placement.noteRun(*engine_, now - attempt_began_, now);
-  }
   passKeptAnswer();
   complete("answered");
 }
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -2,6 +2,24 @@
 
 #include "configuration/yaml_schema.h"
 
+namespace quincewick::forwarding {
+
+using configuration::Presence;
+using configuration::YamlSchema;
+
+const YamlSchema<PlacementSwitches>& schemaOf(const PlacementSwitches* /*type*/) {
+  static const auto* const schema = new YamlSchema<PlacementSwitches>(
+      YamlSchema<PlacementSwitches>()
+          .add("home_rank", &PlacementSwitches::home_rank, Presence::kOptional)
+          .add("fetch_from_engines", &PlacementSwitches::fetch_from_engines, Presence::kOptional)
+          .add("cache_stores", &PlacementSwitches::cache_stores, Presence::kOptional)
+          .add("store_only_unkept", &PlacementSwitches::store_only_unkept, Presence::kOptional)
+          .add("home_by_size", &PlacementSwitches::home_by_size, Presence::kOptional));
+  return *schema;
+}
+
+}  // namespace quincewick::forwarding
+
 namespace quincewick::gateway {
 
 using configuration::Presence;
@@ -42,6 +60,7 @@
           .add("listen", &GatewaySettings::listen, Presence::kRequired)
           .add("store", &GatewaySettings::store, Presence::kRequired)
           .add("bounds", &GatewaySettings::bounds, Presence::kOptional)
+          .add("placement", &GatewaySettings::placement, Presence::kOptional)
           .add("gateways_assumed", &GatewaySettings::gateways_assumed, Presence::kOptional,
                within<uint32_t>(1, 100'000))
           .add("connections_at_most", &GatewaySettings::connections_at_most, Presence::kOptional,
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "configuration/diagnostics.h"
+#include "forwarding/engine_placement.h"
 #include "types/back_end.h"
 #include "types/identifiers.h"
 
@@ -45,6 +46,7 @@
   GatewayListenSettings listen;
   Address store;
   GatewayBounds bounds;
+  forwarding::PlacementSwitches placement;  // all on, but to measure what each is worth
   uint32_t gateways_assumed =
       16;  // the site is taken to have at least so many: divides what is constant for all
   uint32_t connections_at_most = 3000;
--- a/tests/gateway/gateway_settings_test.cc
+++ b/tests/gateway/gateway_settings_test.cc
@@ -49,6 +49,21 @@
   CHECK(parsed.value->capacity == 10);
 }
 
+TEST_CASE("each mechanism of placement is on unless it is switched off by name") {
+  const std::string needed =
+      "gateway_id: g\nzone: z\nregion: r\nlisten:\n  callers: 10.0.0.1:1\n  readiness: 10.0.0.1:2\nstore: "
+      "10.0.0.2:3\n";
+  const auto plain = parseGatewaySettings(needed);
+  REQUIRE(plain.ok());
+  CHECK(plain.value->placement == forwarding::PlacementSwitches());
+  CHECK(plain.value->placement.home_by_size);
+  const auto switched = parseGatewaySettings(needed + "placement:\n  home_by_size: false\n");
+  REQUIRE(switched.ok());
+  CHECK_FALSE(switched.value->placement.home_by_size);
+  CHECK(switched.value->placement.store_only_unkept);
+  CHECK_FALSE(parseGatewaySettings(needed + "placement:\n  copies: false\n").ok());
+}
+
 TEST_CASE("faults are told with their place") {
   const auto parsed = parseGatewaySettings("gateway_id: g\nzone: z\nregion: r\nsotre: 10.0.0.1:1\n");
   CHECK_FALSE(parsed.ok());
