One round of engines is out of service at a time while new weights load

Change: only as many engines are emptied as may load now, for 0.4 s at most; the plan counts emptying in a round's time, and may use 0.75 instead of 0.6 of the bound for it. Tests: the planner's property holds as before; 'no more engines are taken out of service than may load at once' replaces 'engines of the next rounds are emptied first', whose promise is given up on purpose.

--- a/src/forwarding/rollout_planner.cc
+++ b/src/forwarding/rollout_planner.cc
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr double kSmoothing = 0.3;
-constexpr double kShareForLoads = 0.6;  // of the bound; the rest is for what goes wrong
+constexpr double kShareForLoads = 0.75;  // of the bound; the rest is for what goes wrong
 constexpr absl::Duration kShortestLoad = absl::Milliseconds(300);
 constexpr absl::Duration kLongestLoad = absl::Seconds(4);
 
@@ -17,7 +17,7 @@
                      const RolloutSettings& settings) {
   const auto time_for = [&](uint32_t loads) {
     const size_t rounds = (engines + loads - 1) / loads;
-    return load_time * static_cast<double>(rounds);
+    return (settings.emptying + load_time) * static_cast<double>(rounds);
   };
   const auto at_full_speed = static_cast<uint32_t>(settings.share_at_once * static_cast<double>(engines));
   uint32_t at_once = std::max(settings.fewest_at_once, at_full_speed);
@@ -65,7 +65,7 @@
   for (size_t index = 0; index < pending.size(); ++index) {
     const size_t rounds = (index + at_once) / at_once;
     const absl::Time deadline = weights.deadlineOf(model, pending[index].version);
-    const absl::Duration loads = load_time * static_cast<double>(rounds);
+    const absl::Duration loads = (settings.emptying + load_time) * static_cast<double>(rounds);
     latest_start = std::min(latest_start, deadline - settings.margin - loads);
   }
   latest_start = std::min(latest_start, weights.namedAt(model, newest) + settings.patience);
@@ -75,9 +75,8 @@
     return plan;
   }
   const size_t free = at_once > loading ? at_once - loading : 0;
-  for (size_t index = 0; index < pending.size() && index < free + size_t{at_once} * settings.reserved_rounds;
-       ++index) {
-    if (index < free && isEmptied(pending[index], settings, now)) {
+  for (size_t index = 0; index < std::min(pending.size(), free); ++index) {
+    if (isEmptied(pending[index], settings, now)) {
       plan.order.push_back(pending[index].id);
     } else {
       plan.reserve.push_back(pending[index].id);
--- a/src/forwarding/rollout_planner.h
+++ b/src/forwarding/rollout_planner.h
@@ -37,9 +37,10 @@
   double share_at_once = 0.2;  // of the engines: so many load at no loss of speed
   uint32_t most_at_once = 4;   // unless the share is more; only where the bound can't be met otherwise
   absl::Duration patience = absl::ZeroDuration();  // from a version's naming until its loads begin
-  uint32_t reserved_rounds = 1;  // engines of so many further rounds get no new requests, so that runs end
-  // A reserved engine is given its order after so long, or as soon as it is empty: a load holds up what runs.
-  absl::Duration emptying = absl::Milliseconds(1200);
+  // An engine that is next gets no new requests, so that runs end. It is given its order after so long, or as
+  // soon as it is empty: a load holds up what runs. Only as many are emptied as may load at once, for each of
+  // them serves nothing meanwhile.
+  absl::Duration emptying = absl::Milliseconds(400);
   // Peers may have sent it something before they learnt that it is reserved.
   absl::Duration shortest_emptying = absl::Milliseconds(200);
   absl::Duration margin = absl::Milliseconds(900);  // before the bound
