A gateway asks the store once at a start and follows its zone's reader; few of a zone ask a store that is down

Change: the peers' rows are read first (the own row is there already, but on a new site: setting `site_is_new`); they tell the capacities, so the zone's best machine alone reads, at once, and tells all; whoever looks for a reader says so and is answered at once. When versions were named is one more table that the reader passes on. Turns grow with the zone: three of 200 ms, then 500 ms each; for the lease five of 400 ms, then 1 s, in the order of hashes, for neighbouring ids may be cut off together. Repeated questions for the peers' rows back off to 1.6 s.

Tests: reader_election_test (a store that is down for all is asked by few, failed before with 58 asking; a whole zone of 300 starts with one reader), gateway_test (a gateway that starts beside a reader asks after its peers alone). Two tests took for granted that an election begins as reader; they make it one first now and check the same.

--- a/src/forwarding/reader_election.cc
+++ b/src/forwarding/reader_election.cc
@@ -8,13 +8,23 @@
 
 // A better reader must be heard for so long before this one gives way.
 constexpr absl::Duration kGiveWayAfter = absl::Milliseconds(700);
-constexpr absl::Duration kTurn = absl::Milliseconds(200);  // between the turns of those who may read next
-constexpr absl::Duration kLongestTurn = absl::Seconds(2);
+// Between the turns of those who may read next. The first few step in quickly, for a reader that went; the
+// others slowly: where the first few get no answers, the store is probably down for all, and each further
+// gateway that asks costs calls and learns nothing new.
+constexpr absl::Duration kQuickTurn = absl::Milliseconds(200);
+constexpr absl::Duration kSlowTurn = absl::Milliseconds(500);
+constexpr int64_t kQuickTurns = 3;
 constexpr absl::Duration kDistrust = absl::Seconds(3);
 // A reader answers a new follower's first question at once; this is for the way there and back, and for
 // machines that are slow at the moment.
 constexpr absl::Duration kFirstAnswer = absl::Milliseconds(700);
 
+// How long a gateway waits for a reader to be heard, with so many that may step in before it.
+absl::Duration turnAfter(int64_t turns_before) {
+  const int64_t quick = std::min(turns_before, kQuickTurns);
+  return kQuickTurn * quick + kSlowTurn * (turns_before - quick);
+}
+
 }  // namespace
 
 bool ReaderElection::goesBefore(const ReaderCandidate& left, const ReaderCandidate& right) const {
@@ -62,8 +72,7 @@
     better_since_ = absl::InfiniteFuture();
     leaderless_since_ = std::min(leaderless_since_, now);
     role_.follows.reset();
-    const absl::Duration wait = std::min(kTurn * turns_before, kLongestTurn);
-    role_.reads = role_.reads || now >= leaderless_since_ + wait;
+    role_.reads = role_.reads || now >= leaderless_since_ + turnAfter(turns_before);
     return role_;
   }
   leaderless_since_ = absl::InfiniteFuture();
--- a/src/forwarding/reader_election.h
+++ b/src/forwarding/reader_election.h
@@ -25,7 +25,7 @@
 };
 
 struct ReaderRole {
-  bool reads = true;
+  bool reads = false;
   std::optional<NodeId> follows;  // nothing while it reads, or waits for its turn to
 
   friend bool operator==(const ReaderRole&, const ReaderRole&) = default;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -64,7 +64,7 @@
     core_.budget.noteNodes(1, reactor::steadyNow());
     return;
   }
-  peers_.setReadsWell([this] { return follower_.readsWell(); });
+  peers_.setReading([this] { return follower_.readsWell(); }, [this] { return follower_.seeksReader(); });
   if (relay_.listen(*core_.settings.listen.peers)) {
     core_.settings.listen.peers->port = relay_.port();  // digests come to the same number
   } else {
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -50,7 +50,8 @@
   uint32_t gateways_assumed =
       16;  // the site is taken to have at least so many: divides what is constant for all
   uint32_t connections_at_most = 3000;
-  double capacity = 0;  // of its machine, in any unit: in each zone the greatest reads the store first
+  bool site_is_new = false;  // all gateways start for the first time: none has a row in the store yet
+  double capacity = 0;       // of its machine, in any unit: in each zone the greatest reads the store first
 
   friend bool operator==(const GatewaySettings&, const GatewaySettings&) = default;
 };
--- a/src/gateway/order_giver.cc
+++ b/src/gateway/order_giver.cc
@@ -14,8 +14,11 @@
 constexpr absl::Duration kRenewal = absl::Milliseconds(700);
 constexpr absl::Duration kCallLimit = absl::Milliseconds(500);
 constexpr absl::Duration kReportPause = absl::Milliseconds(150);
-constexpr absl::Duration kTurnStep =
-    absl::Milliseconds(400);  // between the turns of gateways to take the lease
+// Between the turns of gateways to take the lease: the first few follow quickly, for a giver that went. Where
+// they don't get it, the store is down or another holds it, and each further one that asks costs a call.
+constexpr absl::Duration kTurnStep = absl::Milliseconds(400);
+constexpr absl::Duration kLateTurnStep = absl::Seconds(1);
+constexpr int64_t kQuickTurns = 5;
 constexpr absl::Duration kPursuitPause = absl::Milliseconds(500);
 constexpr absl::Duration kClosedFor =
     absl::Milliseconds(3500);  // an engine with an order, unless told otherwise
@@ -72,12 +75,18 @@
   core_.timers.schedule(now + kTick, [this] { tick(); });
 }
 
-// Gateways try in the order of their ids, so that they don't all write at once.
+// Gateways try one after the other, so that they don't all ask at once. The order is by hashes: gateways of one
+// zone, which may be cut off together, have neighbouring ids.
 absl::Duration OrderGiver::turnDelay(absl::Time now) const {
+  const auto placeOf = [](const NodeId& gateway) {
+    return XXH3_64bits(gateway.value().data(), gateway.value().size());
+  };
+  const uint64_t own = placeOf(core_.settings.gateway_id);
   const std::vector<NodeId> peers = peers_.livePeers(now);
-  const auto before = std::count_if(peers.begin(), peers.end(),
-                                    [this](const NodeId& peer) { return peer < core_.settings.gateway_id; });
-  return kTurnStep * std::min<double>(static_cast<double>(before), 5);
+  const int64_t before =
+      std::count_if(peers.begin(), peers.end(), [&](const NodeId& peer) { return placeOf(peer) < own; });
+  const int64_t quick = std::min(before, kQuickTurns);
+  return kTurnStep * quick + kLateTurnStep * (before - quick);
 }
 
 std::vector<forwarding::RolloutEngine> OrderGiver::enginesOf(const ModelName& model, absl::Time now) const {
--- a/src/gateway/peer_digest.cc
+++ b/src/gateway/peer_digest.cc
@@ -27,7 +27,7 @@
   archiveText(archive, digest.address.host, kMaximumName);
   archive(digest.address.port);
   archiveText(archive, digest.zone, kMaximumName);
-  archive(digest.capacity, digest.reads_well, digest.gives_orders);
+  archive(digest.capacity, digest.reads_well, digest.seeks_reader, digest.gives_orders);
   archiveList(archive, digest.dead_stores, kMaximumElements);
   archiveList(archive, digest.loads, kMaximumElements);
   archiveList(archive, digest.zones, kMaximumElements);
--- a/src/gateway/peer_digest.h
+++ b/src/gateway/peer_digest.h
@@ -53,6 +53,7 @@
   std::string zone;
   double capacity = 0;                // of the sender's machine
   bool reads_well = false;            // the sender reads the store for its zone
+  bool seeks_reader = false;          // the sender neither reads the store nor follows one who does
   bool gives_orders = false;          // the sender holds the lease for orders to engines
   std::vector<uint64_t> dead_stores;  // of kept cache, by name; from a reader, for its zone
   std::vector<LoadDigest> loads;
--- a/src/gateway/peer_directory.cc
+++ b/src/gateway/peer_directory.cc
@@ -1,10 +1,14 @@
 #include "gateway/peer_directory.h"
 
 #include <absl/random/distributions.h>
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
 #include <openssl/rand.h>
 
+#include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "types/address_text.h"
 
@@ -14,9 +18,13 @@
 constexpr const char* kTable = "gateway-peers";
 constexpr const char* kKeyRow = "!key";  // sorts before the gateways' rows
 constexpr uint32_t kRowsAtOnce = 500;
-// Gateways that start together ask one after the other, so that one alone writes the key.
-constexpr absl::Duration kStartSpread = absl::Milliseconds(400);
-constexpr absl::Duration kRetryPause = absl::Milliseconds(400);
+// Gateways of a new site start together and write one after the other, so that one alone writes the key.
+constexpr absl::Duration kNewSiteSpread = absl::Milliseconds(400);
+// Restarted ones only read, and can't serve before: as soon as the store's rate allows for a whole site.
+constexpr absl::Duration kRestartSpread = absl::Milliseconds(50);
+constexpr absl::Duration kFirstRetryPause = absl::Milliseconds(400);
+constexpr absl::Duration kLongestRetryPause = absl::Milliseconds(1600);
+constexpr double kRetryJitter = 0.3;
 // Who starts tells all whose rows it finds, so the rows are read again only in case that was lost.
 constexpr absl::Duration kRowsInterval = absl::Minutes(2);
 
@@ -26,44 +34,64 @@
   return secret;
 }
 
-// "ADDRESS ZONE"
-std::string printPeer(const Address& address, const ZoneName& zone) {
-  return absl::StrCat(printAddress(address), " ", zone.value());
+// "ADDRESS CAPACITY ZONE"
+std::string printPeer(const GatewaySettings& settings) {
+  return absl::StrCat(printAddress(*settings.listen.peers), " ", settings.capacity, " ",
+                      settings.zone.value());
 }
 
 std::optional<Peer> parsePeer(const std::string& text) {
-  const size_t space = text.find(' ');
-  const std::optional<Address> address = parseAddress(text.substr(0, space));
-  if (!address) {
+  const std::vector<std::string> words = absl::StrSplit(text, absl::MaxSplits(' ', 2));
+  if (words.size() != 3) {
     return std::nullopt;
   }
+  const std::optional<Address> address = parseAddress(words[0]);
   Peer peer;
-  peer.address = *address;
-  if (space != std::string::npos) {
-    peer.zone = ZoneName(text.substr(space + 1));
+  if (!address || !absl::SimpleAtod(words[1], &peer.capacity)) {
+    return std::nullopt;
   }
+  peer.address = *address;
+  peer.zone = ZoneName(words[2]);
   return peer;
 }
 
 }  // namespace
 
-// The own row is written blindly: mostly it is there, or new.
+PeerDirectory::PeerDirectory(Core& core) : core_(core), store_(core), retry_pause_(kFirstRetryPause) {}
+
+// On a new site the own row can't be there yet and is written first; else it mostly is, and one reading is all.
 void PeerDirectory::start(std::function<void()> ready) {
   ready_ = std::move(ready);
-  const absl::Duration turn = kStartSpread * absl::Uniform(core_.random, 0.0, 1.0);
-  core_.timers.schedule(reactor::steadyNow() + turn, [this] { writeOwnRow(0); });
+  const bool is_new = core_.settings.site_is_new;
+  const absl::Duration spread = is_new ? kNewSiteSpread : kRestartSpread;
+  const absl::Duration turn = spread * absl::Uniform(core_.random, 0.0, 1.0);
+  core_.timers.schedule(reactor::steadyNow() + turn, [this, is_new] {
+    if (is_new) {
+      writeOwnRow(0);
+    } else {
+      readRows();
+    }
+  });
 }
 
 void PeerDirectory::readRowsAgain(absl::Duration after) {
   core_.timers.schedule(reactor::steadyNow() + after, [this] { readRows(); });
 }
 
+// Gateways that the store refuses together ask again apart, and less and less often.
+absl::Duration PeerDirectory::nextRetryPause() {
+  const absl::Duration pause = retry_pause_;
+  retry_pause_ = std::min(retry_pause_ * 2, kLongestRetryPause);
+  return pause * (1 + kRetryJitter * absl::Uniform(core_.random, -1.0, 1.0));
+}
+
 void PeerDirectory::readRows() {
   store_.read(kTable, "", kRowsAtOnce, [this](StoreStatus status, const forwarding::StoreRows& answer) {
     if (status != StoreStatus::kDone) {
-      readRowsAgain(kRetryPause);
+      readRowsAgain(nextRetryPause());
       return;
     }
+    retry_pause_ = kFirstRetryPause;
     takeRows(answer);
   });
 }
@@ -72,7 +100,7 @@
 // rows are read for the last time: of two that start together, one at least finds the other.
 void PeerDirectory::takeRows(const forwarding::StoreRows& answer) {
   const std::string own_key = core_.settings.gateway_id.value();
-  const std::string own_value = printPeer(*core_.settings.listen.peers, core_.settings.zone);
+  const std::string own_value = printPeer(core_.settings);
   bool has_key = false;
   bool is_own_there = false;
   uint64_t own_version = 0;
@@ -87,6 +115,7 @@
       Peer& peer = peers_[NodeId(row.key)];
       peer.address = read->address;
       peer.zone = read->zone;
+      peer.capacity = read->capacity;
     }
   }
   if (!has_key) {
@@ -106,7 +135,7 @@
   row.value = newSecret();
   store_.write(row, 0, [this](StoreStatus status, const forwarding::StoreRows& /*rows*/) {
     const bool is_settled = status == StoreStatus::kDone || status == StoreStatus::kConflict;
-    readRowsAgain(is_settled ? absl::ZeroDuration() : kRetryPause);
+    readRowsAgain(is_settled ? absl::ZeroDuration() : nextRetryPause());
   });
 }
 
@@ -114,10 +143,10 @@
   forwarding::StoreRow row;
   row.table = kTable;
   row.key = core_.settings.gateway_id.value();
-  row.value = printPeer(*core_.settings.listen.peers, core_.settings.zone);
+  row.value = printPeer(core_.settings);
   store_.write(row, expected_version, [this](StoreStatus status, const forwarding::StoreRows& /*rows*/) {
     const bool is_settled = status == StoreStatus::kDone || status == StoreStatus::kConflict;
-    readRowsAgain(is_settled ? absl::ZeroDuration() : kRetryPause);
+    readRowsAgain(is_settled ? absl::ZeroDuration() : nextRetryPause());
   });
 }
 
--- a/src/gateway/peer_directory.h
+++ b/src/gateway/peer_directory.h
@@ -28,7 +28,7 @@
 
 class PeerDirectory {
  public:
-  explicit PeerDirectory(Core& core) : core_(core), store_(core) {}
+  explicit PeerDirectory(Core& core);
 
   // Finds the key, writes the own row and reads the others'. `ready`: the key is known.
   void start(std::function<void()> ready);
@@ -46,10 +46,12 @@
   void writeKey();
   void writeOwnRow(uint64_t expected_version);
   void readRowsAgain(absl::Duration after);
+  absl::Duration nextRetryPause();
 
   Core& core_;
   StoreClient store_;
   std::function<void()> ready_;
+  absl::Duration retry_pause_;  // until the next call where the store did not answer
   std::unique_ptr<peer::Authenticator> authenticator_;
   absl::btree_map<NodeId, Peer> peers_;
 };
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -64,8 +64,14 @@
   socket_.non_blocking(true, error);
 }
 
+// Whoever reads the store for this gateway's zone hears of it at once, and answers.
 void PeerExchange::begin() {
   receive();
+  for (auto& [id, peer] : directory_.peers()) {
+    if (directory_.isOwnZone(peer)) {
+      tell(id, peer);
+    }
+  }
   tick();
 }
 
@@ -124,13 +130,13 @@
 
 void PeerExchange::noteReading() {
   const bool is_reading = reads_well_();
-  if (std::exchange(was_reading_, is_reading) || !is_reading) {
+  const bool begins = is_reading && !was_reading_;
+  was_reading_ = is_reading;
+  if (!begins || directory_.authenticator() == nullptr) {
     return;
   }
   for (auto& [id, peer] : directory_.peers()) {
-    if (!isNear(peer)) {
-      tell(id, peer);
-    }
+    tell(id, peer);
   }
 }
 
@@ -241,6 +247,7 @@
   digest.zone = core_.settings.zone.value();
   digest.capacity = core_.settings.capacity;
   digest.reads_well = was_reading_;
+  digest.seeks_reader = seeks_reader_();
   digest.gives_orders = reactor::steadyNow() < gives_orders_until_;
   return digest;
 }
@@ -368,6 +375,9 @@
   for (const EngineDigest& engine : digest.engines) {
     takeEngine(engine, now);
   }
+  if (digest.seeks_reader && was_reading_ && directory_.isOwnZone(peer)) {
+    tell(from, peer);
+  }
 }
 
 void PeerExchange::takeZones(const Peer& from, const std::vector<ZoneDigest>& zones, absl::Time now) {
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -27,11 +27,16 @@
  public:
   PeerExchange(Core& core, PeerDirectory& directory);
 
-  // Whether this gateway reads the store and gets answers, as peers are told.
-  void setReadsWell(std::function<bool()> reads_well) { reads_well_ = std::move(reads_well); }
+  // Whether this gateway reads the store and gets answers, or looks for one that does, as peers are told.
+  void setReading(std::function<bool()> reads_well, std::function<bool()> seeks_reader) {
+    reads_well_ = std::move(reads_well);
+    seeks_reader_ = std::move(seeks_reader);
+  }
   // Binds the address for peers; the exchange begins with `begin`, once the key is known.
   void listen();
   void begin();
+  // Becoming the zone's reader is told to all, at once.
+  void noteReading();
   // This gateway holds the lease for orders: all peers hear of it soon.
   void announceOrders();
   // When a peer last told that it gives orders.
@@ -66,8 +71,6 @@
   void countPeers();
   // For how long a peer may be unheard before it counts as down.
   absl::Duration silence(bool is_near) const;
-  // Becoming the zone's reader is told to all.
-  void noteReading();
   void takePlacements();
   void addPlacement(PlacementDigest placement, Origin origin);
   bool isFarReader(const Peer& peer, absl::Time now) const;
@@ -91,6 +94,7 @@
   Core& core_;
   PeerDirectory& directory_;
   std::function<bool()> reads_well_ = [] { return true; };
+  std::function<bool()> seeks_reader_ = [] { return false; };
   boost::asio::ip::udp::socket socket_;
   std::array<char, 2048> buffer_{};
   boost::asio::ip::udp::endpoint sender_;
--- a/src/gateway/relay_follower.cc
+++ b/src/gateway/relay_follower.cc
@@ -7,7 +7,6 @@
 namespace quincewick::gateway {
 namespace {
 
-constexpr absl::Duration kWait = absl::Milliseconds(1000);
 constexpr absl::Duration kAnswerLimit = absl::Milliseconds(700);  // beyond the wait
 constexpr int kOk = 200;
 
@@ -39,12 +38,12 @@
     return;
   }
   const absl::Time now = reactor::steadyNow();
-  const RelayQuestion question{table_, after_, readings_, kWait};
+  const RelayQuestion question{table_, after_, readings_, wait_};
   auto sealed = authenticator->seal(peer::Channel::kRequest, peer_, peer::PeerModule::kRouting,
                                     encodeRelayQuestion(question));
   HttpCall call{"POST", "/rows", {}, std::move(sealed.bytes)};
   caller_->call(
-      std::move(call), kWait + kAnswerLimit,
+      std::move(call), wait_ + kAnswerLimit,
       [this, now, turn = turn_, sequence = sealed.sequence](const Result<reactor::HttpReply>& reply) {
         if (turn == turn_) {
           takeAnswer(reply, sequence, now);
--- a/src/gateway/relay_follower.h
+++ b/src/gateway/relay_follower.h
@@ -21,10 +21,13 @@
   // The peer gave no answer, or one that is no use.
   using Failed = std::function<void(const NodeId& peer)>;
 
-  RelayFollower(Core& core, PeerDirectory& peers, std::string table, News news, Failed failed)
+  // `wait`: how long the peer holds a question that it has no news for.
+  RelayFollower(Core& core, PeerDirectory& peers, std::string table, absl::Duration wait, News news,
+                Failed failed)
       : core_(core),
         peers_(peers),
         table_(std::move(table)),
+        wait_(wait),
         news_(std::move(news)),
         failed_(std::move(failed)) {}
 
@@ -40,6 +43,7 @@
   Core& core_;
   PeerDirectory& peers_;
   std::string table_;
+  absl::Duration wait_;
   News news_;
   Failed failed_;
   NodeId peer_;
--- a/src/gateway/row_relay.cc
+++ b/src/gateway/row_relay.cc
@@ -6,7 +6,8 @@
 namespace quincewick::gateway {
 namespace {
 
-constexpr size_t kConnectionsAtMost = 256;
+// One for each table of each follower: a zone of 300 gateways.
+constexpr size_t kConnectionsAtMost = 1024;
 constexpr absl::Duration kLongestWait = absl::Seconds(2);
 constexpr int kOk = 200;
 constexpr int kUnauthorized = 401;
--- a/src/gateway/site_follower.cc
+++ b/src/gateway/site_follower.cc
@@ -10,6 +10,22 @@
 using forwarding::TableNews;
 
 constexpr absl::Duration kTick = absl::Milliseconds(100);
+// While this gateway neither reads nor follows, it can't serve: it looks more often who reads.
+constexpr absl::Duration kTickWithoutRows = absl::Milliseconds(20);
+// At a start peers that have rows in the store count as there for so long before they are heard.
+constexpr absl::Duration kFirstHearing = absl::Milliseconds(1200);
+// How long a reader holds a follower's question: rows of the operator confirm keys and must be fresh.
+constexpr absl::Duration kRelayWait = absl::Milliseconds(1000);
+constexpr absl::Duration kRarelyChangedRelayWait = absl::Seconds(2);
+
+// Versions are named now and then, and each reader writes down those that it sees named.
+TableFollowerSettings weightsSettings() {
+  TableFollowerSettings settings;
+  settings.table = WeightsRecord::kTable;
+  settings.wait = absl::Seconds(20);
+  settings.whole_every = absl::Minutes(1);
+  return settings;
+}
 
 // Servers write often: their changes are taken in turns, well within the time for leaving servers.
 TableFollowerSettings serverSettings(const Core& core) {
@@ -54,8 +70,8 @@
                      TableFollower(core, operatorSettings(core),
                                    [this](const TableNews& news) { takeFromStore(operator_rows_, news); }),
                      RelayFollower(
-                         core, peers, core.dialect->tables().configuration,
-                         [this](const TableNews& news) { takeFromPeer(operator_rows_, news); },
+                         core, peers, core.dialect->tables().configuration, kRelayWait,
+                         [this](const TableNews& news) { takeNews(operator_rows_, news, false); },
                          [this](const NodeId& reader) { noteFailed(reader); })},
       servers_{core.dialect->tables().servers,
                forwarding::RowCache([&core](const StoreRow& known, const StoreRow& written) {
@@ -64,21 +80,30 @@
                TableFollower(core, serverSettings(core),
                              [this](const TableNews& news) { takeFromStore(servers_, news); }),
                RelayFollower(
-                   core, peers, core.dialect->tables().servers,
-                   [this](const TableNews& news) { takeFromPeer(servers_, news); },
-                   [this](const NodeId& reader) { noteFailed(reader); })} {}
+                   core, peers, core.dialect->tables().servers, kRelayWait,
+                   [this](const TableNews& news) { takeNews(servers_, news, false); },
+                   [this](const NodeId& reader) { noteFailed(reader); })},
+      weights_rows_{WeightsRecord::kTable,
+                    forwarding::RowCache([](const StoreRow& known, const StoreRow& written) {
+                      return known.version == written.version;
+                    }),
+                    TableFollower(core, weightsSettings(),
+                                  [this](const TableNews& news) { takeFromStore(weights_rows_, news); }),
+                    RelayFollower(
+                        core, peers, WeightsRecord::kTable, kRarelyChangedRelayWait,
+                        [this](const TableNews& news) { takeNews(weights_rows_, news, false); },
+                        [this](const NodeId& reader) { noteFailed(reader); })} {}
 
 void SiteFollower::start() {
-  relay_.offer(operator_rows_.name, &operator_rows_.cache);
-  relay_.offer(servers_.name, &servers_.cache);
-  operator_rows_.from_store.start();
-  servers_.from_store.start();
+  for (const Table* const table : tables()) {
+    relay_.offer(table->name, &table->cache);
+  }
   tick();
 }
 
 bool SiteFollower::readsWell() const {
   return role_.reads && storeAnswers() && !core_.is_stopping && operator_rows_.cache.isFilled() &&
-         servers_.cache.isFilled() &&
+         servers_.cache.isFilled() && weights_rows_.cache.isFilled() &&
          reactor::steadyNow() - operator_rows_.cache.confirmed() < forwarding::ReaderElection::kOldestReading;
 }
 
@@ -86,11 +111,20 @@
   return !operator_rows_.from_store.isDown() && !servers_.from_store.isDown();
 }
 
+// Who the peers are, and so whether one of them reads the store, is asked of the store first: one call, where
+// reading all tables takes several.
+bool SiteFollower::knowsPeers() const {
+  return !core_.settings.listen.peers || peers_.authenticator() != nullptr;
+}
+
 void SiteFollower::tick() {
   const absl::Time now = reactor::steadyNow();
-  checkAge(now);
-  takeRole(election_.decide(candidates(now), storeAnswers(), now));
-  core_.timers.schedule(now + kTick, [this] { tick(); });
+  if (knowsPeers()) {
+    peers_known_since_ = std::min(peers_known_since_, now);
+    checkAge(now);
+    takeRole(election_.decide(candidates(now), storeAnswers(), now));
+  }
+  core_.timers.schedule(now + (seeksReader() ? kTickWithoutRows : kTick), [this] { tick(); });
 }
 
 // A reader may answer and yet have no fresh rows.
@@ -103,15 +137,18 @@
 void SiteFollower::noteFailed(const NodeId& reader) {
   core_.log.event("reader_failed", reactor::steadyNow()).with("peer", reader.value());
   election_.noteFailed(reader, reactor::steadyNow());
-  operator_rows_.from_peer.stop();
-  servers_.from_peer.stop();
+  for (Table* const table : tables()) {
+    table->from_peer.stop();
+  }
   role_.follows.reset();
 }
 
 std::vector<forwarding::ReaderCandidate> SiteFollower::candidates(absl::Time now) const {
   std::vector<forwarding::ReaderCandidate> result;
+  const bool are_unheard = now < peers_known_since_ + kFirstHearing;
   for (const auto& [id, peer] : peers_.peers()) {
-    if (peers_.isOwnZone(peer) && exchange_.isLive(peer, now)) {
+    const bool is_expected = are_unheard && peer.heard == absl::InfinitePast();
+    if (peers_.isOwnZone(peer) && (is_expected || exchange_.isLive(peer, now))) {
       result.push_back({id, peer.capacity, peer.reads_well});
     }
   }
@@ -127,7 +164,7 @@
   core_.log.event("reader_role", reactor::steadyNow())
       .with("reads", role.reads ? "true" : "false")
       .with("follows", role.follows ? role.follows->value() : "");
-  for (Table* const table : {&operator_rows_, &servers_}) {
+  for (Table* const table : tables()) {
     if (role.reads) {
       table->from_peer.stop();
       table->from_store.start();
@@ -150,21 +187,19 @@
 
 void SiteFollower::takeFromStore(Table& table, const TableNews& news) {
   table.cache.take(news);
-  table.version = std::max(table.version, news.version);
-  if (&table == &operator_rows_) {
-    takeOperatorRows(news, true);
-  } else {
-    takeServers(news);
-  }
+  takeNews(table, news, true);
   relay_.tell(table.name);
+  exchange_.noteReading();
 }
 
-void SiteFollower::takeFromPeer(Table& table, const TableNews& news) {
+void SiteFollower::takeNews(Table& table, const TableNews& news, bool from_store) {
   table.version = std::max(table.version, news.version);
   if (&table == &operator_rows_) {
-    takeOperatorRows(news, false);
-  } else {
+    takeOperatorRows(news, from_store);
+  } else if (&table == &servers_) {
     takeServers(news);
+  } else {
+    weights_record_.take(news);
   }
 }
 
@@ -187,9 +222,6 @@
 void SiteFollower::takeWeights(const StoreRow& row, bool from_store) {
   const auto weights = core_.dialect->readNamedWeights(row.value);
   const absl::Time now = reactor::steadyNow();
-  if (!has_read_rows_ && weights.has_value()) {
-    weights_record_.read();  // it was named before this gateway looked
-  }
   if (weights.has_error() || !core_.weights.note(weights.value(), now)) {
     return;
   }
--- a/src/gateway/site_follower.h
+++ b/src/gateway/site_follower.h
@@ -24,6 +24,8 @@
   void start();
   // Whether this gateway reads the store, gets answers and so has fresh rows for its zone.
   bool readsWell() const;
+  // Whether it neither reads nor follows one who does.
+  bool seeksReader() const { return !role_.reads && !role_.follows; }
 
  private:
   // One table, from wherever it is followed.
@@ -36,14 +38,16 @@
   };
 
   void tick();
+  bool knowsPeers() const;
   bool storeAnswers() const;
+  std::vector<Table*> tables() { return {&operator_rows_, &servers_, &weights_rows_}; }
   void takeRole(const forwarding::ReaderRole& role);
   std::vector<forwarding::ReaderCandidate> candidates(absl::Time now) const;
   void noteFailed(const NodeId& reader);
   void checkAge(absl::Time now);
 
   void takeFromStore(Table& table, const forwarding::TableNews& news);
-  void takeFromPeer(Table& table, const forwarding::TableNews& news);
+  void takeNews(Table& table, const forwarding::TableNews& news, bool from_store);
   void takeOperatorRows(const forwarding::TableNews& news, bool from_store);
   void takeWeights(const forwarding::StoreRow& row, bool from_store);
   void takeConfiguration(const forwarding::StoreRow& row);
@@ -56,12 +60,14 @@
   RowRelay& relay_;
   forwarding::ReaderElection election_;
   forwarding::ReaderRole role_;
+  absl::Time peers_known_since_ = absl::InfiniteFuture();
   uint64_t configuration_row_ = 0;  // the store's version of the row in force
   bool has_unread_row_ = false;     // a newer configuration can't be read: nothing confirms the old one
   bool has_read_rows_ = false;      // what is named from now on is news
   WeightsRecord weights_record_;
   Table operator_rows_;
   Table servers_;
+  Table weights_rows_;
 };
 
 }  // namespace quincewick::gateway
--- a/src/gateway/weights_record.cc
+++ b/src/gateway/weights_record.cc
@@ -6,9 +6,6 @@
 namespace quincewick::gateway {
 namespace {
 
-constexpr const char* kTable = "gateway-weights";
-constexpr uint32_t kRowsAtOnce = 500;
-constexpr absl::Duration kRetryPause = absl::Milliseconds(300);
 constexpr char kSeparator = '@';  // between a model's name and a version
 
 std::optional<forwarding::NamedWeights> parseKey(const std::string& key) {
@@ -25,32 +22,24 @@
 
 }  // namespace
 
-void WeightsRecord::read() {
-  if (std::exchange(is_read_, true)) {
+void WeightsRecord::take(const forwarding::TableNews& news) {
+  const absl::Time now = reactor::steadyNow();
+  const std::optional<absl::Duration> store_clock = core_.storeClock(now);
+  if (!store_clock) {
+    core_.log.event("weights_record_unread", now).with("why", "the store's clock is not known yet");
     return;
   }
-  readRows();
-}
-
-void WeightsRecord::readRows() {
-  store_.read(kTable, "", kRowsAtOnce, [this](StoreStatus status, const forwarding::StoreRows& answer) {
-    if (status != StoreStatus::kDone) {
-      core_.timers.schedule(reactor::steadyNow() + kRetryPause, [this] { readRows(); });
-      return;
+  for (const forwarding::StoreRow& row : news.rows) {
+    const auto weights = parseKey(row.key);
+    const auto named_at = parseWhole(row.value);
+    if (weights && named_at) {
+      const absl::Duration age = *store_clock - absl::Milliseconds(*named_at);
+      core_.weights.note(*weights, now - age);
     }
-    const absl::Time now = reactor::steadyNow();
-    for (const forwarding::StoreRow& row : answer.rows) {
-      const auto weights = parseKey(row.key);
-      const auto named_at = parseWhole(row.value);
-      if (weights && named_at) {
-        const absl::Duration age = answer.clock - absl::Milliseconds(*named_at);
-        core_.weights.note(*weights, now - age);
-      }
-    }
-  });
+  }
 }
 
-// All gateways try; the first one's row stands.
+// All readers of the store try; the first one's row stands.
 void WeightsRecord::record(const forwarding::NamedWeights& weights) {
   const std::optional<absl::Duration> clock = core_.storeClock(reactor::steadyNow());
   if (!clock) {
--- a/src/gateway/weights_record.h
+++ b/src/gateway/weights_record.h
@@ -1,9 +1,10 @@
-// When each version of weights was named, kept in the store: a gateway that starts later knows by when
-// engines must have it.
+// When each version of weights was named, kept in a table of the store: a gateway that starts later knows by
+// when engines must have it. The zone's reader reads the table and passes it on, as it does the operator's.
 #pragma once
 
 #include <string>
 
+#include "forwarding/row_cache.h"
 #include "gateway/core.h"
 #include "gateway/store_client.h"
 
@@ -13,17 +14,16 @@
  public:
   explicit WeightsRecord(Core& core) : core_(core), store_(core) {}
 
-  // Takes what was recorded before this process began; the first call counts.
-  void read();
+  static constexpr const char* kTable = "gateway-weights";
+
+  // Takes what was recorded, whoever read it.
+  void take(const forwarding::TableNews& news);
   // A version was named just now, as the store told.
   void record(const forwarding::NamedWeights& weights);
 
  private:
-  void readRows();
-
   Core& core_;
   StoreClient store_;
-  bool is_read_ = false;
 };
 
 }  // namespace quincewick::gateway
--- a/tests/forwarding/reader_election_test.cc
+++ b/tests/forwarding/reader_election_test.cc
@@ -105,6 +105,52 @@
   CHECK(zone.readers() == 1);
 }
 
+TEST_CASE("a gateway that starts follows the reader that there is, and reads nothing") {
+  ReaderElection election(NodeId("b"), 10);
+  const ReaderRole role = election.decide({{NodeId("a"), 10, true}}, true, absl::UnixEpoch());
+  CHECK_FALSE(role.reads);
+  CHECK(role.follows == NodeId("a"));
+}
+
+// Finding F20: 48 of 58 gateways began to ask at the same moment, 2 s after the store went.
+TEST_CASE("while the store is down for all, few of a zone ask it") {
+  constexpr size_t kGateways = 58;
+  Zone zone(kGateways);
+  zone.run(absl::Seconds(5));
+  REQUIRE(zone.readers() == 1);
+  const auto asking = [&zone] {
+    return std::count_if(zone.nodes.begin(), zone.nodes.end(),
+                         [](const Zone::Node& node) { return node.election.role().reads; });
+  };
+  for (Zone::Node& node : zone.nodes) {
+    node.store_answers = false;
+  }
+  zone.run(absl::Seconds(1));
+  CHECK(asking() <= 5);
+  zone.run(absl::Seconds(4));
+  CHECK(asking() <= 13);
+  for (Zone::Node& node : zone.nodes) {
+    node.store_answers = true;
+  }
+  zone.run(absl::Seconds(2));
+  CHECK(asking() == 1);
+}
+
+TEST_CASE("of a zone that starts whole, the best machine alone reads, at once") {
+  constexpr size_t kGateways = 300;
+  Zone zone(kGateways);
+  zone.step();
+  const auto reader = std::find_if(zone.nodes.begin(), zone.nodes.end(), Zone::readsWell);
+  REQUIRE(reader != zone.nodes.end());
+  CHECK(zone.readers() == 1);
+  CHECK(reader->capacity == 200);
+  zone.step();
+  CHECK(zone.readers() == 1);
+  CHECK(std::all_of(zone.nodes.begin(), zone.nodes.end(), [&reader](const Zone::Node& node) {
+    return node.id == reader->id || node.election.role().follows == reader->id;
+  }));
+}
+
 TEST_CASE("a gateway that knows no peers reads for itself, at once") {
   ReaderElection election(NodeId("n"), 10);
   CHECK(election.decide({}, true, absl::UnixEpoch()).reads);
@@ -112,6 +158,7 @@
 
 TEST_CASE("a reader that the store does not answer follows one that it does") {
   ReaderElection election(NodeId("a"), 10);
+  REQUIRE(election.decide({}, true, absl::UnixEpoch()).reads);
   const std::vector<ReaderCandidate> worse = {{NodeId("b"), 10, true}};
   CHECK(election.decide(worse, true, absl::UnixEpoch()).reads);
   const ReaderRole role = election.decide(worse, false, absl::UnixEpoch() + absl::Seconds(2));
@@ -126,6 +173,7 @@
   const absl::Time confirmed = start - absl::Seconds(10);
   ReaderElection election(NodeId("b"), 10);
   const std::vector<ReaderCandidate> reader = {{NodeId("a"), 200, true}};
+  REQUIRE(election.decide({}, true, start).reads);
   election.decide(reader, true, start);
   const absl::Time follows_since = start + absl::Milliseconds(700);
   REQUIRE(election.decide(reader, true, follows_since).follows == NodeId("a"));
--- a/tests/gateway/gateway_settings_test.cc
+++ b/tests/gateway/gateway_settings_test.cc
@@ -19,6 +19,8 @@
                                           {"{{region}}", "r"},
                                           {"{{ip}}", "10.1.0.30"},
                                           {"{{portRange.0}}", "7340"},
+                                          {"{{#bootstrap}}", ""},
+                                          {"{{/bootstrap}}", ""},
                                           {"{{#limits.linkMbps}}", ""},
                                           {"{{limits.linkMbps}}", "10.0"},
                                           {"{{/limits.linkMbps}}", ""},
@@ -47,6 +49,7 @@
   CHECK(parsed.value->bounds.weights_in_force == absl::Milliseconds(7500));
   CHECK(parsed.value->bounds.retry_ratio == 0.25);
   CHECK(parsed.value->capacity == 10);
+  CHECK(parsed.value->site_is_new);
 }
 
 TEST_CASE("each mechanism of placement is on unless it is switched off by name") {
@@ -57,6 +60,7 @@
   REQUIRE(plain.ok());
   CHECK(plain.value->placement == forwarding::PlacementSwitches());
   CHECK(plain.value->placement.home_by_size);
+  CHECK_FALSE(plain.value->site_is_new);
   const auto switched = parseGatewaySettings(needed + "placement:\n  home_by_size: false\n");
   REQUIRE(switched.ok());
   CHECK_FALSE(switched.value->placement.home_by_size);
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -338,6 +338,18 @@
   CHECK(has(other.ask("/none/", kKey), "HTTP/1.1 404"));
 }
 
+// Finding F20.
+TEST_CASE_METHOD(Fixture, "a gateway that starts beside a reader asks the store after its peers alone") {
+  site.addServer("i-1", [](const Seen& /*seen*/) { return Script{signedAnswer("served")}; });
+  const RunningGateway reader(RunningGateway::settings("a", site.storeAddress(), site));
+  const RunningGateway other(RunningGateway::settings("b", site.secondStoreAddress(), site));
+  CHECK(other.ask("/safe/", kKey).ends_with("served"));
+  for (const std::string& target : site.secondCalls()) {
+    CHECK((target.starts_with("/v1/rows-tx") || has(target, "table=gateway-peers")));
+  }
+  CHECK(site.secondCalls().size() <= 3);
+}
+
 TEST_CASE_METHOD(Fixture, "a follower reads the store itself when its reader is gone") {
   site.addServer("i-1", [](const Seen& /*seen*/) { return Script{signedAnswer("served")}; });
   auto reader = std::make_unique<RunningGateway>(RunningGateway::settings("a", site.storeAddress(), site));
--- a/tests/gateway/peer_digest_test.cc
+++ b/tests/gateway/peer_digest_test.cc
@@ -16,6 +16,7 @@
     digest.placements.push_back({*rc::gen::arbitrary<uint64_t>(), {{1, 2}, {3, 4}}});
     digest.zone = "z";
     digest.reads_well = *rc::gen::arbitrary<bool>();
+    digest.seeks_reader = *rc::gen::arbitrary<bool>();
     digest.dead_stores = *rc::gen::arbitrary<std::vector<uint64_t>>();
     digest.zones.push_back({"y", digest.loads});
     digest.engines.push_back({1, 2, *rc::gen::arbitrary<uint64_t>(), 3500});
@@ -27,6 +28,7 @@
     RC_ASSERT(read.value().dead_stores == digest.dead_stores);
     RC_ASSERT(read.value().zones[0].loads.size() == digest.zones[0].loads.size());
     RC_ASSERT(read.value().reads_well == digest.reads_well);
+    RC_ASSERT(read.value().seeks_reader == digest.seeks_reader);
     RC_ASSERT(read.value().loads.size() == digest.loads.size());
     RC_ASSERT(read.value().placements[0].keys == digest.placements[0].keys);
     RC_ASSERT(read.value().engines[0].version == digest.engines[0].version);
--- a/tests/gateway/stand_in_site.h
+++ b/tests/gateway/stand_in_site.h
@@ -107,6 +107,7 @@
     });
     second_store_ =
         std::make_unique<StandInServer>(reactor_, [this](const HttpHead& head, const std::string& body) {
+          noteSecondCall(head.target);
           return refusesSecond() ? Script{answerOf(503, {}, "")} : answerAsStore(head, body);
         });
     thread_ = std::thread([this] { reactor_.run(); });
@@ -155,6 +156,12 @@
     refuses_second_ = refuses;
   }
 
+  // Targets of the calls that came to the store's second address.
+  std::vector<std::string> secondCalls() const {
+    const std::lock_guard lock(mutex_);
+    return second_calls_;
+  }
+
   std::vector<Seen> seen() const {
     const std::lock_guard lock(mutex_);
     return seen_;
@@ -171,6 +178,11 @@
     return refuses_second_;
   }
 
+  void noteSecondCall(const std::string& target) {
+    const std::lock_guard lock(mutex_);
+    second_calls_.push_back(target);
+  }
+
   static std::string parameter(const std::string& target, const std::string& name) {
     const size_t begin = target.find(name + "=");
     if (begin == std::string::npos) {
@@ -230,6 +242,7 @@
   uint64_t version_ = 0;
   bool refuses_second_ = false;
   std::vector<Seen> seen_;
+  std::vector<std::string> second_calls_;
   std::unique_ptr<StandInServer> store_;
   std::unique_ptr<StandInServer> second_store_;
   std::vector<std::unique_ptr<StandInServer>> servers_;
