Emptying before a load takes only the time that the rollout has left before its bound

When the store is back the old version's bound is near or past: engines that are late may not serve, yet each round was emptied for 0.4 s before its load. Change: the planner divides what is left before the bound by the rounds that are left; emptying takes what a load leaves of that, at most 0.4 s as before, none where loads are behind. Nothing changes where a rollout is in time. Tests: rollout_planner_test, two cases that failed before; the properties over bounds and loads at once are unchanged.

--- a/src/forwarding/rollout_planner.cc
+++ b/src/forwarding/rollout_planner.cc
@@ -27,9 +27,13 @@
   return at_once;
 }
 
-bool isEmptied(const RolloutEngine& engine, const RolloutSettings& settings, absl::Time now) {
+bool isEmptied(const RolloutEngine& engine, absl::Duration emptying, absl::Duration shortest_emptying,
+               absl::Time now) {
+  if (emptying == absl::ZeroDuration()) {
+    return true;
+  }
   const absl::Duration reserved = now - engine.reserved_since;
-  return reserved >= settings.emptying || (engine.running == 0 && reserved >= settings.shortest_emptying);
+  return reserved >= emptying || (engine.running == 0 && reserved >= shortest_emptying);
 }
 
 }  // namespace
@@ -60,14 +64,17 @@
            std::tuple(weights.deadlineOf(model, right.version), right.reserved_since, right.running);
   });
   const uint32_t at_once = loadsAtOnce(engines.size(), all_within, load_time, settings);
-  // The last engine of each deadline must be done by it: the latest start is the least over all prefixes.
+  // The last engine of each deadline must be done by it: the latest start is the least over all prefixes, and
+  // so is the time that each round has for emptying.
   absl::Time latest_start = absl::InfiniteFuture();
+  absl::Duration emptying = settings.emptying;
   for (size_t index = 0; index < pending.size(); ++index) {
-    const size_t rounds = (index + at_once) / at_once;
-    const absl::Time deadline = weights.deadlineOf(model, pending[index].version);
-    const absl::Duration loads = (settings.emptying + load_time) * static_cast<double>(rounds);
-    latest_start = std::min(latest_start, deadline - settings.margin - loads);
+    const auto rounds = static_cast<double>((index + at_once) / at_once);
+    const absl::Time done = weights.deadlineOf(model, pending[index].version) - settings.margin;
+    latest_start = std::min(latest_start, done - (settings.emptying + load_time) * rounds);
+    emptying = std::min(emptying, (done - now) / rounds - load_time);
   }
+  emptying = std::max(emptying, absl::ZeroDuration());
   latest_start = std::min(latest_start, weights.namedAt(model, newest) + settings.patience);
   plan.next_start = latest_start;
   plan.is_due = now >= latest_start;
@@ -76,7 +83,7 @@
   }
   const size_t free = at_once > loading ? at_once - loading : 0;
   for (size_t index = 0; index < std::min(pending.size(), free); ++index) {
-    if (isEmptied(pending[index], settings, now)) {
+    if (isEmptied(pending[index], emptying, settings.shortest_emptying, now)) {
       plan.order.push_back(pending[index].id);
     } else {
       plan.reserve.push_back(pending[index].id);
--- a/src/forwarding/rollout_planner.h
+++ b/src/forwarding/rollout_planner.h
@@ -39,7 +39,8 @@
   absl::Duration patience = absl::ZeroDuration();  // from a version's naming until its loads begin
   // An engine that is next gets no new requests, so that runs end. It is given its order after so long, or as
   // soon as it is empty: a load holds up what runs. Only as many are emptied as may load at once, for each of
-  // them serves nothing meanwhile.
+  // them serves nothing meanwhile. Where loads are behind their bound, as after the store was away, there is
+  // less time for it or none: an engine that is late may not serve at all.
   absl::Duration emptying = absl::Milliseconds(400);
   // Peers may have sent it something before they learnt that it is reserved.
   absl::Duration shortest_emptying = absl::Milliseconds(200);
--- a/tests/forwarding/rollout_planner_test.cc
+++ b/tests/forwarding/rollout_planner_test.cc
@@ -170,5 +170,43 @@
   CHECK(taken_out(named) == 0);
 }
 
+// Finding F21: after the store was away, engines below the version that requests need were emptied all the same.
+TEST_CASE("engines that are behind their bound are not emptied") {
+  WeightsRegister weights(kBound);
+  const absl::Time named = absl::UnixEpoch();
+  weights.note({kModel, WeightsVersion(2)}, named);
+  auto fleet = engines(90);
+  for (RolloutEngine& engine : fleet) {
+    engine.running = 3;
+  }
+  const auto planned = [&](absl::Time now) {
+    return planRollout(fleet, kModel, weights, kBound, absl::Milliseconds(700), {}, now);
+  };
+  CHECK(planned(named).order.empty());
+  CHECK(planned(named).reserve.size() == 18);
+  const auto late = planned(named + kBound - absl::Seconds(1));
+  CHECK(late.order.size() == 18);
+  CHECK(late.reserve.empty());
+}
+
+TEST_CASE("emptying takes what time the loads that are left allow") {
+  WeightsRegister weights(kBound);
+  const absl::Time named = absl::UnixEpoch();
+  weights.note({kModel, WeightsVersion(2)}, named);
+  // Five rounds of 700 ms and 100 ms each for emptying, until 900 ms before the bound less its margin.
+  const absl::Time now = weights.deadlineOf(kModel, WeightsVersion(1)) - RolloutSettings().margin -
+                         5 * absl::Milliseconds(800);
+  auto fleet = engines(90);
+  const auto orders_after = [&](absl::Duration reserved) {
+    for (RolloutEngine& engine : fleet) {
+      engine.running = 3;
+      engine.reserved_since = now - reserved;
+    }
+    return planRollout(fleet, kModel, weights, kBound, absl::Milliseconds(700), {}, now).order.size();
+  };
+  CHECK(orders_after(absl::Milliseconds(99)) == 0);
+  CHECK(orders_after(absl::Milliseconds(100)) == 18);
+}
+
 }  // namespace
 }  // namespace quincewick::forwarding
