--- a/src/forwarding/lapsed_entries.cc
+++ b/src/forwarding/lapsed_entries.cc
@@ -3,8 +3,8 @@
 namespace quincewick::forwarding {
 namespace {
 
-// Without a reading for so long, entries may have lapsed: they go after three heartbeats of over a second, and
-// readings come every second or so.
+// Without a reading for so long, entries may have lapsed: they go after three heartbeats of over a second,
+// and readings come every second or so.
 constexpr absl::Duration kOutage = absl::Milliseconds(2200);
 // The platform promises that entries are back two seconds after its return; the rest is for the way here.
 constexpr absl::Duration kAwaited = absl::Milliseconds(2500);
--- a/src/forwarding/lapsed_entries.h
+++ b/src/forwarding/lapsed_entries.h
@@ -1,6 +1,6 @@
-// Servers whose entries went while the store was away. A server writes its entry again and again, so entries of
-// sound servers lapse in an outage and are back a moment after it: what is missing then isn't taken as gone yet.
-// Pure; `now` never goes back.
+// Servers whose entries went while the store was away. A server writes its entry again and again, so entries
+// of sound servers lapse in an outage and are back a moment after it: what is missing then isn't taken as
+// gone yet. Pure; `now` never goes back.
 #pragma once
 
 #include <absl/container/flat_hash_set.h>
--- a/src/forwarding/rollout_planner.cc
+++ b/src/forwarding/rollout_planner.cc
@@ -69,7 +69,8 @@
   absl::Time latest_start = absl::InfiniteFuture();
   absl::Duration emptying = settings.emptying;
   for (size_t index = 0; index < pending.size(); ++index) {
-    const auto rounds = static_cast<double>((index + at_once) / at_once);
+    const size_t whole_rounds = (index + at_once) / at_once;
+    const auto rounds = static_cast<double>(whole_rounds);
     const absl::Time done = weights.deadlineOf(model, pending[index].version) - settings.margin;
     latest_start = std::min(latest_start, done - (settings.emptying + load_time) * rounds);
     emptying = std::min(emptying, (done - now) / rounds - load_time);
--- a/src/gateway/order_giver.cc
+++ b/src/gateway/order_giver.cc
@@ -75,16 +75,16 @@
   core_.timers.schedule(now + kTick, [this] { tick(); });
 }
 
-// Gateways try one after the other, so that they don't all ask at once. The order is by hashes: gateways of one
-// zone, which may be cut off together, have neighbouring ids.
+// Gateways try one after the other, so that they don't all ask at once. The order is by hashes: gateways of
+// one zone, which may be cut off together, have neighbouring ids.
 absl::Duration OrderGiver::turnDelay(absl::Time now) const {
-  const auto placeOf = [](const NodeId& gateway) {
+  const auto place_of = [](const NodeId& gateway) {
     return XXH3_64bits(gateway.value().data(), gateway.value().size());
   };
-  const uint64_t own = placeOf(core_.settings.gateway_id);
+  const uint64_t own = place_of(core_.settings.gateway_id);
   const std::vector<NodeId> peers = peers_.livePeers(now);
   const int64_t before =
-      std::count_if(peers.begin(), peers.end(), [&](const NodeId& peer) { return placeOf(peer) < own; });
+      std::count_if(peers.begin(), peers.end(), [&](const NodeId& peer) { return place_of(peer) < own; });
   const int64_t quick = std::min(before, kQuickTurns);
   return kTurnStep * quick + kLateTurnStep * (before - quick);
 }
--- a/src/gateway/peer_directory.cc
+++ b/src/gateway/peer_directory.cc
@@ -59,7 +59,8 @@
 
 PeerDirectory::PeerDirectory(Core& core) : core_(core), store_(core), retry_pause_(kFirstRetryPause) {}
 
-// On a new site the own row can't be there yet and is written first; else it mostly is, and one reading is all.
+// On a new site the own row can't be there yet and is written first; else it mostly is, and one reading is
+// all.
 void PeerDirectory::start(std::function<void()> ready) {
   ready_ = std::move(ready);
   const bool is_new = core_.settings.site_is_new;
--- a/src/gateway/site_follower.h
+++ b/src/gateway/site_follower.h
@@ -68,7 +68,8 @@
   uint64_t configuration_row_ = 0;  // the store's version of the row in force
   bool has_unread_row_ = false;     // a newer configuration can't be read: nothing confirms the old one
   bool has_read_rows_ = false;      // what is named from now on is news
-  absl::Time last_confirmed_ = absl::InfinitePast();  // the newest whole reading of the operator's rows began then
+  absl::Time last_confirmed_ =
+      absl::InfinitePast();  // the newest whole reading of the operator's rows began then
   forwarding::LapsedEntries lapsed_;
   WeightsRecord weights_record_;
   Table operator_rows_;
--- a/tests/forwarding/order_lease_test.cc
+++ b/tests/forwarding/order_lease_test.cc
@@ -107,7 +107,8 @@
   std::vector<Order> orders_;
 };
 
-// Finding F23: after an outage of the store the next giver waited 1.9 s more, though the last lease was long over.
+// Finding F23: after an outage of the store the next giver waited 1.9 s more, though the last lease was long
+// over.
 TEST_CASE("a lease taken long after the last one's end allows orders at once") {
   const absl::Time now = absl::UnixEpoch() + absl::Hours(1);
   const LeaseRecord last{NodeId("other"), Epoch(4), absl::Seconds(100)};
--- a/tests/forwarding/rollout_planner_test.cc
+++ b/tests/forwarding/rollout_planner_test.cc
@@ -170,7 +170,8 @@
   CHECK(taken_out(named) == 0);
 }
 
-// Finding F21: after the store was away, engines below the version that requests need were emptied all the same.
+// Finding F21: after the store was away, engines below the version that requests need were emptied all the
+// same.
 TEST_CASE("engines that are behind their bound are not emptied") {
   WeightsRegister weights(kBound);
   const absl::Time named = absl::UnixEpoch();
@@ -194,8 +195,8 @@
   const absl::Time named = absl::UnixEpoch();
   weights.note({kModel, WeightsVersion(2)}, named);
   // Five rounds of 700 ms and 100 ms each for emptying, until 900 ms before the bound less its margin.
-  const absl::Time now = weights.deadlineOf(kModel, WeightsVersion(1)) - RolloutSettings().margin -
-                         5 * absl::Milliseconds(800);
+  const absl::Time now =
+      weights.deadlineOf(kModel, WeightsVersion(1)) - RolloutSettings().margin - 5 * absl::Milliseconds(800);
   auto fleet = engines(90);
   const auto orders_after = [&](absl::Duration reserved) {
     for (RolloutEngine& engine : fleet) {
