A reader reads the record of namings again once it has written one

Change: whoever has written a naming down, or finds it there, reads that table whole again: one more call a zone and version.

--- a/src/gateway/site_follower.cc
+++ b/src/gateway/site_follower.cc
@@ -234,7 +234,16 @@
       .with("model", weights.value().model.value())
       .with("version", static_cast<int64_t>(weights.value().version.value()));
   if (has_read_rows_ && from_store) {
-    weights_record_.record(weights.value());
+    weights_record_.record(weights.value(), [this] { readWeightsRecordAgain(); });
+  }
+}
+
+// Whoever starts next asks this reader when the version was named: it must not wait for a question that the
+// store perhaps never answers.
+void SiteFollower::readWeightsRecordAgain() {
+  if (role_.reads) {
+    weights_rows_.from_store.stop();
+    weights_rows_.from_store.start();
   }
 }
 
--- a/src/gateway/site_follower.h
+++ b/src/gateway/site_follower.h
@@ -51,6 +51,7 @@
   void takeNews(Table& table, const forwarding::TableNews& news, bool from_store);
   void takeOperatorRows(const forwarding::TableNews& news, bool from_store);
   void takeWeights(const forwarding::StoreRow& row, bool from_store);
+  void readWeightsRecordAgain();
   void takeConfiguration(const forwarding::StoreRow& row);
   void takeServers(const forwarding::TableNews& news);
   void noteMissing(const std::string& server_id, absl::Time now);
--- a/src/gateway/weights_record.cc
+++ b/src/gateway/weights_record.cc
@@ -40,7 +40,7 @@
 }
 
 // All readers of the store try; the first one's row stands.
-void WeightsRecord::record(const forwarding::NamedWeights& weights) {
+void WeightsRecord::record(const forwarding::NamedWeights& weights, std::function<void()> written) {
   const std::optional<absl::Duration> clock = core_.storeClock(reactor::steadyNow());
   if (!clock) {
     return;
@@ -49,7 +49,12 @@
   row.table = kTable;
   row.key = weights.model.value() + kSeparator + std::to_string(weights.version.value());
   row.value = std::to_string(absl::ToInt64Milliseconds(*clock));
-  store_.write(row, 0, [](StoreStatus /*status*/, const forwarding::StoreRows& /*rows*/) {});
+  store_.write(row, 0,
+               [written = std::move(written)](StoreStatus status, const forwarding::StoreRows& /*rows*/) {
+                 if (status == StoreStatus::kDone || status == StoreStatus::kConflict) {
+                   written();
+                 }
+               });
 }
 
 }  // namespace quincewick::gateway
--- a/src/gateway/weights_record.h
+++ b/src/gateway/weights_record.h
@@ -2,7 +2,7 @@
 // when engines must have it. The zone's reader reads the table and passes it on, as it does the operator's.
 #pragma once
 
-#include <string>
+#include <functional>
 
 #include "forwarding/row_cache.h"
 #include "gateway/core.h"
@@ -18,8 +18,8 @@
 
   // Takes what was recorded, whoever read it.
   void take(const forwarding::TableNews& news);
-  // A version was named just now, as the store told.
-  void record(const forwarding::NamedWeights& weights);
+  // A version was named just now, as the store told. `written`: the table has the row, whoever wrote it.
+  void record(const forwarding::NamedWeights& weights, std::function<void()> written);
 
  private:
   Core& core_;
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -350,6 +350,24 @@
   CHECK(site.secondCalls().size() <= 3);
 }
 
+// A gateway that starts takes from its reader when versions were named: the reader's rows must be fresh,
+// though the store answers no question after changes here.
+TEST_CASE_METHOD(Fixture, "a reader takes a version's naming into its rows as soon as it is written down") {
+  const RunningGateway reader(RunningGateway::settings("a", site.secondStoreAddress(), site));
+  const auto readings = [this] {
+    const std::vector<std::string> calls = site.secondCalls();
+    return std::count_if(calls.begin(), calls.end(), [](const std::string& target) {
+      return target.starts_with("/v1/rows-get") && has(target, "table=gateway-weights");
+    });
+  };
+  // Twice at its start, then once a minute.
+  await([&readings] { return readings() >= 2; });
+  const auto readings_before = readings();
+  site.setRow("op", "version/m", R"({"model":"m","version":2})");
+  await([&] { return readings() > readings_before; });
+  CHECK(readings() > readings_before);
+}
+
 TEST_CASE_METHOD(Fixture, "a follower reads the store itself when its reader is gone") {
   site.addServer("i-1", [](const Seen& /*seen*/) { return Script{signedAnswer("served")}; });
   auto reader = std::make_unique<RunningGateway>(RunningGateway::settings("a", site.storeAddress(), site));
