--- a/src/gateway/site_follower.h
+++ b/src/gateway/site_follower.h
@@ -51,6 +51,7 @@
   void takeNews(Table& table, const forwarding::TableNews& news, bool from_store);
   void takeOperatorRows(const forwarding::TableNews& news, bool from_store);
   void takeWeights(const forwarding::StoreRow& row, bool from_store);
+  void readWeightsRecordAgain();
   void takeConfiguration(const forwarding::StoreRow& row);
   void takeServers(const forwarding::TableNews& news);
   void noteMissing(const std::string& server_id, absl::Time now);
@@ -68,7 +69,8 @@
   uint64_t configuration_row_ = 0;  // the store's version of the row in force
   bool has_unread_row_ = false;     // a newer configuration can't be read: nothing confirms the old one
   bool has_read_rows_ = false;      // what is named from now on is news
-  absl::Time last_confirmed_ = absl::InfinitePast();  // the newest whole reading of the operator's rows began then
+  absl::Time last_confirmed_ =
+      absl::InfinitePast();  // the newest whole reading of the operator's rows began then
   forwarding::LapsedEntries lapsed_;
   WeightsRecord weights_record_;
   Table operator_rows_;
