Turns of gateways and the comparison of rows by version stand once

Found on reading the whole change: the wait for a turn was written the same way in reader_election.cc and order_giver.cc (now forwarding::TurnSchedule), the comparison of rows by their version twice in site_follower.cc.

--- a/src/forwarding/reader_election.cc
+++ b/src/forwarding/reader_election.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <tuple>
 
+#include "forwarding/turn_schedule.h"
+
 namespace quincewick::forwarding {
 namespace {
 
@@ -11,20 +13,12 @@
 // Between the turns of those who may read next. The first few step in quickly, for a reader that went; the
 // others slowly: where the first few get no answers, the store is probably down for all, and each further
 // gateway that asks costs calls and learns nothing new.
-constexpr absl::Duration kQuickTurn = absl::Milliseconds(200);
-constexpr absl::Duration kSlowTurn = absl::Milliseconds(500);
-constexpr int64_t kQuickTurns = 3;
+constexpr TurnSchedule kTurns = {absl::Milliseconds(200), 3, absl::Milliseconds(500)};
 constexpr absl::Duration kDistrust = absl::Seconds(3);
 // A reader answers a new follower's first question at once; this is for the way there and back, and for
 // machines that are slow at the moment.
 constexpr absl::Duration kFirstAnswer = absl::Milliseconds(700);
 
-// How long a gateway waits for a reader to be heard, with so many that may step in before it.
-absl::Duration turnAfter(int64_t turns_before) {
-  const int64_t quick = std::min(turns_before, kQuickTurns);
-  return kQuickTurn * quick + kSlowTurn * (turns_before - quick);
-}
-
 }  // namespace
 
 bool ReaderElection::goesBefore(const ReaderCandidate& left, const ReaderCandidate& right) const {
@@ -72,7 +66,7 @@
     better_since_ = absl::InfiniteFuture();
     leaderless_since_ = std::min(leaderless_since_, now);
     role_.follows.reset();
-    role_.reads = role_.reads || now >= leaderless_since_ + turnAfter(turns_before);
+    role_.reads = role_.reads || now >= leaderless_since_ + kTurns.after(turns_before);
     return role_;
   }
   leaderless_since_ = absl::InfiniteFuture();
--- a/src/gateway/order_giver.cc
+++ b/src/gateway/order_giver.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "forwarding/turn_schedule.h"
+
 namespace quincewick::gateway {
 namespace {
 
@@ -17,8 +19,7 @@
 // Between the turns of gateways to take the lease: the first few follow quickly, for a giver that went. Where
 // they don't get it, the store is down or another holds it, and each further one that asks costs a call.
 constexpr absl::Duration kTurnStep = absl::Milliseconds(400);
-constexpr absl::Duration kLateTurnStep = absl::Seconds(1);
-constexpr int64_t kQuickTurns = 5;
+constexpr forwarding::TurnSchedule kTurns = {kTurnStep, 5, absl::Seconds(1)};
 constexpr absl::Duration kPursuitPause = absl::Milliseconds(500);
 constexpr absl::Duration kClosedFor =
     absl::Milliseconds(3500);  // an engine with an order, unless told otherwise
@@ -85,8 +86,7 @@
   const std::vector<NodeId> peers = peers_.livePeers(now);
   const int64_t before =
       std::count_if(peers.begin(), peers.end(), [&](const NodeId& peer) { return place_of(peer) < own; });
-  const int64_t quick = std::min(before, kQuickTurns);
-  return kTurnStep * quick + kLateTurnStep * (before - quick);
+  return kTurns.after(before);
 }
 
 std::vector<forwarding::RolloutEngine> OrderGiver::enginesOf(const ModelName& model, absl::Time now) const {
--- a/src/gateway/site_follower.cc
+++ b/src/gateway/site_follower.cc
@@ -44,6 +44,10 @@
   return settings;
 }
 
+bool isSameVersion(const StoreRow& known, const StoreRow& written) {
+  return known.version == written.version;
+}
+
 // Servers write their rows again and again to show that they live.
 bool saysTheSame(const forwarding::Dialect& dialect, const StoreRow& known, const StoreRow& written) {
   if (known.value == written.value) {
@@ -63,10 +67,7 @@
       relay_(relay),
       election_(core.settings.gateway_id, core.settings.capacity),
       weights_record_(core),
-      operator_rows_{core.dialect->tables().configuration,
-                     forwarding::RowCache([](const StoreRow& known, const StoreRow& written) {
-                       return known.version == written.version;
-                     }),
+      operator_rows_{core.dialect->tables().configuration, forwarding::RowCache(isSameVersion),
                      TableFollower(core, operatorSettings(core),
                                    [this](const TableNews& news) { takeFromStore(operator_rows_, news); }),
                      RelayFollower(
@@ -83,10 +84,7 @@
                    core, peers, core.dialect->tables().servers, kRelayWait,
                    [this](const TableNews& news) { takeNews(servers_, news, false); },
                    [this](const NodeId& reader) { noteFailed(reader); })},
-      weights_rows_{WeightsRecord::kTable,
-                    forwarding::RowCache([](const StoreRow& known, const StoreRow& written) {
-                      return known.version == written.version;
-                    }),
+      weights_rows_{WeightsRecord::kTable, forwarding::RowCache(isSameVersion),
                     TableFollower(core, weightsSettings(),
                                   [this](const TableNews& news) { takeFromStore(weights_rows_, news); }),
                     RelayFollower(
