Sight: when a server is believed to drain, how old its list was, what is awaited, what is left of the repeats

New lines server_draining, server_awaited, repeat; levels quincewick_servers_age_seconds, quincewick_repeats_left; each answer of the store or of a reader tells as of when its rows are.

--- a/src/forwarding/retry_budget.cc
+++ b/src/forwarding/retry_budget.cc
@@ -1,6 +1,8 @@
 #include "forwarding/retry_budget.h"
 
 #include <algorithm>
+#include <limits>
+#include <vector>
 
 namespace quincewick::forwarding {
 namespace {
@@ -50,6 +52,18 @@
   return allowed - static_cast<double>(usage.repeats.size());
 }
 
+double RetryBudget::fewestLeft(absl::Time now) {
+  std::vector<ServiceName> services;
+  for (const auto& [service, usage] : usage_) {
+    services.push_back(service);
+  }
+  double fewest = services.empty() ? 0 : std::numeric_limits<double>::infinity();
+  for (const ServiceName& service : services) {
+    fewest = std::min(fewest, left(service, now));
+  }
+  return fewest;
+}
+
 bool RetryBudget::tryRepeat(const ServiceName& service, absl::Time now) {
   if (left(service, now) < 1) {
     return false;
--- a/src/forwarding/retry_budget.h
+++ b/src/forwarding/retry_budget.h
@@ -36,6 +36,8 @@
   bool tryRepeat(const ServiceName& service, absl::Time now);
   // Repeats still allowed now.
   double left(const ServiceName& service, absl::Time now);
+  // Of the service with the fewest; 0 before the first request.
+  double fewestLeft(absl::Time now);
 
  private:
   struct Usage {
--- a/src/forwarding/row_cache.cc
+++ b/src/forwarding/row_cache.cc
@@ -17,6 +17,7 @@
     return;
   }
   store_version_ = news.version;
+  as_of_ = std::max(as_of_, news.as_of);
   const uint64_t changed = news.version > told_version_ ? news.version : told_version_ + 1;
   if (news.is_whole) {
     absl::flat_hash_set<std::string> read;
@@ -81,6 +82,7 @@
   TableNews news;
   news.version = told_version_;
   news.confirmed = confirmed_;
+  news.as_of = as_of_;
   news.is_whole = version == 0 || version < forgotten_;
   for (const auto& [key, kept] : rows_) {
     if (news.is_whole || kept.changed > version) {
--- a/src/forwarding/row_cache.h
+++ b/src/forwarding/row_cache.h
@@ -24,6 +24,9 @@
   uint64_t version = 0;   // of the store: all changes up to here are told
   // When the last whole reading that confirms this began; InfinitePast: this confirms nothing.
   absl::Time confirmed = absl::InfinitePast();
+  // When the question was asked whose answer told all changes up to `version`: the rows are as they were then,
+  // or newer. InfinitePast: not known.
+  absl::Time as_of = absl::InfinitePast();
 };
 
 class RowCache {
@@ -43,6 +46,7 @@
   // How many whole readings were taken.
   uint64_t readings() const { return readings_; }
   absl::Time confirmed() const { return confirmed_; }
+  absl::Time asOf() const { return as_of_; }
   // The last change that matters: who knows this version lacks nothing.
   uint64_t lastChange() const { return last_change_; }
 
@@ -73,6 +77,7 @@
   uint64_t last_change_ = 0;
   uint64_t readings_ = 0;
   absl::Time confirmed_ = absl::InfinitePast();
+  absl::Time as_of_ = absl::InfinitePast();
 };
 
 }  // namespace quincewick::forwarding
--- a/src/gateway/core.h
+++ b/src/gateway/core.h
@@ -69,6 +69,7 @@
   bool is_stopping = false;
   bool refuses_requests = false;  // late in a stop: what comes now is told to go elsewhere
   bool knows_servers = false;
+  absl::Time servers_as_of = absl::InfinitePast();  // the list of servers is as it was then, or newer
   size_t requests_under_way = 0;
   uint64_t split_counter = 0;  // spreads requests over a route's services by their weights
 
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -156,7 +156,7 @@
   if (engine_ && !mayBeSent()) {
     return;
   }
-  if (ledger_.wouldRepeat() && !core_.budget.tryRepeat(service_, now)) {
+  if (ledger_.wouldRepeat() && !mayRepeat(now)) {
     releaseServer();
     server_ = nullptr;
     giveUp(false, "retry_budget");
@@ -168,6 +168,16 @@
   sendAttempt();
 }
 
+bool Exchange::mayRepeat(absl::Time now) {
+  const bool may = core_.budget.tryRepeat(service_, now);
+  core_.log.event("repeat", now)
+      .with("request", facts_.attempt_id)
+      .with("service", service_.value())
+      .with("done", may ? "true" : "false")
+      .with("left", static_cast<int64_t>(core_.budget.left(service_, now)));
+  return may;
+}
+
 bool Exchange::chooseTarget() {
   const absl::Time now = reactor::steadyNow();
   engine_.reset();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -53,6 +53,8 @@
   void askForPlace();
   void takePlace(const PlaceAnswer& answer);
   void sendChosen();
+  // Whether the site's budget lets the request go to a further server; it is counted if so.
+  bool mayRepeat(absl::Time now);
   bool chooseTarget();
   bool choosePlainServer(absl::Time now);
   bool chooseEngine(absl::Time now);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -116,6 +116,8 @@
   levels.holds_lease = orders_.holdsLease(now) ? 1 : 0;
   levels.peers = static_cast<double>(peers_.livePeers(now).size());
   levels.servers = static_cast<double>(core_.directory.all().size());
+  levels.servers_age_seconds = absl::ToDoubleSeconds(now - core_.servers_as_of);
+  levels.repeats_left = core_.budget.fewestLeft(now);
   levels.caller_connections = static_cast<double>(connections_.size());
   levels.server_connections_opened = static_cast<double>(pool_.openedConnections());
   levels.requests_under_way = static_cast<double>(core_.requests_under_way);
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -115,6 +115,11 @@
   addLevel(families, "quincewick_holds_lease", "1: gives orders to engines.", levels.holds_lease);
   addLevel(families, "quincewick_peers", "Gateways heard of lately.", levels.peers);
   addLevel(families, "quincewick_servers", "Servers listed.", levels.servers);
+  addLevel(families, "quincewick_servers_age_seconds", "Since the list of servers was as it is known here.",
+           levels.servers_age_seconds);
+  addLevel(families, "quincewick_repeats_left",
+           "Requests that may go to a further server now, of the service with the fewest.",
+           levels.repeats_left);
   addLevel(families, "quincewick_caller_connections", "Open.", levels.caller_connections);
   addLevel(families, "quincewick_server_connections_opened", "Since the start.",
            levels.server_connections_opened);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -41,6 +41,8 @@
     double holds_lease = 0;
     double peers = 0;
     double servers = 0;
+    double servers_age_seconds = 0;
+    double repeats_left = 0;
     double caller_connections = 0;
     double server_connections_opened = 0;
     double requests_under_way = 0;
--- a/src/gateway/relay_follower.cc
+++ b/src/gateway/relay_follower.cc
@@ -74,6 +74,7 @@
   news.version = answer.value().version;
   // The answer was made after it was asked for: so long ago at most was the confirming reading begun.
   news.confirmed = asked - answer.value().confirmed_ago;
+  news.as_of = asked - answer.value().as_of_ago;
   const uint64_t turn = turn_;
   news_(news);
   if (turn == turn_) {
--- a/src/gateway/relay_messages.h
+++ b/src/gateway/relay_messages.h
@@ -32,6 +32,8 @@
   uint64_t readings = 0;
   // Since the last whole reading that confirms this began, when the answer was made.
   absl::Duration confirmed_ago;
+  // Since the rows were as they are told here, at least, when the answer was made.
+  absl::Duration as_of_ago;
 };
 
 std::string encodeRelayQuestion(const RelayQuestion& question);
--- a/src/gateway/row_relay.cc
+++ b/src/gateway/row_relay.cc
@@ -76,6 +76,7 @@
   answer.version = news.version;
   answer.readings = caches_.at(held.question.table)->readings();
   answer.confirmed_ago = reactor::steadyNow() - news.confirmed;
+  answer.as_of_ago = reactor::steadyNow() - news.as_of;
   const auto sealed =
       peers_.authenticator()->seal(peer::Channel::kResponse, held.asker, peer::PeerModule::kRouting,
                                    encodeRelayAnswer(answer), held.sequence);
--- a/src/gateway/site_follower.cc
+++ b/src/gateway/site_follower.cc
@@ -271,6 +271,8 @@
 
 void SiteFollower::takeServers(const TableNews& news) {
   const absl::Time now = reactor::steadyNow();
+  const absl::Duration list_was_old = now - core_.servers_as_of;
+  core_.servers_as_of = std::max(core_.servers_as_of, news.as_of);
   std::vector<std::string> ids;
   for (const StoreRow& row : news.rows) {
     if (row.is_gone) {
@@ -288,6 +290,10 @@
     lapsed_.noteThere(row.key);
     const bool is_draining = entry.value().is_draining;
     const std::string service = entry.value().service.value();
+    const auto known = core_.directory.find(row.key);
+    if (is_draining && known != nullptr && !known->entry.is_draining) {
+      core_.log.event("server_draining", now).with("server", row.key).with("list_was_old_ms", list_was_old);
+    }
     if (core_.directory.upsert(std::move(entry.value()))) {
       core_.log.event("server_new", reactor::steadyNow())
           .with("server", row.key)
@@ -310,6 +316,7 @@
     return;
   }
   if (!server->entry.is_draining && lapsed_.mayComeBack(now)) {
+    core_.log.event("server_awaited", now).with("server", server_id);
     lapsed_.await(server_id);
   } else {
     removeServer(server_id, now);
--- a/src/gateway/table_follower.cc
+++ b/src/gateway/table_follower.cc
@@ -86,7 +86,7 @@
   retry_pause_ = kShortestRetry;
   version_ = std::max(version_, version);
   const uint64_t turn = turn_;
-  news_({std::move(rows), true, version, began});
+  news_({std::move(rows), true, version, began, began});
   if (turn != turn_) {
     return;
   }
@@ -115,8 +115,9 @@
     followOn(kShortestRetry);
     return;
   }
+  const absl::Time asked = reactor::steadyNow();
   feed_store_->follow(settings_.table, version_, settings_.wait,
-                      [this, turn = turn_](StoreStatus status, const forwarding::StoreRows& answer) {
+                      [this, turn = turn_, asked](StoreStatus status, const forwarding::StoreRows& answer) {
                         if (turn != turn_) {
                           return;
                         }
@@ -125,9 +126,7 @@
                           return;
                         }
                         version_ = std::max(version_, answer.version);
-                        if (!answer.rows.empty()) {
-                          news_({answer.rows, false, answer.version, absl::InfinitePast()});
-                        }
+                        news_({answer.rows, false, answer.version, absl::InfinitePast(), asked});
                         if (turn == turn_) {
                           followOn(settings_.pause);
                         }
