Repeats: a bucket that requests fill, in place of a window of each gateway's own

Cause: a request gave leave for repeats in two windows, at one gateway or, when its caller moved, at two; and each start brought half a constant part. Change: each request adds the ratio to its service's bucket, a repeat takes one, the bucket holds this gateway's part of the constant, a restart empties it; the count of gateways goes round in digests. The window setting has no use any more.

--- a/src/forwarding/retry_budget.cc
+++ b/src/forwarding/retry_budget.cc
@@ -1,75 +1,70 @@
 #include "forwarding/retry_budget.h"
 
 #include <algorithm>
-#include <limits>
-#include <vector>
+#include <cmath>
 
 namespace quincewick::forwarding {
 namespace {
 
-constexpr double kNodesUnknown = 1.6;  // nodes that there may be for each that is known
-constexpr double kShareAtStart = 0.5;
-
-void dropBefore(std::deque<absl::Time>& times, absl::Time start) {
-  while (!times.empty() && times.front() < start) {
-    times.pop_front();
-  }
-}
+// Nodes that there may be for each that is known: some join, and some were not heard of yet.
+constexpr double kNodesUnknown = 1.6;
 
 }  // namespace
 
-RetryBudget::Usage& RetryBudget::current(const ServiceName& service, absl::Time now) {
-  Usage& usage = usage_[service];
-  dropBefore(usage.requests, now - settings_.window);
-  dropBefore(usage.repeats, now - settings_.window);
-  return usage;
-}
-
-void RetryBudget::noteNodes(size_t known, absl::Time now) {
-  if (most_nodes_known_ == 0) {
-    first_window_ends_ = now + settings_.window;
-  }
+void RetryBudget::noteNodes(size_t known) {
   most_nodes_known_ = std::max(most_nodes_known_, known);
 }
 
-double RetryBudget::constantPart(absl::Time now) const {
+double RetryBudget::capacity() const {
   if (most_nodes_known_ == 0) {
     return 0;
   }
   const double may_be = kNodesUnknown * static_cast<double>(most_nodes_known_);
-  const double share = settings_.constant / std::max(may_be, static_cast<double>(settings_.fewest_nodes));
-  const double at_start = kShareAtStart * settings_.constant / may_be;
-  return now < first_window_ends_ ? std::min(share, at_start) : share;
+  return settings_.constant / std::max(may_be, static_cast<double>(settings_.fewest_nodes));
 }
 
-void RetryBudget::noteRequest(const ServiceName& service, absl::Time now) {
-  current(service, now).requests.push_back(now);
+RetryBudget::Bucket& RetryBudget::bucketOf(const ServiceName& service) {
+  const auto [place, is_new] = buckets_.try_emplace(service);
+  if (is_new && settings_.site_is_new) {
+    place->second.held = capacity();
+  }
+  return place->second;
 }
 
-double RetryBudget::left(const ServiceName& service, absl::Time now) {
-  const Usage& usage = current(service, now);
-  const double allowed = settings_.ratio * static_cast<double>(usage.requests.size()) + constantPart(now);
-  return allowed - static_cast<double>(usage.repeats.size());
+void RetryBudget::noteRequest(const ServiceName& service) {
+  Bucket& bucket = bucketOf(service);
+  bucket.held = std::min(bucket.held + settings_.ratio, capacity());
 }
 
-double RetryBudget::fewestLeft(absl::Time now) {
-  std::vector<ServiceName> services;
-  for (const auto& [service, usage] : usage_) {
-    services.push_back(service);
-  }
-  double fewest = services.empty() ? 0 : std::numeric_limits<double>::infinity();
-  for (const ServiceName& service : services) {
-    fewest = std::min(fewest, left(service, now));
-  }
-  return fewest;
+double RetryBudget::left(const ServiceName& service) const {
+  const auto found = buckets_.find(service);
+  return found == buckets_.end() ? 0 : std::min(found->second.held, capacity());
 }
 
-bool RetryBudget::tryRepeat(const ServiceName& service, absl::Time now) {
-  if (left(service, now) < 1) {
-    return false;
+double RetryBudget::fewestLeft() const {
+  const auto fewest = std::min_element(
+      buckets_.begin(), buckets_.end(),
+      [](const auto& one, const auto& other) { return one.second.held < other.second.held; });
+  return fewest == buckets_.end() ? 0 : left(fewest->first);
+}
+
+bool RetryBudget::tryRepeat(const ServiceName& service) {
+  Bucket& bucket = bucketOf(service);
+  bucket.held = std::min(bucket.held, capacity());
+  if (bucket.held >= 1) {
+    bucket.held -= 1;
+    return true;
   }
-  usage_[service].repeats.push_back(now);
-  return true;
+  const bool never_holds_one = capacity() < 1;
+  return never_holds_one && repeatsByFraction(bucket);
+}
+
+// Spends what the bucket holds. The sum of all that was spent so passes a whole number now and then.
+bool RetryBudget::repeatsByFraction(Bucket& bucket) const {
+  const double before = bucket.spent_in_fractions + rounding_phase_;
+  bucket.spent_in_fractions += bucket.held;
+  bucket.held = 0;
+  return std::floor(bucket.spent_in_fractions + rounding_phase_) > std::floor(before);
 }
 
 }  // namespace quincewick::forwarding
--- a/src/gateway/core.cc
+++ b/src/gateway/core.cc
@@ -1,5 +1,6 @@
 #include "gateway/core.h"
 
+#include <absl/random/distributions.h>
 #include <xxhash.h>
 
 #include <utility>
@@ -24,7 +25,7 @@
   result.ratio = settings.bounds.retry_ratio;
   result.constant = settings.bounds.retry_constant;
   result.fewest_nodes = settings.gateways_assumed;
-  result.window = settings.bounds.retry_window;
+  result.site_is_new = settings.site_is_new;
   return result;
 }
 
@@ -42,7 +43,7 @@
       timers(reactor),
       log(logSettings(settings), log_descriptor),
       placement(placementSettings(settings)),
-      budget(budgetSettings(settings)),
+      budget(budgetSettings(settings), absl::Uniform(random, 0.0, 1.0)),
       weights(settings.bounds.weights_in_force) {}
 
 uint64_t Core::nameOfStore(const Address& store) {
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -52,7 +52,7 @@
   ledger_ = forwarding::AttemptLedger(route_->mayRunAgain(), route_->max_attempts);
   setDeadline();
   chooseService();
-  core_.budget.noteRequest(service_, began_);
+  core_.budget.noteRequest(service_);
   askQuota();
 }
 
@@ -169,12 +169,12 @@
 }
 
 bool Exchange::mayRepeat(absl::Time now) {
-  const bool may = core_.budget.tryRepeat(service_, now);
+  const bool may = core_.budget.tryRepeat(service_);
   core_.log.event("repeat", now)
       .with("request", facts_.attempt_id)
       .with("service", service_.value())
       .with("done", may ? "true" : "false")
-      .with("left", static_cast<int64_t>(core_.budget.left(service_, now)));
+      .with("left", static_cast<int64_t>(core_.budget.left(service_)));
   return may;
 }
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -67,7 +67,7 @@
 
 void Gateway::startPeers() {
   if (!core_.settings.listen.peers) {
-    core_.budget.noteNodes(1, reactor::steadyNow());
+    core_.budget.noteNodes(1);
     return;
   }
   peers_.setReading([this] { return follower_.readsWell(); }, [this] { return follower_.seeksReader(); });
@@ -117,7 +117,7 @@
   levels.peers = static_cast<double>(peers_.livePeers(now).size());
   levels.servers = static_cast<double>(core_.directory.all().size());
   levels.servers_age_seconds = absl::ToDoubleSeconds(now - core_.servers_as_of);
-  levels.repeats_left = core_.budget.fewestLeft(now);
+  levels.repeats_left = core_.budget.fewestLeft();
   levels.caller_connections = static_cast<double>(connections_.size());
   levels.server_connections_opened = static_cast<double>(pool_.openedConnections());
   levels.requests_under_way = static_cast<double>(core_.requests_under_way);
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -50,7 +50,6 @@
           .add("weights_in_force", &GatewayBounds::weights_in_force, Presence::kOptional, time)
           .add("retry_ratio", &GatewayBounds::retry_ratio, Presence::kOptional, within(0.0, 10.0))
           .add("retry_constant", &GatewayBounds::retry_constant, Presence::kOptional, within(0.0, 1e6))
-          .add("retry_window", &GatewayBounds::retry_window, Presence::kOptional, time)
           .add("limit_window", &GatewayBounds::limit_window, Presence::kOptional, time)
           .add("limit_overshoot", &GatewayBounds::limit_overshoot, Presence::kOptional, within(0.0, 10.0))
           .add("limit_slack", &GatewayBounds::limit_slack, Presence::kOptional, within(0.0, 1e12)));
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -32,9 +32,8 @@
   absl::Duration stop_grace = absl::Seconds(8);    // from the signal to stop until the process is killed
   absl::Duration order_lease = absl::Seconds(3);
   absl::Duration weights_in_force = absl::Seconds(8);  // a named version is on all engines
-  double retry_ratio = 0.2;                            // repeats for each request, within retry_window
-  double retry_constant = 54;  // repeats of all gateways together, whatever the requests
-  absl::Duration retry_window = absl::Seconds(10);
+  double retry_ratio = 0.2;                            // repeats for each request
+  double retry_constant = 54;                      // repeats of all gateways together, whatever the requests
   absl::Duration limit_window = absl::Seconds(8);  // within it, tenants' limits are passed by no more than:
   double limit_overshoot = 0.1;                    // this part of what a limit allows,
   double limit_slack = 0;                          // and so much, in the limit's unit
--- a/src/gateway/peer_digest.cc
+++ b/src/gateway/peer_digest.cc
@@ -36,7 +36,8 @@
   archiveText(archive, digest.address.host, kMaximumName);
   archive(digest.address.port);
   archiveText(archive, digest.zone, kMaximumName);
-  archive(digest.capacity, digest.reads_well, digest.seeks_reader, digest.gives_orders, digest.has_news);
+  archive(digest.capacity, digest.gateways_known, digest.reads_well, digest.seeks_reader, digest.gives_orders,
+          digest.has_news);
   archiveList(archive, digest.dead_stores, kMaximumElements);
   bool has_load = digest.load.has_value();
   archive(has_load);
--- a/src/gateway/peer_digest.h
+++ b/src/gateway/peer_digest.h
@@ -62,6 +62,7 @@
   Address address;  // where the sender takes datagrams
   std::string zone;
   double capacity = 0;                // of the sender's machine
+  uint32_t gateways_known = 0;        // to the sender, itself among them, or told by another
   bool reads_well = false;            // the sender reads the store for its zone
   bool seeks_reader = false;          // the sender neither reads the store nor follows one who does
   bool gives_orders = false;          // the sender holds the lease for orders to engines
--- a/src/gateway/peer_directory.cc
+++ b/src/gateway/peer_directory.cc
@@ -124,7 +124,7 @@
   } else if (!is_own_there) {
     writeOwnRow(own_version);
   } else {
-    core_.budget.noteNodes(peers_.size() + 1, reactor::steadyNow());
+    core_.budget.noteNodes(peers_.size() + 1);
     readRowsAgain(kRowsInterval);
   }
 }
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -282,6 +282,7 @@
   digest.address = *core_.settings.listen.peers;
   digest.zone = core_.settings.zone.value();
   digest.capacity = core_.settings.capacity;
+  digest.gateways_known = static_cast<uint32_t>(core_.budget.nodesKnown());
   digest.reads_well = was_reading_;
   digest.seeks_reader = seeks_reader_();
   digest.gives_orders = reactor::steadyNow() < gives_orders_until_;
@@ -416,6 +417,7 @@
   peer.capacity = digest.capacity;
   peer.reads_well = digest.reads_well;
   peer.heard = now;
+  core_.budget.noteNodes(std::max<size_t>(digest.gateways_known, directory_.peers().size() + 1));
   if (digest.gives_orders) {
     orders_heard_ = now;
   }
