Leaving servers: the age of the list is known and bounded at every gateway

Causes: a new reader looked again only after 2.2 s; 2.2 s without a reading counted as an outage of the store, so that entries that were gone were awaited 2.5 s more; followers waited for a reader without answers until it noticed, 2.3 s. Changes: readers look at changes from the first reading on; every answer, also one without changes, tells as of when the rows are, and is passed on at once; a follower whose list is older than half of the bound finds another reader and keeps the old rows until then; an outage is one that all who are heard share; a table whose history is gone is read whole at once; a request whose server left while its place or connection was awaited goes elsewhere.

--- a/src/forwarding/lapsed_entries.cc
+++ b/src/forwarding/lapsed_entries.cc
@@ -11,15 +11,16 @@
 
 }  // namespace
 
-bool LapsedEntries::isOverdue(absl::Time now) const {
-  return last_reading_ != absl::InfiniteFuture() && now - last_reading_ > kOutage;
+bool LapsedEntries::isOutage(absl::Time now) const {
+  return is_away_ && last_reading_ != absl::InfiniteFuture() && now - last_reading_ > kOutage;
 }
 
 void LapsedEntries::noteReading(absl::Time now) {
-  if (isOverdue(now)) {
+  if (isOutage(now)) {
     awaited_until_ = now + kAwaited;
   }
   last_reading_ = now;
+  is_away_ = false;
 }
 
 std::vector<std::string> LapsedEntries::takeGone(absl::Time now) {
--- a/src/forwarding/reader_election.cc
+++ b/src/forwarding/reader_election.cc
@@ -15,6 +15,8 @@
 // gateway that asks costs calls and learns nothing new.
 constexpr TurnSchedule kTurns = {absl::Milliseconds(200), 3, absl::Milliseconds(500)};
 constexpr absl::Duration kDistrust = absl::Seconds(3);
+// A reader whose rows are too old is noted as such several times a second while that lasts.
+constexpr absl::Duration kOutdatedFor = absl::Milliseconds(300);
 // A reader answers a new follower's first question at once; this is for the way there and back, and for
 // machines that are slow at the moment.
 constexpr absl::Duration kFirstAnswer = absl::Milliseconds(700);
@@ -30,9 +32,9 @@
   return found == failed_.end() || now >= found->second;
 }
 
-bool ReaderElection::followsOutdated(absl::Time confirmed, absl::Time now) const {
-  const bool could_answer = now - follows_since_ >= kFirstAnswer;
-  return role_.follows && could_answer && now - confirmed > kOldestReading;
+bool ReaderElection::followsOutdated(absl::Time as_of, absl::Duration oldest, absl::Time now) const {
+  const bool could_answer = now - follows_since_ >= std::min(kFirstAnswer, oldest / 2);
+  return role_.follows && could_answer && now - as_of > oldest;
 }
 
 void ReaderElection::follow(const NodeId& reader, absl::Time now) {
@@ -40,8 +42,14 @@
   follows_since_ = now;
 }
 
+void ReaderElection::noteOutdated(const NodeId& reader, absl::Time now) {
+  absl::Time& distrusted_until = failed_[reader];
+  distrusted_until = std::max(distrusted_until, now + kOutdatedFor);
+}
+
 void ReaderElection::noteFailed(const NodeId& reader, absl::Time now) {
   failed_[reader] = now + kDistrust;
+  role_.follows.reset();
 }
 
 const ReaderRole& ReaderElection::decide(const std::vector<ReaderCandidate>& live, bool store_answers,
@@ -50,10 +58,12 @@
   const ReaderCandidate self{self_, capacity_, true};
   const ReaderCandidate* best = nullptr;
   bool followed_reads = false;
+  hears_reader_ = false;
   int64_t turns_before = 0;
   for (const ReaderCandidate& peer : live) {
     const bool is_trusted = isTrusted(peer.id, now);
     turns_before += is_trusted && goesBefore(peer, self) ? 1 : 0;
+    hears_reader_ = hears_reader_ || peer.reads_well;
     if (!is_trusted || !peer.reads_well) {
       continue;
     }
@@ -65,8 +75,9 @@
   if (best == nullptr) {
     better_since_ = absl::InfiniteFuture();
     leaderless_since_ = std::min(leaderless_since_, now);
-    role_.follows.reset();
-    role_.reads = role_.reads || now >= leaderless_since_ + kTurns.after(turns_before);
+    if (!role_.reads && now >= leaderless_since_ + kTurns.after(turns_before)) {
+      role_ = {true, std::nullopt};
+    }
     return role_;
   }
   leaderless_since_ = absl::InfiniteFuture();
--- a/src/forwarding/reading_pace.cc
+++ b/src/forwarding/reading_pace.cc
@@ -3,14 +3,11 @@
 #include <absl/random/distributions.h>
 
 #include <algorithm>
-#include <utility>
 
 namespace quincewick::forwarding {
 namespace {
 
 constexpr absl::Duration kLongestRetry = absl::Seconds(1);
-// At a start another may soon be found that reads the store for this gateway.
-constexpr absl::Duration kFirstPause = absl::Milliseconds(2200);
 constexpr double kJitter = 0.3;
 
 absl::Duration spread(absl::Duration pause, absl::BitGenRef random) {
@@ -20,7 +17,6 @@
 }  // namespace
 
 void ReadingPace::restart() {
-  was_answered_ = false;
   retry_pause_ = kShortestRetry;
 }
 
@@ -32,12 +28,7 @@
 
 absl::Duration ReadingPace::afterWhole(absl::BitGenRef random) {
   retry_pause_ = kShortestRetry;
-  const bool is_first = !std::exchange(was_answered_, true);
-  return spread(is_first ? kFirstPause : settings_.whole_every, random);
-}
-
-absl::Duration ReadingPace::untilFirstChanges() const {
-  return std::max(settings_.pause, kFirstPause);
+  return spread(settings_.whole_every, random);
 }
 
 }  // namespace quincewick::forwarding
--- a/src/forwarding/reading_pace.h
+++ b/src/forwarding/reading_pace.h
@@ -23,8 +23,8 @@
   absl::Duration afterFailedWhole(absl::BitGenRef random);
   // A whole reading was answered: until the next one.
   absl::Duration afterWhole(absl::BitGenRef random);
-  // From the first whole reading until the first question after changes.
-  absl::Duration untilFirstChanges() const;
+  // From an answer, the first whole reading among them, until the next question after changes. A reader that
+  // has just begun looks as often as any: others go by its rows at once.
   absl::Duration afterChanges() const { return settings_.pause; }
   // A question after changes was not answered, or could not be asked.
   absl::Duration afterFailedChanges() const { return kShortestRetry; }
@@ -33,7 +33,6 @@
   static constexpr absl::Duration kShortestRetry = absl::Milliseconds(250);
 
   ReadingPaceSettings settings_;
-  bool was_answered_ = false;
   absl::Duration retry_pause_ = kShortestRetry;
 };
 
--- a/src/forwarding/row_cache.cc
+++ b/src/forwarding/row_cache.cc
@@ -18,6 +18,7 @@
   }
   store_version_ = news.version;
   as_of_ = std::max(as_of_, news.as_of);
+  ++readings_;
   const uint64_t changed = news.version > told_version_ ? news.version : told_version_ + 1;
   if (news.is_whole) {
     absl::flat_hash_set<std::string> read;
@@ -33,7 +34,6 @@
     for (const std::string& key : missing) {
       drop(key, changed);
     }
-    ++readings_;
     confirmed_ = std::max(confirmed_, news.confirmed);
   }
   for (const StoreRow& row : news.rows) {
@@ -76,6 +76,7 @@
   store_version_ = 0;
   told_version_ = 0;
   last_change_ = 0;
+  as_of_ = absl::InfinitePast();
 }
 
 TableNews RowCache::newsAfter(uint64_t version) const {
--- a/src/forwarding/row_cache.h
+++ b/src/forwarding/row_cache.h
@@ -24,8 +24,8 @@
   uint64_t version = 0;   // of the store: all changes up to here are told
   // When the last whole reading that confirms this began; InfinitePast: this confirms nothing.
   absl::Time confirmed = absl::InfinitePast();
-  // When the question was asked whose answer told all changes up to `version`: the rows are as they were then,
-  // or newer. InfinitePast: not known.
+  // When the question was asked whose answer told all changes up to `version`: the rows are as they were
+  // then, or newer. InfinitePast: not known.
   absl::Time as_of = absl::InfinitePast();
 };
 
@@ -43,7 +43,7 @@
 
   // Whether there is anything to tell: false until a whole reading was taken.
   bool isFilled() const { return told_version_ > 0; }
-  // How many whole readings were taken.
+  // How many answers of the store were taken: each makes the rows known as of a later time.
   uint64_t readings() const { return readings_; }
   absl::Time confirmed() const { return confirmed_; }
   absl::Time asOf() const { return as_of_; }
--- a/src/forwarding/server_directory.cc
+++ b/src/forwarding/server_directory.cc
@@ -49,7 +49,7 @@
 }
 
 bool Server::takesWork(absl::Time now) const {
-  return is_listed && !entry.is_draining && now >= ejected_until && now >= loading_until;
+  return !isLeaving() && now >= ejected_until && now >= loading_until;
 }
 
 bool ServerDirectory::upsert(ServerEntry entry) {
--- a/src/forwarding/server_directory.h
+++ b/src/forwarding/server_directory.h
@@ -61,6 +61,8 @@
   double failureScore(absl::Time now) const;
   // The version of the model's weights that it has, as far as known.
   std::optional<WeightsVersion> versionOf(const ModelName& model) const;
+  // It leaves or has left: nothing new may reach it.
+  bool isLeaving() const { return !is_listed || entry.is_draining; }
   bool takesWork(absl::Time now) const;
 };
 
--- a/src/gateway/back_end_link.cc
+++ b/src/gateway/back_end_link.cc
@@ -51,8 +51,11 @@
       reactor::Connection::connect(pool_.core_.reactor, server_->entry.address, [self](bool connected) {
         self->pool_.core_.timers.cancel(self->connect_limit_);
         if (!connected) {
-          AttemptListener* const listener = self->listener_;
           forwarding::ServerDirectory::noteConnectFailure(*self->server_, reactor::steadyNow());
+        }
+        // It may have left while the connection was made, for up to a quarter of a second.
+        if (!connected || self->server_->isLeaving()) {
+          AttemptListener* const listener = self->listener_;
           self->drop();
           if (listener != nullptr) {
             listener->onNeverSent();
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -156,6 +156,12 @@
   if (engine_ && !mayBeSent()) {
     return;
   }
+  // It may have left while the keeper of its books was asked.
+  if (server_->isLeaving()) {
+    releaseServer();
+    tryNext();
+    return;
+  }
   if (ledger_.wouldRepeat() && !mayRepeat(now)) {
     releaseServer();
     server_ = nullptr;
--- a/src/gateway/site_follower.cc
+++ b/src/gateway/site_follower.cc
@@ -14,7 +14,8 @@
 constexpr absl::Duration kTickWithoutRows = absl::Milliseconds(20);
 // At a start peers that have rows in the store count as there for so long before they are heard.
 constexpr absl::Duration kFirstHearing = absl::Milliseconds(1200);
-// How long a reader holds a follower's question: rows of the operator confirm keys and must be fresh.
+// How long a reader holds a follower's question. Each reading is told at once, so this is how long nothing is
+// heard of a reader that gets no answers.
 constexpr absl::Duration kRelayWait = absl::Milliseconds(1000);
 constexpr absl::Duration kRarelyChangedRelayWait = absl::Seconds(2);
 
@@ -27,11 +28,13 @@
   return settings;
 }
 
-// Servers write often: their changes are taken in turns, well within the time for leaving servers.
+// Servers write often: their changes are taken in turns. An answer tells how the list was when it was asked
+// for: with a quarter of the time for leaving servers between questions, and an eighth of waiting where few
+// servers write, the list is never as old as half of that time while the store answers.
 TableFollowerSettings serverSettings(const Core& core) {
   TableFollowerSettings settings;
   settings.table = core.dialect->tables().servers;
-  settings.pace.wait = absl::Seconds(1);
+  settings.pace.wait = core.settings.bounds.server_drain / 8;
   settings.pace.pause = core.settings.bounds.server_drain / 4;
   settings.pace.whole_every = absl::Seconds(6);
   return settings;
@@ -106,7 +109,12 @@
 }
 
 bool SiteFollower::storeAnswers() const {
-  return !operator_rows_.from_store.isDown() && !servers_.from_store.isDown();
+  const bool is_list_fresh = reactor::steadyNow() - servers_.cache.asOf() <= oldestList();
+  return is_list_fresh && !operator_rows_.from_store.isDown() && !servers_.from_store.isDown();
+}
+
+absl::Duration SiteFollower::oldestList() const {
+  return forwarding::ReaderElection::oldestList(core_.settings.bounds.server_drain);
 }
 
 // Who the peers are, and so whether one of them reads the store, is asked of the store first: one call, where
@@ -122,14 +130,33 @@
     peers_known_since_ = std::min(peers_known_since_, now);
     checkAge(now);
     takeRole(election_.decide(candidates(now), storeAnswers(), now));
+    noteWhetherAway(now);
   }
   core_.timers.schedule(now + (seeksReader() ? kTickWithoutRows : kTick), [this] { tick(); });
 }
 
-// A reader may answer and yet have no fresh rows.
+// A reader may answer and yet have no fresh rows: followers don't wait until it has noticed that itself.
 void SiteFollower::checkAge(absl::Time now) {
-  if (role_.follows && election_.followsOutdated(core_.in_force.confirmed, now)) {
-    noteFailed(*role_.follows);
+  const bool is_outdated =
+      election_.followsOutdated(core_.in_force.confirmed, forwarding::ReaderElection::kOldestReading, now) ||
+      election_.followsOutdated(core_.servers_as_of, oldestList(), now);
+  if (is_outdated) {
+    election_.noteOutdated(*role_.follows, now);
+  }
+  if (std::exchange(is_reader_outdated_, is_outdated) || !is_outdated) {
+    return;
+  }
+  core_.log.event("reader_outdated", now)
+      .with("peer", role_.follows->value())
+      .with("confirmed_ms_ago", now - core_.in_force.confirmed)
+      .with("list_is_old_ms", now - core_.servers_as_of);
+}
+
+// A reading that this gateway alone lacks is no outage: peers are heard then that have one.
+void SiteFollower::noteWhetherAway(absl::Time now) {
+  const bool is_list_old = now - core_.servers_as_of > oldestList();
+  if (is_list_old && !election_.hearsReader() && !exchange_.hearsNobody(now)) {
+    lapsed_.noteAway();
   }
 }
 
@@ -160,6 +187,7 @@
   }
   const bool stops_reading = role_.reads && !role.reads;
   role_ = role;
+  is_reader_outdated_ = false;
   core_.log.event("reader_role", reactor::steadyNow())
       .with("reads", role.reads ? "true" : "false")
       .with("follows", role.follows ? role.follows->value() : "");
@@ -213,10 +241,6 @@
     }
   }
   has_read_rows_ = has_read_rows_ || news.is_whole;
-  if (news.confirmed > last_confirmed_) {
-    last_confirmed_ = news.confirmed;
-    lapsed_.noteReading(reactor::steadyNow());
-  }
   if (core_.in_force.configuration != nullptr && !has_unread_row_) {
     core_.in_force.confirmed = std::max(core_.in_force.confirmed, news.confirmed);
   }
@@ -272,7 +296,10 @@
 void SiteFollower::takeServers(const TableNews& news) {
   const absl::Time now = reactor::steadyNow();
   const absl::Duration list_was_old = now - core_.servers_as_of;
-  core_.servers_as_of = std::max(core_.servers_as_of, news.as_of);
+  if (news.as_of > core_.servers_as_of) {
+    core_.servers_as_of = news.as_of;
+    lapsed_.noteReading(now);
+  }
   std::vector<std::string> ids;
   for (const StoreRow& row : news.rows) {
     if (row.is_gone) {
--- a/src/gateway/site_follower.h
+++ b/src/gateway/site_follower.h
@@ -41,11 +41,13 @@
   void tick();
   bool knowsPeers() const;
   bool storeAnswers() const;
+  absl::Duration oldestList() const;
   std::vector<Table*> tables() { return {&operator_rows_, &servers_, &weights_rows_}; }
   void takeRole(const forwarding::ReaderRole& role);
   std::vector<forwarding::ReaderCandidate> candidates(absl::Time now) const;
   void noteFailed(const NodeId& reader);
   void checkAge(absl::Time now);
+  void noteWhetherAway(absl::Time now);
 
   void takeFromStore(Table& table, const forwarding::TableNews& news);
   void takeNews(Table& table, const forwarding::TableNews& news, bool from_store);
@@ -66,11 +68,10 @@
   forwarding::ReaderElection election_;
   forwarding::ReaderRole role_;
   absl::Time peers_known_since_ = absl::InfiniteFuture();
-  uint64_t configuration_row_ = 0;  // the store's version of the row in force
-  bool has_unread_row_ = false;     // a newer configuration can't be read: nothing confirms the old one
-  bool has_read_rows_ = false;      // what is named from now on is news
-  absl::Time last_confirmed_ =
-      absl::InfinitePast();  // the newest whole reading of the operator's rows began then
+  uint64_t configuration_row_ = 0;   // the store's version of the row in force
+  bool has_unread_row_ = false;      // a newer configuration can't be read: nothing confirms the old one
+  bool has_read_rows_ = false;       // what is named from now on is news
+  bool is_reader_outdated_ = false;  // the one that is followed, until there is a better one
   forwarding::LapsedEntries lapsed_;
   WeightsRecord weights_record_;
   Table operator_rows_;
--- a/src/gateway/table_follower.cc
+++ b/src/gateway/table_follower.cc
@@ -82,7 +82,7 @@
   }
   later(pace_.afterWhole(core_.random), [this] { readWhole("", {}, reactor::steadyNow()); });
   if (!std::exchange(follows_changes_, true)) {
-    followOn(pace_.untilFirstChanges());
+    followOn(pace_.afterChanges());
   }
 }
 
@@ -94,6 +94,13 @@
   later(after, [this] { follow(); });
 }
 
+// Changes up to now can't be told any more: until a whole reading no question after them has an answer.
+void TableFollower::readWholeInstead() {
+  ++turn_;
+  follows_changes_ = false;
+  readWhole("", {}, reactor::steadyNow());
+}
+
 // While the store is down, whole readings alone ask whether it is back.
 void TableFollower::follow() {
   if (is_down_) {
@@ -106,6 +113,10 @@
                         if (turn != turn_) {
                           return;
                         }
+                        if (status == StoreStatus::kHistoryGone) {
+                          readWholeInstead();
+                          return;
+                        }
                         if (status != StoreStatus::kDone) {
                           followOn(pace_.afterFailedChanges());
                           return;
--- a/tests/forwarding/lapsed_entries_test.cc
+++ b/tests/forwarding/lapsed_entries_test.cc
@@ -13,6 +13,7 @@
   for (int second = 0; second <= 3; ++second) {
     entries.noteReading(kStart + absl::Seconds(second));
   }
+  entries.noteAway();
   entries.noteReading(kStart + absl::Seconds(3) + outage);
   return entries;
 }
@@ -38,6 +39,7 @@
 TEST_CASE("a change that comes before the first whole reading is part of the outage") {
   LapsedEntries entries;
   entries.noteReading(kStart);
+  entries.noteAway();
   CHECK_FALSE(entries.mayComeBack(kStart + absl::Seconds(2)));
   CHECK(entries.mayComeBack(kStart + absl::Seconds(4)));
   entries.await("s");
@@ -48,6 +50,15 @@
   CHECK_FALSE(afterOutage(absl::Milliseconds(1800)).mayComeBack(kStart + absl::Milliseconds(4800)));
 }
 
+// The reader changed, or this node stood still, while others had their readings.
+TEST_CASE("a node that alone had no reading for a while has seen no outage") {
+  LapsedEntries entries;
+  entries.noteReading(kStart);
+  CHECK_FALSE(entries.mayComeBack(kStart + absl::Seconds(5)));
+  entries.noteReading(kStart + absl::Seconds(5));
+  CHECK_FALSE(entries.mayComeBack(kStart + absl::Seconds(5)));
+}
+
 TEST_CASE("a node that has just started awaits nothing") {
   LapsedEntries entries;
   entries.noteReading(kStart + absl::Hours(1));
--- a/tests/forwarding/leaving_servers_test.cc
+++ b/tests/forwarding/leaving_servers_test.cc
@@ -37,7 +37,7 @@
 }
 
 ReadingPaceSettings serverPace() {
-  return {absl::Seconds(1), kBound / 4, absl::Seconds(6)};
+  return {kBound / 8, kBound / 4, absl::Seconds(6)};
 }
 
 // One question that is asked again and again, and whether the store answers it.
@@ -72,7 +72,9 @@
   explicit Gateway(const std::string& name) : id(name), election(NodeId(name), 10) {}
 
   bool readsWell(absl::Time now) const {
-    return is_alive && role.reads && !is_down && now - own_confirmed < ReaderElection::kOldestReading;
+    const bool is_list_fresh = now - own_as_of <= ReaderElection::oldestList(kBound);
+    return is_alive && role.reads && !is_down && is_list_fresh &&
+           now - own_confirmed < ReaderElection::kOldestReading;
   }
 };
 
@@ -178,7 +180,7 @@
       gateway.own_as_of = now;
       gateway.servers.next = now + gateway.server_pace.afterWhole(random_);
       if (is_first) {
-        gateway.changes.next = now + gateway.server_pace.untilFirstChanges();
+        gateway.changes.next = now + gateway.server_pace.afterChanges();
       }
     } else if (failed) {
       gateway.servers.next = now + gateway.server_pace.afterFailedWhole(random_);
@@ -208,9 +210,11 @@
     }
     if (source->own_confirmed > gateway.confirmed) {
       gateway.confirmed = source->own_confirmed;
+    }
+    if (source->own_as_of > gateway.as_of) {
+      gateway.as_of = source->own_as_of;
       gateway.lapsed.noteReading(now);
     }
-    gateway.as_of = std::max(gateway.as_of, source->own_as_of);
   }
 
   void drop(Gateway& gateway) const {
@@ -222,8 +226,12 @@
   }
 
   void tick(Gateway& gateway) {
-    if (gateway.role.follows && gateway.election.followsOutdated(gateway.confirmed, now)) {
-      gateway.election.noteFailed(*gateway.role.follows, now);
+    const absl::Duration oldest_list = ReaderElection::oldestList(kBound);
+    const bool is_outdated =
+        gateway.election.followsOutdated(gateway.confirmed, ReaderElection::kOldestReading, now) ||
+        gateway.election.followsOutdated(gateway.as_of, oldest_list, now);
+    if (is_outdated) {
+      gateway.election.noteOutdated(*gateway.role.follows, now);
     }
     std::vector<ReaderCandidate> live;
     for (const Gateway& other : gateways) {
@@ -232,7 +240,12 @@
       }
     }
     const bool was_reading = gateway.role.reads;
-    gateway.role = gateway.election.decide(live, !gateway.is_down, now);
+    const bool answers = !gateway.is_down && now - gateway.own_as_of <= oldest_list;
+    gateway.role = gateway.election.decide(live, answers, now);
+    const bool hears_any = !live.empty();
+    if (now - gateway.as_of > oldest_list && !gateway.election.hearsReader() && hears_any) {
+      gateway.lapsed.noteAway();
+    }
     if (gateway.role.reads && !was_reading) {
       gateway.operator_pace.restart();
       gateway.server_pace.restart();
--- a/tests/forwarding/row_cache_test.cc
+++ b/tests/forwarding/row_cache_test.cc
@@ -110,15 +110,20 @@
   CHECK(cache.newsAfter(5).rows.size() == 1);
 }
 
-TEST_CASE("only whole readings confirm, and are counted") {
+TEST_CASE("only whole readings confirm; every answer is counted and tells as of when the rows are") {
   RowCache cache = makeCache();
   CHECK_FALSE(cache.isFilled());
   const absl::Time began = absl::UnixEpoch() + absl::Seconds(3);
   cache.take({{}, true, 4, began});
-  cache.take({{row("a", "1", 5)}, false, 5, absl::InfinitePast()});
-  CHECK(cache.confirmed() == began);
   CHECK(cache.readings() == 1);
+  const absl::Time asked = began + absl::Seconds(1);
+  cache.take({{row("a", "1", 5)}, false, 5, absl::InfinitePast(), asked});
+  CHECK(cache.confirmed() == began);
+  CHECK(cache.readings() == 2);
   CHECK(cache.newsAfter(4).confirmed == began);
+  CHECK(cache.newsAfter(4).as_of == asked);
+  cache.clear();
+  CHECK(cache.asOf() == absl::InfinitePast());
 }
 
 TEST_CASE("after a long time away all rows are told") {
