--- /dev/null
+++ b/tests/soak/callers.h
@@ -0,0 +1,75 @@
+// Callers that send checked requests over kept connections, and the entry that hands new connections to
+// gateways: it asks each second whether a gateway is ready, and takes it out after two misses. An open
+// connection stays with its gateway until one of them closes it.
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "history.h"
+#include "processes.h"
+#include "reactor/http_caller.h"
+#include "reactor/timer_queue.h"
+
+namespace quincewick::soak {
+
+class Entry {
+ public:
+  Entry(boost::asio::io_context& reactor, reactor::TimerQueue& timers, const Processes& processes);
+  // A gateway for a new connection of that caller.
+  size_t choose(uint64_t caller);
+  bool isReady(size_t gateway) const { return gateways_[gateway].is_in; }
+
+ private:
+  struct Gateway {
+    std::unique_ptr<reactor::HttpCaller> caller;
+    int misses = 0;
+    bool is_in = false;
+  };
+  void poll(size_t gateway);
+
+  boost::asio::io_context& reactor_;
+  reactor::TimerQueue& timers_;
+  const Processes& processes_;
+  std::vector<Gateway> gateways_;
+  uint64_t choices_ = 0;
+};
+
+// What a caller may ask for at the moment.
+struct Traffic {
+  std::vector<std::string> keys;  // of tenants; some may have been taken away
+  bool has_new_route = false;
+  bool is_over = false;
+};
+
+class Caller {
+ public:
+  Caller(boost::asio::io_context& reactor, reactor::TimerQueue& timers, History& history, Entry& entry,
+         const Processes& processes, const Traffic& traffic, uint64_t number, uint64_t seed);
+  ~Caller();
+
+ private:
+  class Talk;
+  void think();
+  void begin();
+  Request makeRequest();
+
+  boost::asio::io_context& reactor_;
+  reactor::TimerQueue& timers_;
+  History& history_;
+  Entry& entry_;
+  const Processes& processes_;
+  const Traffic& traffic_;
+  uint64_t number_;
+  std::mt19937_64 random_;
+  uint64_t asked_ = 0;
+  std::shared_ptr<Talk> talk_;
+};
+
+}  // namespace quincewick::soak
--- /dev/null
+++ b/tests/soak/history.cc
@@ -0,0 +1,318 @@
+#include "history.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace quincewick::soak {
+namespace {
+
+constexpr int kFirstSuccess = 200;
+constexpr int kFirstRedirect = 300;
+
+using ArrivalsByAttempt = absl::flat_hash_map<std::string, std::vector<const Arrival*>>;
+
+ArrivalsByAttempt byAttempt(const History& history) {
+  ArrivalsByAttempt result;
+  for (const Arrival& arrival : history.arrivals) {
+    result[arrival.attempt].push_back(&arrival);
+  }
+  return result;
+}
+
+bool mayRunOnce(RequestKind kind) {
+  return kind == RequestKind::kOnce || kind == RequestKind::kStream;
+}
+
+bool isStream(RequestKind kind) {
+  return kind == RequestKind::kResumableStream || kind == RequestKind::kStream;
+}
+
+bool isSuccess(int status) {
+  return status >= kFirstSuccess && status < kFirstRedirect;
+}
+
+bool promisesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+void addViolation(PromiseResult& result, std::string what, const std::string& attempt) {
+  result.violations.push_back({std::move(what), {attempt}});
+}
+
+size_t runs(const ArrivalsByAttempt& arrivals, const std::string& attempt) {
+  const auto found = arrivals.find(attempt);
+  return found == arrivals.end()
+             ? 0
+             : static_cast<size_t>(std::count_if(found->second.begin(), found->second.end(),
+                                                 [](const Arrival* arrival) { return arrival->ran; }));
+}
+
+PromiseResult checkAtMostOnce(const History& history, const ArrivalsByAttempt& arrivals) {
+  PromiseResult result{"what may run once runs at most once", 0, {}};
+  for (const Request& request : history.requests) {
+    if (mayRunOnce(request.kind)) {
+      ++result.checks;
+      if (const size_t count = runs(arrivals, request.attempt); count > 1) {
+        addViolation(result, absl::StrCat("ran ", count, " times"), request.attempt);
+      }
+    }
+  }
+  return result;
+}
+
+// Arrivals are looked at after the run's end: a run that comes later counts, too.
+PromiseResult checkRefusals(const History& history, const ArrivalsByAttempt& arrivals) {
+  PromiseResult result{"what was refused has not run and never does", 0, {}};
+  for (const Request& request : history.requests) {
+    if (mayRunOnce(request.kind) && request.end == RequestEnd::kAnswered && promisesNotRun(request.status)) {
+      ++result.checks;
+      if (runs(arrivals, request.attempt) > 0) {
+        addViolation(result, absl::StrCat("answered ", request.status, ", and ran"), request.attempt);
+      }
+    }
+  }
+  return result;
+}
+
+PromiseResult checkOwnAnswers(const History& history, const ArrivalsByAttempt& arrivals) {
+  PromiseResult result{"each caller gets its own answer, whole", 0, {}};
+  for (const Request& request : history.requests) {
+    if (request.end != RequestEnd::kAnswered || isStream(request.kind) || request.signature.empty()) {
+      const bool is_unsigned_success =
+          request.end == RequestEnd::kAnswered && isSuccess(request.status) && request.signature.empty();
+      if (is_unsigned_success) {
+        addViolation(result, "a success that no back end signed", request.attempt);
+      }
+      continue;
+    }
+    ++result.checks;
+    const auto found = arrivals.find(request.attempt);
+    const bool is_own =
+        found != arrivals.end() &&
+        std::any_of(found->second.begin(), found->second.end(), [&request](const Arrival* arrival) {
+          return arrival->ran && arrival->signature == request.signature && arrival->body == request.body &&
+                 arrival->status == request.status;
+        });
+    if (!is_own) {
+      addViolation(result, "the answer is none that a back end gave to it", request.attempt);
+    }
+  }
+  return result;
+}
+
+PromiseResult checkStreams(const History& history) {
+  PromiseResult result{"streams are whole and in order", 0, {}};
+  for (const Request& request : history.requests) {
+    if (!isStream(request.kind) || request.events.empty()) {
+      continue;
+    }
+    ++result.checks;
+    if (request.has_foreign_event) {
+      addViolation(result, "an event of another request", request.attempt);
+    }
+    for (size_t index = 0; index < request.events.size(); ++index) {
+      if (request.events[index] != static_cast<int>(index) + 1) {
+        addViolation(result, absl::StrCat("event ", request.events[index], " in place ", index + 1),
+                     request.attempt);
+        break;
+      }
+    }
+    const bool claims_whole = request.end == RequestEnd::kAnswered && isSuccess(request.status);
+    if (claims_whole && static_cast<int>(request.events.size()) != history.events_of_a_stream) {
+      addViolation(result, absl::StrCat("ended as whole after ", request.events.size(), " events"),
+                   request.attempt);
+    }
+  }
+  return result;
+}
+
+PromiseResult checkServices(const History& history, const ArrivalsByAttempt& arrivals) {
+  PromiseResult result{"requests run at their route's service alone", 0, {}};
+  absl::flat_hash_set<std::string> sent;
+  for (const Request& request : history.requests) {
+    sent.insert(request.attempt);
+    const auto found = arrivals.find(request.attempt);
+    if (found == arrivals.end()) {
+      continue;
+    }
+    ++result.checks;
+    for (const Arrival* arrival : found->second) {
+      if (arrival->ran && arrival->service != request.service) {
+        addViolation(result, absl::StrCat("ran at ", arrival->service), request.attempt);
+      }
+    }
+  }
+  for (const Arrival& arrival : history.arrivals) {
+    if (arrival.ran && !sent.contains(arrival.attempt)) {
+      addViolation(result, "ran, and no caller had sent it", arrival.attempt);
+    }
+  }
+  return result;
+}
+
+bool isDisturbed(const History& history, const std::string& gateway, absl::Time begin, absl::Time end,
+                 bool planned_too) {
+  return std::any_of(history.disturbances.begin(), history.disturbances.end(),
+                     [&](const Disturbance& disturbance) {
+                       const bool concerns = disturbance.gateway.empty() || disturbance.gateway == gateway;
+                       const bool counts = planned_too || !disturbance.is_planned;
+                       return concerns && counts && disturbance.begin <= end && disturbance.end >= begin;
+                     });
+}
+
+// A request that crosses the closing of its connection and reaches no back end doesn't count.
+PromiseResult checkPlannedStops(const History& history, const Bounds& bounds,
+                                const ArrivalsByAttempt& arrivals) {
+  PromiseResult result{"a planned stop cuts nothing", 0, {}};
+  for (const Disturbance& stop : history.disturbances) {
+    if (!stop.is_planned) {
+      continue;
+    }
+    for (const Request& request : history.requests) {
+      const bool is_under_way = request.gateway == stop.gateway && request.ended >= stop.begin &&
+                                request.sent <= stop.begin + bounds.stop_grace;
+      if (!is_under_way ||
+          isDisturbed(history, request.gateway, request.sent - bounds.in_touch_after, request.ended, false)) {
+        continue;
+      }
+      ++result.checks;
+      const auto found = arrivals.find(request.attempt);
+      const bool was_passed_on = found != arrivals.end();
+      const bool is_back_ends_fault =
+          was_passed_on && std::any_of(found->second.begin(), found->second.end(),
+                                       [](const Arrival* arrival) { return arrival->is_broken_off; });
+      if (request.end == RequestEnd::kCut && was_passed_on && !is_back_ends_fault) {
+        addViolation(result, absl::StrCat("cut at ", request.gateway), request.attempt);
+      }
+    }
+  }
+  return result;
+}
+
+size_t within(const std::vector<absl::Time>& times, absl::Time begin, absl::Duration width) {
+  const auto first = std::lower_bound(times.begin(), times.end(), begin);
+  return static_cast<size_t>(std::lower_bound(first, times.end(), begin + width) - first);
+}
+
+PromiseResult checkRepeats(const History& history, const Bounds& bounds) {
+  PromiseResult result{"repeats stay within the site's budget", 0, {}};
+  absl::flat_hash_map<std::string, std::vector<absl::Time>> requests;
+  absl::flat_hash_map<std::string, std::vector<absl::Time>> repeats;
+  for (const Request& request : history.requests) {
+    requests[request.service].push_back(request.sent);
+  }
+  absl::flat_hash_set<std::string> seen;
+  for (const Arrival& arrival : history.arrivals) {
+    if (!seen.insert(arrival.attempt).second) {
+      repeats[arrival.service].push_back(arrival.at);
+    }
+  }
+  for (auto& [service, times] : repeats) {
+    std::sort(times.begin(), times.end());
+    std::vector<absl::Time>& asked = requests[service];
+    std::sort(asked.begin(), asked.end());
+    for (const absl::Time& begin : times) {
+      ++result.checks;
+      const absl::Duration width = bounds.retry_window;
+      const size_t most = std::max({within(asked, begin, width), within(asked, begin - width, width),
+                                    within(asked, begin - width / 2, width)});
+      const double allowed = bounds.retry_ratio * static_cast<double>(most) + bounds.retry_constant;
+      const size_t count = within(times, begin, width);
+      if (static_cast<double>(count) > allowed) {
+        result.violations.push_back(
+            {absl::StrCat(service, ": ", count, " repeats, ", allowed, " allowed"), {}});
+        break;
+      }
+    }
+  }
+  return result;
+}
+
+PromiseResult checkProcesses(const History& history, const Bounds& bounds) {
+  PromiseResult result{"processes live on, and stay small", 0, {}};
+  for (const OwnEnd& end : history.own_ends) {
+    result.violations.push_back(
+        {absl::StrCat(end.gateway, " ended by itself, wait status ", end.wait_status), {}});
+  }
+  for (const ProcessSize& size : history.sizes) {
+    ++result.checks;
+    if (size.memory_bytes > bounds.memory_bytes || size.descriptors > bounds.descriptors) {
+      result.violations.push_back({absl::StrCat(size.gateway, " has ", size.memory_bytes, " bytes and ",
+                                                size.descriptors, " descriptors"),
+                                   {}});
+    }
+  }
+  return result;
+}
+
+PromiseResult checkLeaving(const History& history, const Bounds& bounds) {
+  PromiseResult result{"nothing new comes to a back end that left", 0, {}};
+  absl::flat_hash_map<std::string, absl::Time> left;
+  for (const Leaving& leaving : history.leavings) {
+    const auto [place, is_first] = left.try_emplace(leaving.back_end, leaving.at);
+    place->second = std::min(place->second, leaving.at);
+  }
+  for (const Arrival& arrival : history.arrivals) {
+    const auto found = left.find(arrival.back_end);
+    const bool is_after = found != left.end() && arrival.at > found->second;
+    if (!is_after ||
+        isDisturbed(history, arrival.gateway, arrival.at - bounds.in_touch_after, arrival.at, true)) {
+      continue;
+    }
+    ++result.checks;
+    if (arrival.at > found->second + bounds.server_drain) {
+      addViolation(result,
+                   absl::StrCat("came to ", arrival.back_end, " from ", arrival.gateway, " ",
+                                absl::ToInt64Milliseconds(arrival.at - found->second), " ms after it left"),
+                   arrival.attempt);
+    }
+  }
+  return result;
+}
+
+PromiseResult checkKeys(const History& history, const Bounds& bounds, const ArrivalsByAttempt& arrivals) {
+  PromiseResult result{"no request runs under a key that was taken away", 0, {}};
+  for (const KeyRemoval& removal : history.key_removals) {
+    for (const Request& request : history.requests) {
+      if (request.key != removal.key || request.sent < removal.at + bounds.key_revocation) {
+        continue;
+      }
+      ++result.checks;
+      if (runs(arrivals, request.attempt) > 0) {
+        addViolation(result, absl::StrCat("ran under ", removal.key), request.attempt);
+      }
+    }
+  }
+  return result;
+}
+
+PromiseResult checkRecovery(const History& history, const Bounds& bounds) {
+  PromiseResult result{"it serves again soon after the last fault", 1, {}};
+  if (history.recovery > bounds.recovery) {
+    result.violations.push_back({absl::StrCat("after ", absl::FormatDuration(history.recovery)), {}});
+  }
+  return result;
+}
+
+}  // namespace
+
+std::vector<PromiseResult> checkPromises(const History& history, const Bounds& bounds, bool timed) {
+  const ArrivalsByAttempt arrivals = byAttempt(history);
+  std::vector<PromiseResult> results = {
+      checkAtMostOnce(history, arrivals), checkRefusals(history, arrivals),
+      checkOwnAnswers(history, arrivals), checkStreams(history),
+      checkServices(history, arrivals),   checkPlannedStops(history, bounds, arrivals),
+      checkRepeats(history, bounds),      checkProcesses(history, bounds),
+  };
+  if (timed) {
+    results.push_back(checkLeaving(history, bounds));
+    results.push_back(checkKeys(history, bounds, arrivals));
+    results.push_back(checkRecovery(history, bounds));
+  }
+  return results;
+}
+
+}  // namespace quincewick::soak
--- /dev/null
+++ b/tests/soak/history.h
@@ -0,0 +1,127 @@
+// What callers, back ends and the schedule of one run saw, and the promises that it must keep. Pure.
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace quincewick::soak {
+
+enum class RequestKind : uint8_t { kRepeatable, kOnce, kResumableStream, kStream };
+
+// How a caller saw its request end.
+enum class RequestEnd : uint8_t {
+  kOpen,      // not yet
+  kAnswered,  // the answer ended in good order
+  kCut,       // the connection ended before that
+  kUnsent,    // no connection came up, or it ended before the request was whole
+  kLeft,      // the caller gave it up
+};
+
+// One attempt of a caller, with an id of its own.
+struct Request {
+  std::string attempt;
+  RequestKind kind = RequestKind::kRepeatable;
+  std::string gateway;
+  std::string service;  // of its route
+  std::string key;
+  absl::Time sent;
+  absl::Time ended = absl::InfiniteFuture();
+  RequestEnd end = RequestEnd::kOpen;
+  int status = 0;
+  std::string signature;
+  std::string body;         // of answers that are no streams
+  std::vector<int> events;  // ids of a stream's events, as they came
+  bool has_foreign_event = false;
+};
+
+// A request as it came to a back end.
+struct Arrival {
+  std::string attempt;
+  std::string back_end;
+  std::string service;
+  std::string gateway;
+  std::string key_owner;  // the tenant that the gateway named
+  absl::Time at;
+  bool ran = false;
+  bool is_broken_off = false;  // by the back end
+  int status = 0;
+  std::string signature;
+  std::string body;
+};
+
+// The store acknowledged that the back end leaves, or its entry is gone.
+struct Leaving {
+  std::string back_end;
+  absl::Time at;
+};
+
+// The store acknowledged a configuration without the key.
+struct KeyRemoval {
+  std::string key;
+  absl::Time at;
+};
+
+struct Disturbance {
+  std::string gateway;  // empty: all of them
+  absl::Time begin;
+  absl::Time end;
+  bool is_planned = false;  // a stop in good order
+};
+
+// A gateway's process that ended though nobody ended it.
+struct OwnEnd {
+  std::string gateway;
+  int wait_status = 0;
+};
+
+// A process as it was looked at.
+struct ProcessSize {
+  std::string gateway;
+  uint64_t memory_bytes = 0;
+  uint64_t descriptors = 0;
+};
+
+struct History {
+  std::vector<Request> requests;
+  std::vector<Arrival> arrivals;
+  std::vector<Leaving> leavings;
+  std::vector<KeyRemoval> key_removals;
+  std::vector<Disturbance> disturbances;
+  std::vector<OwnEnd> own_ends;
+  std::vector<ProcessSize> sizes;
+  int events_of_a_stream = 0;
+  absl::Duration recovery = absl::InfiniteDuration();  // after the last fault
+};
+
+struct Bounds {
+  absl::Duration server_drain = absl::Seconds(2);
+  absl::Duration key_revocation = absl::Seconds(5);
+  absl::Duration stop_grace = absl::Seconds(8);
+  absl::Duration in_touch_after = absl::Seconds(3);  // of the last disturbance
+  absl::Duration recovery = absl::Seconds(12);
+  double retry_ratio = 0.2;
+  double retry_constant = 54;
+  absl::Duration retry_window = absl::Seconds(10);
+  uint64_t memory_bytes = uint64_t{64} << 20;
+  uint64_t descriptors = 1024;
+};
+
+struct Violation {
+  std::string what;
+  std::vector<std::string> attempts;
+};
+
+struct PromiseResult {
+  std::string promise;
+  uint64_t checks = 0;
+  std::vector<Violation> violations;
+};
+
+// Every promise with the number of its checks. `timed`: also those that say how soon, which a busy machine
+// may break by itself.
+std::vector<PromiseResult> checkPromises(const History& history, const Bounds& bounds, bool timed);
+
+}  // namespace quincewick::soak
--- /dev/null
+++ b/tests/soak/history_test.cc
@@ -0,0 +1,190 @@
+// A history that keeps every promise, and one that breaks each of them.
+#include "history.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+namespace quincewick::soak {
+namespace {
+
+const absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
+
+Request makeRequest(const std::string& attempt, RequestKind kind) {
+  Request request;
+  request.attempt = attempt;
+  request.kind = kind;
+  request.gateway = "g-1";
+  request.service = kind == RequestKind::kOnce || kind == RequestKind::kRepeatable ? "calls" : "streams";
+  request.key = "key";
+  request.sent = kStart;
+  request.ended = kStart + absl::Milliseconds(50);
+  request.end = RequestEnd::kAnswered;
+  request.status = 200;
+  request.signature = "of " + attempt;
+  request.body = "answer to " + attempt;
+  return request;
+}
+
+Arrival makeArrival(const Request& request) {
+  Arrival arrival;
+  arrival.attempt = request.attempt;
+  arrival.back_end = "s-1";
+  arrival.service = request.service;
+  arrival.gateway = request.gateway;
+  arrival.at = kStart + absl::Milliseconds(2);
+  arrival.ran = true;
+  arrival.status = 200;
+  arrival.signature = "of " + request.attempt;
+  arrival.body = "answer to " + request.attempt;
+  return arrival;
+}
+
+struct Sound {
+  History history;
+
+  Sound() {
+    history.events_of_a_stream = 3;
+    history.recovery = absl::Seconds(1);
+    for (const RequestKind kind : {RequestKind::kRepeatable, RequestKind::kOnce,
+                                   RequestKind::kResumableStream, RequestKind::kStream}) {
+      Request request = makeRequest("a-" + std::to_string(history.requests.size()), kind);
+      if (kind == RequestKind::kResumableStream || kind == RequestKind::kStream) {
+        request.events = {1, 2, 3};
+      }
+      history.requests.push_back(request);
+      history.arrivals.push_back(makeArrival(request));
+    }
+  }
+  Request& repeatable() { return history.requests[0]; }
+  Request& once() { return history.requests[1]; }
+  Request& stream() { return history.requests[3]; }
+  Arrival& arrivalOfOnce() { return history.arrivals[1]; }
+
+  // Names of the promises that it breaks.
+  std::vector<std::string> broken() const {
+    std::vector<std::string> names;
+    for (const PromiseResult& result : checkPromises(history, Bounds(), true)) {
+      if (!result.violations.empty()) {
+        names.push_back(result.promise);
+      }
+    }
+    return names;
+  }
+  bool breaks(const std::string& promise) const { return broken() == std::vector<std::string>{promise}; }
+};
+
+TEST_CASE_METHOD(Sound, "a sound history keeps all promises") {
+  CHECK(broken().empty());
+  CHECK(checkPromises(history, Bounds(), true).size() == 11);
+  CHECK(checkPromises(history, Bounds(), false).size() == 8);
+}
+
+TEST_CASE_METHOD(Sound, "a second run of what may run once is found") {
+  history.arrivals.push_back(arrivalOfOnce());
+  CHECK(breaks("what may run once runs at most once"));
+}
+
+TEST_CASE_METHOD(Sound, "a second arrival that did not run is none") {
+  history.arrivals.push_back(arrivalOfOnce());
+  history.arrivals.back().ran = false;
+  CHECK(broken().empty());
+}
+
+TEST_CASE_METHOD(Sound, "a refusal of what ran, or runs later, is found") {
+  once().status = 503;
+  once().signature = "";
+  arrivalOfOnce().at = kStart + absl::Seconds(9);
+  CHECK(breaks("what was refused has not run and never does"));
+}
+
+TEST_CASE_METHOD(Sound, "another's answer is found") {
+  repeatable().body = "answer to a-1";
+  CHECK(breaks("each caller gets its own answer, whole"));
+}
+
+TEST_CASE_METHOD(Sound, "an answer with its end missing is found") {
+  repeatable().body.pop_back();
+  CHECK(breaks("each caller gets its own answer, whole"));
+}
+
+TEST_CASE_METHOD(Sound, "a success that no back end signed is found") {
+  repeatable().signature = "";
+  CHECK(breaks("each caller gets its own answer, whole"));
+}
+
+TEST_CASE_METHOD(Sound, "a back end's failure under another status is found") {
+  repeatable().status = 502;
+  CHECK(breaks("each caller gets its own answer, whole"));
+}
+
+TEST_CASE_METHOD(Sound, "events out of order, twice, missing or foreign are found") {
+  for (const std::vector<int>& events :
+       {std::vector<int>{1, 3, 2}, std::vector<int>{1, 2, 2, 3}, std::vector<int>{1, 2}}) {
+    stream().events = events;
+    CHECK(breaks("streams are whole and in order"));
+  }
+  stream().events = {1, 2, 3};
+  stream().has_foreign_event = true;
+  CHECK(breaks("streams are whole and in order"));
+}
+
+TEST_CASE_METHOD(Sound, "a stream that is cut visibly breaks nothing") {
+  stream().events = {1, 2};
+  stream().end = RequestEnd::kCut;
+  CHECK(broken().empty());
+}
+
+TEST_CASE_METHOD(Sound, "a run at another service, or of nobody's request, is found") {
+  arrivalOfOnce().service = "streams";
+  CHECK(breaks("requests run at their route's service alone"));
+  arrivalOfOnce().service = "calls";
+  history.arrivals.push_back(arrivalOfOnce());
+  history.arrivals.back().attempt = "nobody's";
+  CHECK(breaks("requests run at their route's service alone"));
+}
+
+TEST_CASE_METHOD(Sound, "a request that a planned stop cuts is found, but not in other trouble") {
+  history.disturbances.push_back({"g-1", kStart - absl::Seconds(1), kStart + absl::Seconds(7), true});
+  CHECK(broken().empty());
+  once().end = RequestEnd::kCut;
+  CHECK(breaks("a planned stop cuts nothing"));
+  history.disturbances.push_back({"", kStart - absl::Seconds(2), kStart - absl::Seconds(2), false});
+  CHECK(broken().empty());
+}
+
+TEST_CASE_METHOD(Sound, "repeats beyond the budget are found") {
+  for (int count = 0; count < 56; ++count) {
+    history.arrivals.push_back(makeArrival(repeatable()));
+  }
+  CHECK(breaks("repeats stay within the site's budget"));
+}
+
+TEST_CASE_METHOD(Sound, "a process that ends by itself or grows is found") {
+  history.own_ends.push_back({"g-1", 11});
+  CHECK(breaks("processes live on, and stay small"));
+  history.own_ends.clear();
+  history.sizes.push_back({"g-1", uint64_t{100} << 20, 40});
+  CHECK(breaks("processes live on, and stay small"));
+}
+
+TEST_CASE_METHOD(Sound, "an arrival at a back end that left is found, but not from a disturbed gateway") {
+  history.leavings.push_back({"s-1", kStart - absl::Seconds(2.1)});
+  CHECK(breaks("nothing new comes to a back end that left"));
+  history.disturbances.push_back({"g-1", kStart - absl::Seconds(1), kStart - absl::Seconds(1), false});
+  CHECK(broken().empty());
+}
+
+TEST_CASE_METHOD(Sound, "a run under a key that was taken away is found, from any gateway") {
+  history.key_removals.push_back({"key", kStart - absl::Seconds(6)});
+  history.disturbances.push_back({"g-1", kStart, kStart, false});
+  CHECK(breaks("no request runs under a key that was taken away"));
+}
+
+TEST_CASE_METHOD(Sound, "a site that doesn't serve again is found") {
+  history.recovery = absl::Seconds(13);
+  CHECK(breaks("it serves again soon after the last fault"));
+}
+
+}  // namespace
+}  // namespace quincewick::soak
--- /dev/null
+++ b/tests/soak/processes.cc
@@ -0,0 +1,123 @@
+#include "processes.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+#include <fcntl.h>
+#include <signal.h>  // NOLINT: kill
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <utility>
+
+#include "types/address_text.h"
+
+namespace quincewick::soak {
+namespace {
+
+constexpr uint64_t kPageBytes = 4096;
+constexpr int kNoProgram = 127;
+
+}  // namespace
+
+Processes::Processes(std::string program, std::string folder, std::vector<GatewayPlace> places,
+                     History& history, const Bounds& bounds)
+    : program_(std::move(program)),
+      folder_(std::move(folder)),
+      places_(std::move(places)),
+      children_(places_.size()),
+      history_(history),
+      bounds_(bounds) {}
+
+Processes::~Processes() {
+  for (const Child& child : children_) {
+    if (child.pid != 0) {
+      kill(child.pid, SIGKILL);
+      waitpid(child.pid, nullptr, 0);
+    }
+  }
+}
+
+std::string Processes::settingsFile(size_t gateway) const {
+  return absl::StrCat(folder_, "/", places_[gateway].id, ".yaml");
+}
+
+void Processes::writeSettings(size_t gateway, bool is_new) const {
+  const GatewayPlace& place = places_[gateway];
+  std::ofstream file(settingsFile(gateway));
+  file << "gateway_id: \"" << place.id << "\"\nzone: \"" << place.zone << "\"\nregion: \"r\"\n"
+       << "listen: {callers: \"" << printAddress(place.callers) << "\", readiness: \""
+       << printAddress(place.readiness) << "\", peers: \"" << printAddress(place.peers) << "\", metrics: \""
+       << printAddress(place.metrics) << "\"}\nstore: \"" << printAddress(place.store) << "\"\n"
+       << "site_is_new: " << (is_new ? "true" : "false") << "\n"
+       << "bounds: {key_revocation: " << absl::FormatDuration(bounds_.key_revocation)
+       << ", server_drain: " << absl::FormatDuration(bounds_.server_drain)
+       << ", stop_grace: " << absl::FormatDuration(bounds_.stop_grace)
+       << ", retry_ratio: " << bounds_.retry_ratio << ", retry_constant: " << bounds_.retry_constant << "}\n";
+}
+
+void Processes::start(size_t gateway, bool is_new) {
+  writeSettings(gateway, is_new);
+  const std::string settings = settingsFile(gateway);
+  const std::string log = absl::StrCat(folder_, "/", places_[gateway].id, ".log");
+  const pid_t pid = fork();
+  if (pid == 0) {
+    const int descriptor = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    dup2(descriptor, STDOUT_FILENO);
+    dup2(descriptor, STDERR_FILENO);
+    execl(program_.c_str(), program_.c_str(), "serve", "--settings", settings.c_str(), nullptr);
+    _exit(kNoProgram);
+  }
+  children_[gateway] = {pid, false};
+}
+
+void Processes::signal(size_t gateway, int number) {
+  Child& child = children_[gateway];
+  if (child.pid == 0) {
+    return;
+  }
+  child.is_ended_by_us = child.is_ended_by_us || number == SIGTERM || number == SIGKILL;
+  kill(child.pid, number);
+}
+
+std::vector<size_t> Processes::reap() {
+  std::vector<size_t> ended;
+  for (size_t gateway = 0; gateway < children_.size(); ++gateway) {
+    Child& child = children_[gateway];
+    int status = 0;
+    if (child.pid != 0 && waitpid(child.pid, &status, WNOHANG) == child.pid) {
+      if (!child.is_ended_by_us) {
+        history_.own_ends.push_back({places_[gateway].id, status});
+      }
+      child.pid = 0;
+    }
+    if (child.pid == 0) {
+      ended.push_back(gateway);
+    }
+  }
+  return ended;
+}
+
+void Processes::noteSizes() {
+  for (size_t gateway = 0; gateway < children_.size(); ++gateway) {
+    if (children_[gateway].pid == 0) {
+      continue;
+    }
+    const std::string folder = absl::StrCat("/proc/", children_[gateway].pid);
+    std::ifstream file(folder + "/statm");
+    uint64_t all_pages = 0;
+    uint64_t resident_pages = 0;
+    file >> all_pages >> resident_pages;
+    std::error_code error;
+    uint64_t descriptors = 0;
+    for (auto entry = std::filesystem::directory_iterator(folder + "/fd", error);
+         !error && entry != std::filesystem::directory_iterator(); entry.increment(error)) {
+      ++descriptors;
+    }
+    history_.sizes.push_back({places_[gateway].id, resident_pages * kPageBytes, descriptors});
+  }
+}
+
+}  // namespace quincewick::soak
--- /dev/null
+++ b/tests/soak/processes.h
@@ -0,0 +1,64 @@
+// The gateways of a run as real processes, and the signals that they get. They are ended, by their ids, with
+// this object.
+#pragma once
+
+#include <absl/time/time.h>
+#include <sys/types.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "history.h"
+#include "types/back_end.h"
+
+namespace quincewick::soak {
+
+struct GatewayPlace {
+  std::string id;
+  std::string zone;
+  Address callers;
+  Address readiness;
+  Address peers;
+  Address metrics;
+  Address store;
+};
+
+class Processes {
+ public:
+  // `program`: the built quincewick; `folder`: for settings and logs.
+  Processes(std::string program, std::string folder, std::vector<GatewayPlace> places, History& history,
+            const Bounds& bounds);
+  ~Processes();
+  Processes(const Processes&) = delete;
+  Processes& operator=(const Processes&) = delete;
+
+  size_t count() const { return places_.size(); }
+  const GatewayPlace& place(size_t gateway) const { return places_[gateway]; }
+  // Starts the gateway's process; `is_new`: the whole site starts for the first time.
+  void start(size_t gateway, bool is_new);
+  // Does nothing where no process runs.
+  void signal(size_t gateway, int number);
+  // Takes note of processes that ended; those nobody ended are in the history. Returns the gateways that run
+  // no more.
+  std::vector<size_t> reap();
+  void noteSizes();
+
+ private:
+  struct Child {
+    pid_t pid = 0;  // 0: none runs
+    bool is_ended_by_us = false;
+  };
+
+  std::string settingsFile(size_t gateway) const;
+  void writeSettings(size_t gateway, bool is_new) const;
+
+  std::string program_;
+  std::string folder_;
+  std::vector<GatewayPlace> places_;
+  std::vector<Child> children_;
+  History& history_;
+  Bounds bounds_;
+};
+
+}  // namespace quincewick::soak
--- /dev/null
+++ b/tests/soak/run.cc
@@ -0,0 +1,436 @@
+#include "run.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_replace.h>
+#include <signal.h>  // NOLINT: signals to gateways
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <utility>
+
+#include "back_ends.h"
+#include "callers.h"
+#include "processes.h"
+#include "store.h"
+#include "types/address_text.h"
+
+namespace quincewick::soak {
+namespace {
+
+constexpr size_t kZones = 3;
+constexpr size_t kCallServers = 4;
+constexpr size_t kStreamServers = 4;
+constexpr absl::Duration kTick = absl::Milliseconds(50);
+constexpr absl::Duration kRestartPause = absl::Milliseconds(400);
+constexpr absl::Duration kAddressRest = absl::Seconds(2);   // before another server gets it
+constexpr absl::Duration kEntryLapses = absl::Seconds(3);   // of a server that crashed
+constexpr absl::Duration kServesOn = absl::Seconds(4);      // a leaving server, longer than it promises
+constexpr absl::Duration kReadyAtMost = absl::Seconds(30);  // until the site's first start is done
+// The site serves all again once so many requests in a row got what they asked for.
+constexpr size_t kServedInARow = 60;
+constexpr const char* kPlainKey = "key-0";
+
+// Ports for gateways, all different. Each stays bound, without listening, so that nobody else is given it
+// while its gateway is down; the gateway itself may bind it besides.
+class ReservedPorts {
+ public:
+  explicit ReservedPorts(boost::asio::io_context& reactor) : reactor_(reactor) {}
+  Address next() {
+    using boost::asio::ip::tcp;
+    tcp::acceptor& held = held_.emplace_back(reactor_);
+    held.open(tcp::v4());
+    held.set_option(tcp::acceptor::reuse_address(true));
+    held.bind(tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    return {"127.0.0.1", held.local_endpoint().port()};
+  }
+
+ private:
+  boost::asio::io_context& reactor_;
+  std::list<boost::asio::ip::tcp::acceptor> held_;
+};
+
+class Run {
+ public:
+  Run(const RunSettings& settings, const Schedule& schedule)
+      : settings_(settings), schedule_(schedule), timers_(reactor_) {}
+
+  History carryOut() {
+    makeSite();
+    whenReady(reactor::steadyNow() + kReadyAtMost);
+    reactor_.run();
+    return std::move(history_);
+  }
+
+ private:
+  void makeSite() {
+    history_.events_of_a_stream = kEventsOfAStream;
+    store_ = std::make_unique<Store>(
+        reactor_, timers_, settings_.gateways,
+        [this](const std::string& table, const std::string& key, const std::string& value, size_t gateway) {
+          return rendered(table, key, value, gateway);
+        });
+    std::vector<GatewayPlace> places;
+    for (size_t index = 0; index < settings_.gateways; ++index) {
+      GatewayPlace place;
+      place.zone = absl::StrCat("z", index % kZones);
+      place.id = absl::StrCat("g-", place.zone, "-", index / kZones);
+      place.callers = ports_.next();
+      place.readiness = ports_.next();
+      place.peers = ports_.next();
+      place.metrics = ports_.next();
+      place.store = store_->addressFor(index);
+      places.push_back(place);
+      gateway_ids_.push_back(place.id);
+    }
+    for (size_t index = 0; index < kCallServers; ++index) {
+      addBackEnd("calls", {});
+    }
+    for (size_t index = 0; index < kStreamServers; ++index) {
+      addBackEnd("streams", {});
+    }
+    traffic_.keys = {kPlainKey, "key-1", "key-2", "key-3"};
+    putConfiguration();
+    processes_ = std::make_unique<Processes>(settings_.program, settings_.folder, std::move(places), history_,
+                                             settings_.bounds);
+    for (size_t gateway = 0; gateway < settings_.gateways; ++gateway) {
+      processes_->start(gateway, true);
+      restart_at_.push_back(absl::InfiniteFuture());
+    }
+    entry_ = std::make_unique<Entry>(reactor_, timers_, *processes_);
+    tick();
+  }
+
+  // Each gateway reaches a server at a port of its own.
+  std::string rendered(const std::string& table, const std::string& key, const std::string& value,
+                       size_t gateway) const {
+    const auto found = std::find_if(back_ends_.begin(), back_ends_.end(),
+                                    [&key](const auto& back_end) { return back_end->id() == key; });
+    if (table != "servers" || found == back_ends_.end()) {
+      return value;
+    }
+    return absl::StrReplaceAll(value, {{"ADDRESS", printAddress((*found)->addressFor(gateway))}});
+  }
+
+  BackEnd& addBackEnd(const std::string& service, const std::vector<uint16_t>& ports) {
+    const std::string id = absl::StrCat("s-", ++last_back_end_);
+    back_ends_.push_back(std::make_unique<BackEnd>(reactor_, timers_, history_, id, service, gateway_ids_,
+                                                   settings_.seed + last_back_end_, ports));
+    putServer(*back_ends_.back(), "ready");
+    serving_.push_back(back_ends_.back().get());
+    return *back_ends_.back();
+  }
+
+  void putServer(const BackEnd& back_end, const std::string& state) {
+    store_->put(
+        "servers", back_end.id(),
+        absl::StrCat(R"({"service":")", back_end.service(), R"(","address":"ADDRESS","zone":"z)",
+                     last_back_end_ % kZones, R"(","slots":8,"state":")", state, R"(","models":[]})"));
+  }
+
+  void putConfiguration() {
+    std::string tenants;
+    for (size_t index = 0; index < traffic_.keys.size(); ++index) {
+      absl::StrAppend(&tenants, index == 0 ? "" : ",", R"({"name":"t)", index, R"(","apiKeys":[")",
+                      is_key_removed_[index] ? "" : traffic_.keys[index], R"("]})");
+    }
+    const auto route = [](const char* name, const char* kind, const char* service, bool resumable) {
+      return absl::StrCat(R"({"name":")", name, R"(","host":"h","pathPrefix":"/)", name, R"(/","kind":")",
+                          kind, R"(","timeoutMs":5000,"service":")", service,
+                          R"(","maxAttempts":3,"resumable":)", resumable ? "true}" : "false}");
+    };
+    std::string routes = absl::StrCat(
+        route("safe", "safe", "calls", false), ",", route("once", "unsafe", "calls", false), ",",
+        route("resumed", "streaming", "streams", true), ",", route("stream", "streaming", "streams", false));
+    if (traffic_.has_new_route) {
+      absl::StrAppend(&routes, ",", route("new", "safe", "calls", false));
+    }
+    store_->put(
+        "op", "config",
+        absl::StrCat(R"({"version":)", ++configuration_version_, R"(,"routes":[)", routes,
+                     R"(],"services":[{"name":"calls","maxConnections":200},{"name":"streams",)",
+                     R"("maxConnections":200}],"limits":{"maxHeaderBytes":8000,"maxBodyBytes":50000,)",
+                     R"("headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[)", tenants, "]}"));
+  }
+
+  void whenReady(absl::Time latest) {
+    bool are_ready = true;
+    for (size_t gateway = 0; gateway < settings_.gateways; ++gateway) {
+      are_ready = are_ready && entry_->isReady(gateway);
+    }
+    const absl::Time now = reactor::steadyNow();
+    if (!are_ready && now < latest) {
+      timers_.schedule(now + kTick, [this, latest] { whenReady(latest); });
+      return;
+    }
+    for (uint64_t number = 0; number < settings_.callers; ++number) {
+      callers_.push_back(std::make_unique<Caller>(reactor_, timers_, history_, *entry_, *processes_, traffic_,
+                                                  number, settings_.seed * 1000 + number));
+    }
+    began_ = now;
+    for (const Fault& fault : schedule_) {
+      timers_.schedule(began_ + fault.at, [this, fault] { begin(fault); });
+    }
+    timers_.schedule(began_ + settings_.length, [this] {
+      faults_over_ = reactor::steadyNow();
+      served_from_ = history_.requests.size();
+      awaitRecovery();
+    });
+  }
+
+  // Processes that ended are started again, soon after their end.
+  void tick() {
+    const absl::Time now = reactor::steadyNow();
+    for (const size_t gateway : processes_->reap()) {
+      if (restart_at_[gateway] == absl::InfiniteFuture()) {
+        restart_at_[gateway] = now + kRestartPause;
+      } else if (now >= restart_at_[gateway]) {
+        restart_at_[gateway] = absl::InfiniteFuture();
+        disturb(gateway_ids_[gateway], absl::ZeroDuration(), is_planned_[gateway_ids_[gateway]]);
+        processes_->start(gateway, false);
+      }
+    }
+    if (++ticks_ % 20 == 0) {
+      processes_->noteSizes();
+    }
+    timers_.schedule(now + kTick, [this] { tick(); });
+  }
+
+  void awaitRecovery() {
+    const absl::Time now = reactor::steadyNow();
+    size_t in_a_row = 0;
+    for (size_t index = served_from_; index < history_.requests.size(); ++index) {
+      const Request& request = history_.requests[index];
+      const bool is_served = request.end == RequestEnd::kAnswered && request.status == 200;
+      const bool is_known =
+          request.end != RequestEnd::kOpen && request.end != RequestEnd::kLeft && request.key == kPlainKey;
+      in_a_row = !is_known ? in_a_row : is_served ? in_a_row + 1 : 0;
+    }
+    const bool is_recovered = in_a_row >= kServedInARow;
+    if (is_recovered || now > faults_over_ + settings_.recovery_awaited) {
+      if (is_recovered) {
+        history_.recovery = now - faults_over_;
+      }
+      traffic_.is_over = true;
+      timers_.schedule(now + absl::Seconds(2), [this] { reactor_.stop(); });
+      return;
+    }
+    timers_.schedule(now + kTick, [this] { awaitRecovery(); });
+  }
+
+  void disturb(const std::string& gateway, absl::Duration lasts, bool is_planned = false) {
+    const absl::Time now = reactor::steadyNow();
+    history_.disturbances.push_back({gateway, now, now + lasts, is_planned});
+  }
+
+  void later(absl::Duration after, const std::function<void()>& action) {
+    timers_.schedule(reactor::steadyNow() + after, action);
+  }
+
+  BackEnd* backEnd(uint32_t target) {
+    return serving_.empty() ? nullptr : serving_[target % serving_.size()];
+  }
+
+  void begin(const Fault& fault) {
+    const size_t gateway = fault.target % settings_.gateways;
+    switch (fault.kind) {
+      case FaultKind::kStop:
+      case FaultKind::kKill:
+      case FaultKind::kFreeze:
+      case FaultKind::kReload:
+      case FaultKind::kKillMany:
+        strikeProcesses(fault, gateway);
+        return;
+      case FaultKind::kStoreRefuses:
+      case FaultKind::kStoreSilent:
+      case FaultKind::kStoreDown:
+      case FaultKind::kStoreSlow:
+      case FaultKind::kStoreLosesAnswers:
+      case FaultKind::kStoreForgets:
+        strikeStore(fault, gateway);
+        return;
+      case FaultKind::kRouteChanges:
+        traffic_.has_new_route = !traffic_.has_new_route;
+        putConfiguration();
+        return;
+      case FaultKind::kKeyRemoved:
+        removeKey(fault.target);
+        return;
+      default:
+        strikeBackEnds(fault, gateway);
+    }
+  }
+
+  void strikeProcesses(const Fault& fault, size_t gateway) {
+    const std::string& id = gateway_ids_[gateway];
+    switch (fault.kind) {
+      case FaultKind::kStop:
+        is_planned_[id] = true;
+        disturb(id, settings_.bounds.stop_grace, true);
+        processes_->signal(gateway, SIGTERM);
+        later(settings_.bounds.stop_grace, [this, gateway] { processes_->signal(gateway, SIGKILL); });
+        return;
+      case FaultKind::kKill:
+        is_planned_[id] = false;
+        disturb(id, absl::ZeroDuration());
+        processes_->signal(gateway, SIGKILL);
+        return;
+      case FaultKind::kFreeze:
+        disturb(id, fault.lasts);
+        processes_->signal(gateway, SIGSTOP);
+        later(fault.lasts, [this, gateway] { processes_->signal(gateway, SIGCONT); });
+        return;
+      case FaultKind::kReload:
+        processes_->signal(gateway, SIGHUP);
+        return;
+      default:
+        for (size_t other = fault.target % 2; other < settings_.gateways; other += 2) {
+          is_planned_[gateway_ids_[other]] = false;
+          disturb(gateway_ids_[other], absl::ZeroDuration());
+          processes_->signal(other, SIGKILL);
+        }
+    }
+  }
+
+  void strikeStore(const Fault& fault, size_t gateway) {
+    if (fault.kind == FaultKind::kStoreForgets) {
+      store_->forgetHistory();
+      return;
+    }
+    const auto set = [this, kind = fault.kind, gateway](bool on) {
+      for (size_t other = 0; other < settings_.gateways; ++other) {
+        StoreTrouble& trouble = store_->trouble(other);
+        const bool is_struck = other == gateway;
+        trouble.refuses = kind == FaultKind::kStoreRefuses && is_struck ? on : trouble.refuses;
+        trouble.is_silent = kind == FaultKind::kStoreDown || (kind == FaultKind::kStoreSilent && is_struck)
+                                ? on
+                                : trouble.is_silent;
+        trouble.is_slow = kind == FaultKind::kStoreSlow ? on : trouble.is_slow;
+        trouble.loses_answers = kind == FaultKind::kStoreLosesAnswers ? on : trouble.loses_answers;
+      }
+    };
+    const bool is_one = fault.kind == FaultKind::kStoreRefuses || fault.kind == FaultKind::kStoreSilent;
+    disturb(is_one ? gateway_ids_[gateway] : "", fault.lasts);
+    set(true);
+    later(fault.lasts, [set] { set(false); });
+  }
+
+  void strikeBackEnds(const Fault& fault, size_t gateway) {
+    if (fault.kind == FaultKind::kConnectionsReset || fault.kind == FaultKind::kConnectionsSilent) {
+      disturb(gateway_ids_[gateway], absl::ZeroDuration());
+      for (const auto& back_end : back_ends_) {
+        if (fault.kind == FaultKind::kConnectionsReset) {
+          back_end->resetConnections(gateway);
+        } else {
+          back_end->silenceConnections(gateway);
+        }
+      }
+      return;
+    }
+    BackEnd* const back_end = backEnd(fault.target);
+    if (back_end == nullptr) {
+      return;
+    }
+    switch (fault.kind) {
+      case FaultKind::kBackEndLeaves:
+        replace(*back_end, true);
+        return;
+      case FaultKind::kBackEndVanishes:
+        replace(*back_end, false);
+        return;
+      case FaultKind::kBackEndCrashes:
+        crash(*back_end);
+        return;
+      default:
+        misbehave(*back_end, fault);
+    }
+  }
+
+  void misbehave(BackEnd& back_end, const Fault& fault) {
+    const auto set = [&back_end, kind = fault.kind](bool on) {
+      Misbehaviour& misbehaviour = back_end.misbehaviour();
+      misbehaviour.refuses = kind == FaultKind::kBackEndRefuses ? on : misbehaviour.refuses;
+      misbehaviour.fails = kind == FaultKind::kBackEndFails ? on : misbehaviour.fails;
+      misbehaviour.loses_answers = kind == FaultKind::kAnswersLost ? on : misbehaviour.loses_answers;
+      misbehaviour.cuts_answers = kind == FaultKind::kAnswersCut ? on : misbehaviour.cuts_answers;
+    };
+    set(true);
+    later(fault.lasts, [set] { set(false); });
+  }
+
+  // Another one comes first. It serves on for longer than it promises.
+  void replace(BackEnd& back_end, bool says_so) {
+    addBackEnd(back_end.service(), {});
+    std::erase(serving_, &back_end);
+    if (says_so) {
+      putServer(back_end, "draining");
+    } else {
+      store_->remove("servers", back_end.id());
+    }
+    history_.leavings.push_back({back_end.id(), reactor::steadyNow()});
+    later(kServesOn, [this, &back_end] {
+      store_->remove("servers", back_end.id());
+      back_end.crash();
+    });
+  }
+
+  // Its address goes to a server of another service; one of its own service comes elsewhere.
+  void crash(BackEnd& back_end) {
+    const std::vector<uint16_t> ports = back_end.ports();
+    std::erase(serving_, &back_end);
+    disturb("", absl::ZeroDuration());
+    back_end.crash();
+    addBackEnd(back_end.service(), {});
+    later(kEntryLapses, [this, &back_end] { store_->remove("servers", back_end.id()); });
+    later(kAddressRest, [this, &back_end, ports] {
+      addBackEnd(back_end.service() == "calls" ? "streams" : "calls", ports);
+    });
+  }
+
+  // The first key stays, so that there is always something to serve.
+  void removeKey(uint32_t target) {
+    const size_t index = 1 + target % (traffic_.keys.size() - 1);
+    if (std::exchange(is_key_removed_[index], true)) {
+      return;
+    }
+    putConfiguration();
+    history_.key_removals.push_back({traffic_.keys[index], reactor::steadyNow()});
+  }
+
+  const RunSettings& settings_;
+  const Schedule& schedule_;
+  boost::asio::io_context reactor_;
+  reactor::TimerQueue timers_;
+  History history_;
+  ReservedPorts ports_{reactor_};
+  std::unique_ptr<Store> store_;
+  std::vector<std::string> gateway_ids_;
+  std::vector<std::unique_ptr<BackEnd>> back_ends_;  // all that ever were
+  std::vector<BackEnd*> serving_;
+  std::unique_ptr<Processes> processes_;
+  std::vector<absl::Time> restart_at_;
+  std::map<std::string, bool> is_planned_;  // the last end of each gateway
+  std::unique_ptr<Entry> entry_;
+  Traffic traffic_;
+  std::vector<std::unique_ptr<Caller>> callers_;
+  std::array<bool, 4> is_key_removed_ = {};
+  uint64_t configuration_version_ = 0;
+  uint64_t last_back_end_ = 0;
+  uint64_t ticks_ = 0;
+  absl::Time began_;
+  absl::Time faults_over_;
+  size_t served_from_ = 0;
+};
+
+}  // namespace
+
+History runSite(const RunSettings& settings, const Schedule& schedule) {
+  Run run(settings, schedule);
+  return run.carryOut();
+}
+
+}  // namespace quincewick::soak
--- /dev/null
+++ b/tests/soak/schedule.cc
@@ -0,0 +1,97 @@
+#include "schedule.h"
+
+#include <absl/random/distributions.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
+#include <algorithm>
+#include <array>
+#include <random>
+
+namespace quincewick::soak {
+namespace {
+
+constexpr std::array kNames = {
+    "stop",          "kill",          "freeze",     "reload",      "kill-many",     "store-refuses",
+    "store-silent",  "store-down",    "store-slow", "store-loses", "store-forgets", "back-end-leaves",
+    "back-end-goes", "back-end-dies", "refuses",    "fails",       "answers-lost",  "answers-cut",
+    "reset",         "silent",        "route",      "key",
+};
+constexpr size_t kKinds = kNames.size();
+static_assert(static_cast<size_t>(FaultKind::kKeyRemoved) + 1 == kKinds);
+
+// A fault begins about so often; some come twice or three times in a row, half a second to two apart.
+constexpr absl::Duration kMeanPause = absl::Milliseconds(400);
+constexpr absl::Duration kShortestFault = absl::Milliseconds(300);
+constexpr absl::Duration kLongestFault = absl::Seconds(6);
+constexpr int kLongestSeries = 3;
+constexpr uint32_t kTargets = 60;
+
+}  // namespace
+
+// The generator is the standard's own and its numbers are taken as they are, so that a seed means the same
+// everywhere.
+Schedule drawSchedule(uint64_t seed, absl::Duration length) {
+  std::mt19937_64 random(seed);
+  const auto drawn = [&random](absl::Duration least, absl::Duration most) {
+    const auto span = static_cast<uint64_t>(absl::ToInt64Milliseconds(most - least)) + 1;
+    return least + absl::Milliseconds(static_cast<int64_t>(random() % span));
+  };
+  Schedule schedule;
+  const absl::Duration last = std::max(length - kLongestFault, length / 2);
+  for (absl::Duration at = drawn(absl::Milliseconds(500), kMeanPause * 2); at < last;
+       at += drawn(absl::ZeroDuration(), kMeanPause * 2)) {
+    Fault fault;
+    fault.kind = static_cast<FaultKind>(random() % kKinds);
+    fault.target = static_cast<uint32_t>(random() % kTargets);
+    fault.lasts = drawn(kShortestFault, std::min(kLongestFault, length - last));
+    const int times = random() % 3 == 0 ? static_cast<int>(random() % kLongestSeries) + 1 : 1;
+    absl::Duration begin = at;
+    for (int count = 0; count < times && begin < last; ++count) {
+      fault.at = begin;
+      schedule.push_back(fault);
+      begin += drawn(absl::Milliseconds(500), absl::Seconds(2));
+      fault.target = random() % 2 == 0 ? fault.target : static_cast<uint32_t>(random() % kTargets);
+    }
+  }
+  std::stable_sort(schedule.begin(), schedule.end(),
+                   [](const Fault& one, const Fault& other) { return one.at < other.at; });
+  return schedule;
+}
+
+std::string printSchedule(const Schedule& schedule) {
+  std::string text;
+  for (const Fault& fault : schedule) {
+    absl::StrAppend(&text, absl::ToInt64Milliseconds(fault.at), " ",
+                    kNames.at(static_cast<size_t>(fault.kind)), " ", fault.target, " ",
+                    absl::ToInt64Milliseconds(fault.lasts), "\n");
+  }
+  return text;
+}
+
+Result<Schedule> parseSchedule(const std::string& text) {
+  Schedule schedule;
+  for (const absl::string_view line : absl::StrSplit(text, '\n', absl::SkipWhitespace())) {
+    if (line.front() == '#') {
+      continue;
+    }
+    const std::vector<std::string> words = absl::StrSplit(line, ' ', absl::SkipWhitespace());
+    const auto name = words.size() == 4 ? std::find(kNames.begin(), kNames.end(), words[1]) : kNames.end();
+    int64_t at = 0;
+    int64_t lasts = 0;
+    Fault fault;
+    const bool is_read = name != kNames.end() && absl::SimpleAtoi(words[0], &at) &&
+                         absl::SimpleAtoi(words[2], &fault.target) && absl::SimpleAtoi(words[3], &lasts);
+    if (!is_read) {
+      return fail(ErrorCode::kInvalidArgument, absl::StrCat("no fault: ", line));
+    }
+    fault.kind = static_cast<FaultKind>(name - kNames.begin());
+    fault.at = absl::Milliseconds(at);
+    fault.lasts = absl::Milliseconds(lasts);
+    schedule.push_back(fault);
+  }
+  return schedule;
+}
+
+}  // namespace quincewick::soak
--- /dev/null
+++ b/tests/soak/schedule_test.cc
@@ -0,0 +1,42 @@
+#include "schedule.h"
+
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+#include <set>
+
+namespace quincewick::soak {
+namespace {
+
+TEST_CASE("a schedule is the same for the same seed, and reads back as it was printed") {
+  CHECK(rc::check([] {
+    const auto seed = *rc::gen::arbitrary<uint64_t>();
+    const Schedule schedule = drawSchedule(seed, absl::Seconds(30));
+    RC_ASSERT(schedule == drawSchedule(seed, absl::Seconds(30)));
+    const auto read = parseSchedule("# a comment\n" + printSchedule(schedule));
+    RC_ASSERT(read.has_value());
+    RC_ASSERT(read.value() == schedule);
+    for (const Fault& fault : schedule) {
+      RC_ASSERT(fault.at + fault.lasts <= absl::Seconds(30));
+    }
+  }));
+}
+
+TEST_CASE("every kind of fault is drawn") {
+  std::set<FaultKind> kinds;
+  for (uint64_t seed = 1; seed < 40; ++seed) {
+    for (const Fault& fault : drawSchedule(seed, absl::Seconds(30))) {
+      kinds.insert(fault.kind);
+    }
+  }
+  CHECK(kinds.size() == static_cast<size_t>(FaultKind::kKeyRemoved) + 1);
+}
+
+TEST_CASE("a line that is no fault is refused, and told") {
+  const auto read = parseSchedule("100 stop 1 300\n200 nonsense 1 300\n");
+  REQUIRE(read.has_error());
+  CHECK(read.error().message.find("nonsense") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace quincewick::soak
--- /dev/null
+++ b/tests/soak/soak_main.cc
@@ -0,0 +1,208 @@
+// Faults on real processes, promises checked from what callers and back ends saw. See docs/RELIABILITY.md.
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
+#include <algorithm>
+#include <cxxopts.hpp>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "run.h"
+
+namespace quincewick::soak {
+namespace {
+
+constexpr int kKept = 0;
+constexpr int kBroken = 1;
+constexpr int kUsage = 2;
+
+struct Options {
+  RunSettings run;
+  bool timed = false;
+  bool json = false;
+  bool shrinks = false;
+};
+
+struct Outcome {
+  Schedule schedule;
+  History history;
+  std::vector<PromiseResult> promises;
+
+  std::vector<std::string> broken() const {
+    std::vector<std::string> names;
+    for (const PromiseResult& result : promises) {
+      if (!result.violations.empty()) {
+        names.push_back(result.promise);
+      }
+    }
+    return names;
+  }
+};
+
+Outcome play(const Options& options, const Schedule& schedule) {
+  std::filesystem::create_directories(options.run.folder);
+  Outcome outcome{schedule, runSite(options.run, schedule), {}};
+  outcome.promises = checkPromises(outcome.history, options.run.bounds, options.timed);
+  return outcome;
+}
+
+size_t countEnds(const History& history, RequestEnd end) {
+  return static_cast<size_t>(std::count_if(history.requests.begin(), history.requests.end(),
+                                           [end](const Request& request) { return request.end == end; }));
+}
+
+void printText(const Options& options, const Outcome& outcome) {
+  const History& history = outcome.history;
+  const auto served = std::count_if(
+      history.requests.begin(), history.requests.end(),
+      [](const Request& request) { return request.end == RequestEnd::kAnswered && request.status == 200; });
+  std::cout << "seed " << options.run.seed << ": " << outcome.schedule.size() << " faults, "
+            << history.requests.size() << " requests, " << served << " served, "
+            << countEnds(history, RequestEnd::kAnswered) - static_cast<size_t>(served)
+            << " refused or failed, " << countEnds(history, RequestEnd::kCut) << " cut, "
+            << countEnds(history, RequestEnd::kUnsent) << " without a connection, "
+            << countEnds(history, RequestEnd::kLeft) << " left; " << history.arrivals.size()
+            << " arrivals; serves all again after " << absl::FormatDuration(history.recovery) << "\n";
+  for (const PromiseResult& result : outcome.promises) {
+    if (!result.violations.empty()) {
+      std::cout << "BROKEN " << result.promise << ": " << result.violations.size() << " of " << result.checks
+                << "; logs in " << options.run.folder << "\n";
+      for (size_t index = 0; index < std::min<size_t>(result.violations.size(), 3); ++index) {
+        std::cout << "  " << result.violations[index].what;
+        for (const std::string& attempt : result.violations[index].attempts) {
+          std::cout << ", " << attempt;
+        }
+        std::cout << "\n";
+      }
+    }
+  }
+  if (!outcome.broken().empty()) {
+    std::cout << "the schedule, for --replay:\n" << printSchedule(outcome.schedule);
+  }
+}
+
+void printJson(const Options& options, const Outcome& outcome) {
+  nlohmann::json report = {{"seed", options.run.seed},
+                           {"requests", outcome.history.requests.size()},
+                           {"arrivals", outcome.history.arrivals.size()},
+                           {"recovery_seconds", absl::ToDoubleSeconds(outcome.history.recovery)},
+                           {"schedule", printSchedule(outcome.schedule)}};
+  for (const PromiseResult& result : outcome.promises) {
+    nlohmann::json violations = nlohmann::json::array();
+    for (const Violation& violation : result.violations) {
+      violations.push_back({{"what", violation.what}, {"attempts", violation.attempts}});
+    }
+    report["promises"].push_back(
+        {{"promise", result.promise}, {"checks", result.checks}, {"violations", violations}});
+  }
+  std::cout << report.dump(2) << "\n";
+}
+
+// Drops faults one by one while the same promise still breaks.
+Outcome shrink(const Options& options, Outcome outcome) {
+  const std::string promise = outcome.broken().front();
+  for (size_t index = 0; index < outcome.schedule.size();) {
+    Schedule fewer = outcome.schedule;
+    fewer.erase(fewer.begin() + static_cast<std::ptrdiff_t>(index));
+    Outcome tried = play(options, fewer);
+    const std::vector<std::string> broken = tried.broken();
+    if (std::find(broken.begin(), broken.end(), promise) != broken.end()) {
+      outcome = std::move(tried);
+    } else {
+      ++index;
+    }
+  }
+  return outcome;
+}
+
+int playAndReport(const Options& options, const Schedule& schedule) {
+  Outcome outcome = play(options, schedule);
+  if (options.shrinks && !outcome.broken().empty()) {
+    outcome = shrink(options, std::move(outcome));
+  }
+  if (options.json) {
+    printJson(options, outcome);
+  } else {
+    printText(options, outcome);
+  }
+  std::cout.flush();
+  return outcome.broken().empty() ? kKept : kBroken;
+}
+
+std::string readFile(const std::string& path) {
+  std::ifstream file(path);
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+cxxopts::Options describeOptions() {
+  cxxopts::Options options("soak", "Faults on real gateway processes, promises checked");
+  options.add_options()                                                                                //
+      ("program", "the built quincewick", cxxopts::value<std::string>())                               //
+      ("folder", "for settings and logs", cxxopts::value<std::string>()->default_value("build/soak"))  //
+      ("seed", "the first one", cxxopts::value<uint64_t>()->default_value("1"))                        //
+      ("seeds", "how many, by rising numbers", cxxopts::value<uint64_t>()->default_value("1"))         //
+      ("duration", "of the faults, such as 20s", cxxopts::value<std::string>()->default_value("20s"))  //
+      ("gateways", "in three zones", cxxopts::value<uint32_t>()->default_value("6"))                   //
+      ("callers", "with a connection each", cxxopts::value<uint32_t>()->default_value("36"))           //
+      ("timed", "also check promises that say how soon")                                               //
+      ("output", "text or json", cxxopts::value<std::string>()->default_value("text"))                 //
+      ("replay", "a file with a schedule", cxxopts::value<std::string>())                              //
+      ("shrink", "drop faults while the same promise breaks")("help", "this text");
+  return options;
+}
+
+int run(int argc, char** argv) {
+  cxxopts::Options described = describeOptions();
+  const auto parsed = described.parse(argc, argv);
+  Options options;
+  absl::Duration length;
+  const bool is_usable = parsed.count("program") == 1 &&
+                         absl::ParseDuration(parsed["duration"].as<std::string>(), &length) &&
+                         parsed["gateways"].as<uint32_t>() > 0;
+  if (parsed.count("help") > 0 || !is_usable) {
+    std::cout << described.help() << "\n";
+    return parsed.count("help") > 0 ? kKept : kUsage;
+  }
+  options.run.program = parsed["program"].as<std::string>();
+  options.run.length = length;
+  options.run.gateways = parsed["gateways"].as<uint32_t>();
+  options.run.callers = parsed["callers"].as<uint32_t>();
+  options.timed = parsed.count("timed") > 0;
+  options.json = parsed["output"].as<std::string>() == "json";
+  options.shrinks = parsed.count("shrink") > 0;
+  int worst = kKept;
+  const uint64_t first = parsed["seed"].as<uint64_t>();
+  const uint64_t last = first + parsed["seeds"].as<uint64_t>();
+  for (options.run.seed = first; options.run.seed < last; ++options.run.seed) {
+    options.run.folder = absl::StrCat(parsed["folder"].as<std::string>(), "/seed-", options.run.seed);
+    Schedule schedule = drawSchedule(options.run.seed, length);
+    if (parsed.count("replay") > 0) {
+      auto read = parseSchedule(readFile(parsed["replay"].as<std::string>()));
+      if (read.has_error()) {
+        std::cerr << read.error().message << "\n";
+        return kUsage;
+      }
+      schedule = std::move(read.value());
+    }
+    worst = std::max(worst, playAndReport(options, schedule));
+  }
+  return worst;
+}
+
+}  // namespace
+}  // namespace quincewick::soak
+
+int main(int argc, char** argv) {
+  try {
+    return quincewick::soak::run(argc, argv);
+  } catch (const cxxopts::exceptions::exception& error) {
+    std::cerr << error.what() << "\n";
+    return 2;
+  }
+}
--- /dev/null
+++ b/tests/soak/store.cc
@@ -0,0 +1,180 @@
+#include "store.h"
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace quincewick::soak {
+namespace {
+
+constexpr size_t kConnectionsAtMost = 256;
+constexpr absl::Duration kAnswerTime = absl::Milliseconds(4);
+constexpr absl::Duration kSlowAnswerTime = absl::Milliseconds(500);
+
+std::string parameter(const std::string& target, const std::string& name) {
+  const size_t begin = target.find(name + "=");
+  if (begin == std::string::npos) {
+    return "";
+  }
+  const size_t value = begin + name.size() + 1;
+  return target.substr(value, target.find('&', value) - value);
+}
+
+uint64_t number(const std::string& text) {
+  uint64_t value = 0;
+  return absl::SimpleAtoi(text, &value) ? value : 0;
+}
+
+reactor::PlainAnswer json(std::string body) {
+  return {200, "application/json", std::move(body)};
+}
+
+}  // namespace
+
+Store::Store(boost::asio::io_context& reactor, reactor::TimerQueue& timers, size_t gateways,
+             Rendered rendered)
+    : timers_(timers), rendered_(std::move(rendered)), troubles_(gateways) {
+  for (size_t gateway = 0; gateway < gateways; ++gateway) {
+    doors_.push_back(std::make_unique<reactor::PlainServer>(
+        reactor, Address{"127.0.0.1", 0}, kConnectionsAtMost,
+        [this, gateway](const HttpHead& question, const std::string& body,
+                        const reactor::PlainServer::Respond& respond) {
+          take(gateway, question, body, respond);
+        }));
+  }
+}
+
+void Store::put(const std::string& table, const std::string& key, const std::string& value) {
+  change(table, key, value, false);
+}
+
+void Store::remove(const std::string& table, const std::string& key) {
+  change(table, key, "", true);
+}
+
+void Store::change(const std::string& table, const std::string& key, const std::string& value, bool is_gone) {
+  tables_[table][key] = {value, ++version_, is_gone};
+  for (auto waiting = waiting_.begin(); waiting != waiting_.end();) {
+    if (waiting->table != table) {
+      ++waiting;
+      continue;
+    }
+    timers_.cancel(waiting->limit);
+    waiting->respond(changes(waiting->gateway, table, waiting->after));
+    waiting = waiting_.erase(waiting);
+  }
+}
+
+void Store::take(size_t gateway, const HttpHead& question, const std::string& body,
+                 const reactor::PlainServer::Respond& respond) {
+  const StoreTrouble& trouble = troubles_[gateway];
+  if (trouble.is_silent) {
+    return;
+  }
+  if (trouble.refuses) {
+    respond({503, "text/plain", ""});
+    return;
+  }
+  const absl::Duration time = trouble.is_slow ? kSlowAnswerTime : kAnswerTime;
+  timers_.schedule(reactor::steadyNow() + time,
+                   [this, gateway, question, body, respond] { answer(gateway, question, body, respond); });
+}
+
+void Store::answer(size_t gateway, const HttpHead& question, const std::string& body,
+                   const reactor::PlainServer::Respond& respond) {
+  if (question.target.starts_with("/v1/rows-feed")) {
+    follow(gateway, question.target, respond);
+  } else if (question.target.starts_with("/v1/rows-get")) {
+    respond(readRows(gateway, question.target));
+  } else {
+    const reactor::PlainAnswer written = write(body);
+    if (!troubles_[gateway].loses_answers) {
+      respond(written);
+    }
+  }
+}
+
+std::string Store::tail() const {
+  const int64_t now_ms = absl::ToUnixMillis(reactor::steadyNow());
+  return absl::StrCat(R"("ver":)", version_, R"(,"now_ms":)", now_ms, "}");
+}
+
+std::string Store::printRow(size_t gateway, const std::string& table, const std::string& key,
+                            const Row& row) const {
+  const std::string value = row.is_gone ? "" : rendered_(table, key, row.value, gateway);
+  return absl::StrCat(R"({"table":")", table, R"(","key":")", key, R"(","value":")",
+                      absl::Base64Escape(value), R"(","ver":)", row.version,
+                      row.is_gone ? R"(,"gone":true})" : "}");
+}
+
+reactor::PlainAnswer Store::readRows(size_t gateway, const std::string& target) const {
+  const std::string table = parameter(target, "table");
+  const std::string from = parameter(target, "from");
+  std::string rows;
+  if (const auto found = tables_.find(table); found != tables_.end()) {
+    for (const auto& [key, row] : found->second) {
+      if (!row.is_gone && key >= from) {
+        absl::StrAppend(&rows, rows.empty() ? "" : ",", printRow(gateway, table, key, row));
+      }
+    }
+  }
+  return json(absl::StrCat(R"({"rows":[)", rows, R"(],"more":false,)", tail()));
+}
+
+reactor::PlainAnswer Store::changes(size_t gateway, const std::string& table, uint64_t after) const {
+  if (after < forgotten_) {
+    return {410, "text/plain", ""};
+  }
+  std::string rows;
+  if (const auto found = tables_.find(table); found != tables_.end()) {
+    for (const auto& [key, row] : found->second) {
+      if (row.version > after) {
+        absl::StrAppend(&rows, rows.empty() ? "" : ",", printRow(gateway, table, key, row));
+      }
+    }
+  }
+  return json(absl::StrCat(R"({"rows":[)", rows, "],", tail()));
+}
+
+void Store::follow(size_t gateway, const std::string& target, const reactor::PlainServer::Respond& respond) {
+  const std::string table = parameter(target, "table");
+  const uint64_t after = number(parameter(target, "after"));
+  bool is_news = after < forgotten_;
+  for (const auto& [key, row] : tables_[table]) {
+    is_news = is_news || row.version > after;
+  }
+  if (is_news) {
+    respond(changes(gateway, table, after));
+    return;
+  }
+  waiting_.push_back({gateway, table, after, respond, {}});
+  const auto place = std::prev(waiting_.end());
+  const absl::Duration wait = absl::Milliseconds(static_cast<int64_t>(number(parameter(target, "waitMs"))));
+  place->limit = timers_.schedule(reactor::steadyNow() + wait, [this, place] {
+    place->respond(changes(place->gateway, place->table, place->after));
+    waiting_.erase(place);
+  });
+}
+
+reactor::PlainAnswer Store::write(const std::string& body) {
+  const nlohmann::json transaction = nlohmann::json::parse(body);
+  for (const auto& condition : transaction["expectedRevision"]) {
+    const auto& rows = tables_[condition["table"]];
+    const auto found = rows.find(condition["key"]);
+    const bool is_there = found != rows.end() && !found->second.is_gone;
+    if ((is_there ? found->second.version : 0) != condition["ver"].get<uint64_t>()) {
+      return {412, "application/json", absl::StrCat(R"({"rows":[],)", tail())};
+    }
+  }
+  for (const auto& row : transaction["put"]) {
+    std::string value;
+    absl::Base64Unescape(row["value"].get<std::string>(), &value);
+    change(row["table"], row["key"], value, false);
+  }
+  return json("{" + tail());
+}
+
+}  // namespace quincewick::soak
