Red: who changes to a new reader never learns what left before that one's first reading

Trace: a gateway killed and started again became its zone's reader 0.2 s after its start; a back end had left 0.5 s before. The gateway that gave way to it asked for changes after the version it knew; the list without the back end was not one of them, and nobody told that it went.

--- a/tests/forwarding/row_cache_test.cc
+++ b/tests/forwarding/row_cache_test.cc
@@ -184,6 +184,36 @@
   }));
 }
 
+// A server had left a moment before a gateway that had just started read the list for its zone: it never knew
+// of the server, so it told nobody that it was gone, and a follower of another reader before went on with it.
+TEST_CASE("who changes to a new reader learns what went before its first reading") {
+  RowCache before = makeCache();
+  before.take({{row("stays", "1", 3), row("leaves", "1", 4)}, true, 5, absl::UnixEpoch()});
+  Asker asker;
+  asker.take(before.newsAfter(0));
+  REQUIRE(asker.rows.size() == 2);
+  RowCache after = makeCache();
+  after.take({{row("stays", "1", 3)}, true, 8, absl::UnixEpoch()});
+  asker.take(after.newsAfter(asker.version));
+  CHECK(asker.rows.size() == 1);
+}
+
+// A follower that becomes the reader tells the others what changed, not all: it knows what they know.
+TEST_CASE("a follower that reads from now on tells changes alone") {
+  RowCache reader = makeCache();
+  reader.take({{row("stays", "1", 3), row("leaves", "1", 4)}, true, 5, absl::UnixEpoch()});
+  RowCache follower = makeCache();
+  Asker other;
+  follower.take(reader.newsAfter(0));
+  other.take(reader.newsAfter(0));
+  follower.take({{row("stays", "1", 3), row("new", "1", 7)}, true, 8, absl::UnixEpoch()});
+  const TableNews news = follower.newsAfter(other.version);
+  CHECK_FALSE(news.is_whole);
+  CHECK(news.rows.size() == 2);
+  other.take(news);
+  CHECK(other.rows == std::map<std::string, std::string>{{"stays", "1"}, {"new", "1"}});
+}
+
 TEST_CASE("a row that says the same as before is no news") {
   RowCache cache = makeCache();
   cache.take({{row("a", "1/x", 5)}, true, 5, absl::UnixEpoch()});
