A reader knows what went before its first reading, for every gateway keeps the rows that it goes by

Cause: a reader's rows began with its first whole reading; what had left before was no row of it and no change, so followers that came to it went on with it. Change: followers keep rows like readers, with what went; whoever becomes a reader starts from there and tells changes alone; one that has just started gives followers all rows. A gateway that changes its reader asks for 16 versions more.

--- a/src/forwarding/row_cache.cc
+++ b/src/forwarding/row_cache.cc
@@ -14,18 +14,15 @@
 TableNews RowCache::take(const TableNews& news) {
   TableNews effect;
   effect.is_whole = news.is_whole && !isFilled();
-  const bool is_old = !news.is_whole && news.version < store_version_;
-  if (!is_old) {
-    const uint64_t changed = news.version > told_version_ ? news.version : told_version_ + 1;
-    takeRows(news, changed, effect.rows);
-    store_version_ = std::max(store_version_, news.version);
-    as_of_ = std::max(as_of_, news.as_of);
-    ++readings_;
-    told_version_ = std::max({told_version_, store_version_, last_change_});
-  }
-  if (news.is_whole) {
-    confirmed_ = std::max(confirmed_, news.confirmed);
+  const uint64_t changed = news.version > told_version_ ? news.version : told_version_ + 1;
+  takeRows(news, changed, effect.rows);
+  told_version_ = std::max({told_version_, news.version, last_change_});
+  if (effect.is_whole) {
+    forgotten_ = told_version_;  // what went before is not known
   }
+  as_of_ = std::max(as_of_, news.as_of);
+  confirmed_ = std::max(confirmed_, news.confirmed);
+  ++readings_;
   effect.version = told_version_;
   effect.confirmed = news.confirmed;
   effect.as_of = as_of_;
@@ -119,17 +116,6 @@
   gone_.pop_front();
 }
 
-void RowCache::clear() {
-  rows_.clear();
-  gone_.clear();
-  went_.clear();
-  forgotten_ = 0;
-  store_version_ = 0;
-  told_version_ = 0;
-  last_change_ = 0;
-  as_of_ = absl::InfinitePast();
-}
-
 TableNews RowCache::newsAfter(uint64_t version) const {
   TableNews news;
   news.version = told_version_;
@@ -146,7 +132,7 @@
       if (gone.changed > version && !rows_.contains(gone.key)) {
         StoreRow row;
         row.key = gone.key;
-        row.version = gone.changed;
+        row.version = gone.went;
         row.is_gone = true;
         news.rows.push_back(row);
       }
--- a/src/forwarding/row_cache.h
+++ b/src/forwarding/row_cache.h
@@ -1,4 +1,6 @@
-// The rows of one table of the store as one node read them, for other nodes that ask it in the store's place.
+// The rows of one table as one node knows them, from the store or from a peer, for other nodes that ask it in
+// the store's place. A node keeps them also while others read: as a reader it then knows what went, and need
+// tell changes alone.
 //
 // Rows that were written again without a change that matters count as unchanged. A row that went is
 // remembered for a while; who asks for changes since before that gets all rows. Pure.
@@ -37,18 +39,18 @@
 
   explicit RowCache(IsSame is_same) : is_same_(std::move(is_same)) {}
 
-  // Takes the store's answer; returns what of it is news here: all rows at the first whole reading, then
+  // Takes an answer; returns what of it is news here: all rows at the first whole reading, then
   // changes alone. Answers come over two connections, and the pages of a whole reading one after the other:
   // what is older than what is known of its row is passed over. `news.version` of a whole reading is the
   // store's before its first page.
   TableNews take(const TableNews& news);
-  // Forgets all.
-  void clear();
 
   // Whether there is anything to tell: false until a whole reading was taken.
   bool isFilled() const { return told_version_ > 0; }
-  // How many answers of the store were taken: each makes the rows known as of a later time.
+  // How many answers were taken: each makes the rows known as of a later time.
   uint64_t readings() const { return readings_; }
+  // All changes up to here are known.
+  uint64_t version() const { return told_version_; }
   absl::Time confirmed() const { return confirmed_; }
   absl::Time asOf() const { return as_of_; }
   // The last change that matters: who knows this version lacks nothing.
@@ -80,7 +82,6 @@
   std::deque<Gone> gone_;
   absl::flat_hash_map<std::string, uint64_t> went_;  // the store's version then, newest for each row
   uint64_t forgotten_ = 0;                           // what went up to here is not told any more
-  uint64_t store_version_ = 0;                       // of the newest answer taken
   // What those who ask are told to have. It goes ahead of the store's where a whole reading shows a change
   // that the changes before it left out.
   uint64_t told_version_ = 0;
--- a/src/gateway/row_relay.cc
+++ b/src/gateway/row_relay.cc
@@ -45,7 +45,7 @@
     return;
   }
   const auto cache = caches_.find(question.value().table);
-  if (cache == caches_.end() || !cache->second->isFilled()) {
+  if (!answers_ || cache == caches_.end() || !cache->second->isFilled()) {
     refuse(respond, kUnavailable);
     return;
   }
--- a/src/gateway/row_relay.h
+++ b/src/gateway/row_relay.h
@@ -29,6 +29,8 @@
   void offer(const std::string& table, const forwarding::RowCache* cache);
   // The table's cache took something in: whoever waits for that is answered.
   void tell(const std::string& table);
+  // Whether this gateway reads, and so answers.
+  void setAnswering(bool answers) { answers_ = answers; }
   // This gateway reads no more: whoever waits is sent away.
   void sendAway();
 
@@ -52,6 +54,7 @@
   std::unique_ptr<reactor::PlainServer> server_;
   absl::flat_hash_map<std::string, const forwarding::RowCache*> caches_;  // by table
   std::list<Held> held_;
+  bool answers_ = false;
 };
 
 }  // namespace quincewick::gateway
--- a/src/gateway/site_follower.cc
+++ b/src/gateway/site_follower.cc
@@ -18,6 +18,9 @@
 // heard of a reader that gets no answers.
 constexpr absl::Duration kRelayWait = absl::Milliseconds(1000);
 constexpr absl::Duration kRarelyChangedRelayWait = absl::Seconds(2);
+// Readers number what they found late themselves, a little ahead of the store: who changes to another one
+// asks for so many versions more, for a change too many does no harm.
+constexpr uint64_t kVersionsApart = 16;
 
 // Versions are named now and then, and each reader writes down those that it sees named.
 TableFollowerSettings weightsSettings() {
@@ -198,11 +201,10 @@
       continue;
     }
     table->from_store.stop();
-    if (stops_reading) {
-      table->cache.clear();
-    }
     if (role.follows) {
-      table->from_peer.follow(*role.follows, peers_.peers().at(*role.follows).address, table->version);
+      const uint64_t known = table->cache.version();
+      table->from_peer.follow(*role.follows, peers_.peers().at(*role.follows).address,
+                              known - std::min(known, kVersionsApart));
     } else {
       table->from_peer.stop();
     }
@@ -210,22 +212,23 @@
   if (stops_reading) {
     relay_.sendAway();
   }
+  relay_.setAnswering(role.reads);
 }
 
 void SiteFollower::takeFromStore(Table& table, const TableNews& news) {
-  takeNews(table, table.cache.take(news), true);
+  takeNews(table, news, true);
   relay_.tell(table.name);
   exchange_.noteReading();
 }
 
 void SiteFollower::takeNews(Table& table, const TableNews& news, bool from_store) {
-  table.version = std::max(table.version, news.version);
+  const TableNews effect = table.cache.take(news);
   if (&table == &operator_rows_) {
-    takeOperatorRows(news, from_store);
+    takeOperatorRows(effect, from_store);
   } else if (&table == &servers_) {
-    takeServers(news);
+    takeServers(effect);
   } else {
-    weights_record_.take(news);
+    weights_record_.take(news);  // what came before the store's clock was known is taken when it comes again
   }
 }
 
--- a/src/gateway/site_follower.h
+++ b/src/gateway/site_follower.h
@@ -32,10 +32,9 @@
   // One table, from wherever it is followed.
   struct Table {
     std::string name;
-    forwarding::RowCache cache;  // filled while this gateway reads
+    forwarding::RowCache cache;
     TableFollower from_store;
     RelayFollower from_peer;
-    uint64_t version = 0;  // all changes up to here have been taken
   };
 
   void tick();
