Soak: only the process that was told to stop is killed at the end of its grace; the exchange of digests in two files

Trace: the gateway stopped 2.8 s after its signal with nothing in hand, a new process ran, and the soak's own kill for the old one's grace struck it.

--- a/src/gateway/order_giver.cc
+++ b/src/gateway/order_giver.cc
@@ -1,7 +1,5 @@
 #include "gateway/order_giver.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -79,9 +77,7 @@
 // Gateways try one after the other, so that they don't all ask at once. The order is by hashes: gateways of
 // one zone, which may be cut off together, have neighbouring ids.
 absl::Duration OrderGiver::turnDelay(absl::Time now) const {
-  const auto place_of = [](const NodeId& gateway) {
-    return XXH3_64bits(gateway.value().data(), gateway.value().size());
-  };
+  const auto place_of = [](const NodeId& gateway) { return hashOf(gateway.value()); };
   const uint64_t own = place_of(core_.settings.gateway_id);
   const std::vector<NodeId> peers = peers_.livePeers(now);
   const int64_t before =
@@ -204,7 +200,7 @@
   server->loading_until = closed_for == absl::ZeroDuration() ? absl::InfinitePast() : now + closed_for;
   EngineDigest digest;
   digest.server = server->identity_hash;
-  digest.model = XXH3_64bits(model.value().data(), model.value().size());
+  digest.model = hashOf(model.value());
   digest.version = server->versionOf(model).value_or(WeightsVersion()).value();
   digest.closed_ms = static_cast<uint32_t>(absl::ToInt64Milliseconds(closed_for));
   peers_.announce(digest);
--- a/src/gateway/peer_digest.cc
+++ b/src/gateway/peer_digest.cc
@@ -1,5 +1,7 @@
 #include "gateway/peer_digest.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -72,6 +74,10 @@
   }
 }
 
+uint64_t hashOf(std::string_view name) {
+  return XXH3_64bits(name.data(), name.size());
+}
+
 std::string encodeDigest(const PeerDigest& digest) {
   return encodeArchive(digest);
 }
--- a/src/gateway/peer_digest.h
+++ b/src/gateway/peer_digest.h
@@ -78,6 +78,9 @@
 // there are no loads. Which part a server falls into depends on nothing but its hash and their number.
 std::vector<LoadPart> cutIntoParts(const std::vector<LoadDigest>& loads, size_t most);
 
+// The hash by which digests name servers, models and stores.
+uint64_t hashOf(std::string_view name);
+
 std::string encodeDigest(const PeerDigest& digest);
 // Decodes untrusted bytes. Errors: kInvalidArgument.
 Result<PeerDigest> decodeDigest(std::string_view bytes);
--- /dev/null
+++ b/src/gateway/peer_exchange_receive.cc
@@ -0,0 +1,138 @@
+// What other gateways tell: taken from datagrams into what is known here of peers, loads and engines.
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <utility>
+
+#include "gateway/peer_exchange.h"
+
+namespace quincewick::gateway {
+namespace {
+
+std::vector<forwarding::PeerLoad> loadsOf(const std::vector<LoadDigest>& digests) {
+  std::vector<forwarding::PeerLoad> loads;
+  loads.reserve(digests.size());
+  for (const LoadDigest& load : digests) {
+    loads.push_back({load.server, {load.running, load.prefill_tokens}});
+  }
+  return loads;
+}
+
+forwarding::LoadShare shareOf(const LoadPart& load) {
+  return {load.part, load.parts};
+}
+
+// Puts a part in the place of its last one; parts of an account that was cut otherwise are void.
+void keepPart(std::vector<LoadPart>& parts, const LoadPart& part) {
+  std::erase_if(parts,
+                [&part](const LoadPart& kept) { return kept.parts != part.parts || kept.part == part.part; });
+  parts.push_back(part);
+}
+
+}  // namespace
+
+void PeerExchange::receive() {
+  socket_.async_receive_from(boost::asio::buffer(buffer_), sender_,
+                             [this](const boost::system::error_code& error, size_t size) {
+                               if (error == boost::asio::error::operation_aborted) {
+                                 return;
+                               }
+                               if (!error) {
+                                 takeDatagram({buffer_.data(), size});
+                               }
+                               receive();
+                             });
+}
+
+void PeerExchange::takeDatagram(std::string_view bytes) {
+  const auto envelope = directory_.authenticator()->open(peer::Channel::kDatagram, bytes);
+  if (envelope.has_error()) {
+    core_.metrics.countRefusedDatagram();
+    return;  // forged or of another site: whoever sends such may not fill the log
+  }
+  const NodeId& from = envelope.value().sender;
+  const auto taker = takers_.find(envelope.value().module);
+  const Result<void> taken = taker == takers_.end()
+                                 ? fail(ErrorCode::kInvalidArgument, "nothing here takes such messages")
+                                 : taker->second(from, envelope.value().payload);
+  if (taken.has_error()) {
+    core_.metrics.countRefusedDatagram();
+    core_.log.event("datagram_refused", reactor::steadyNow())
+        .with("peer", from.value())
+        .with("why", taken.error().message);
+  }
+}
+
+void PeerExchange::takeDigest(const NodeId& from, const PeerDigest& digest, absl::Time now) {
+  Peer& peer = directory_.peers()[from];
+  if (!isLive(peer, now)) {
+    core_.log.event("peer_up", now).with("peer", from.value());
+  }
+  peer.address = digest.address;
+  peer.zone = ZoneName(digest.zone);
+  peer.capacity = digest.capacity;
+  peer.reads_well = digest.reads_well;
+  peer.heard = now;
+  core_.budget.noteNodes(std::max<size_t>(digest.gateways_known, directory_.peers().size() + 1));
+  if (digest.gives_orders) {
+    orders_heard_ = now;
+  }
+  if (digest.load) {
+    core_.directory.setPeerLoad(from, shareOf(*digest.load), loadsOf(digest.load->loads));
+  }
+  takeZones(peer, digest.zones, now);
+  const bool watches_for_us = digest.reads_well && !was_reading_ && directory_.isOwnZone(peer);
+  if (digest.has_news && watches_for_us) {
+    core_.dead_cache_stores = {digest.dead_stores.begin(), digest.dead_stores.end()};
+  }
+  for (const PlacementDigest& placement : digest.placements) {
+    if (const auto server = core_.directory.findByHash(placement.server)) {
+      core_.placement.noteKept(server->slot, placement.keys, now);
+    }
+    // Another reader of the own zone passes on by itself what it hears.
+    const bool is_passed_on = was_reading_ && far_peers_ > 0 && !(isNear(peer) && peer.reads_well);
+    if (is_passed_on) {
+      addPlacement(placement, isNear(peer) ? Origin::kZone : Origin::kFar);
+    }
+  }
+  for (const EngineDigest& engine : digest.engines) {
+    takeEngine(engine, now);
+  }
+  if (digest.seeks_reader && was_reading_ && directory_.isOwnZone(peer)) {
+    tell(from, peer);
+  }
+}
+
+void PeerExchange::takeZones(const Peer& from, const std::vector<ZoneDigest>& zones, absl::Time now) {
+  for (const ZoneDigest& zone : zones) {
+    if (zone.zone == core_.settings.zone.value()) {
+      continue;
+    }
+    core_.directory.setFarLoad(ZoneName(zone.zone), shareOf(zone.load), loadsOf(zone.load.loads));
+    FarZone& far = far_zones_[zone.zone];
+    far.heard = now;
+    far.is_at_first_hand = from.zone.value() == zone.zone;
+    if (far.is_at_first_hand) {
+      keepPart(far.parts, zone.load);
+    } else {
+      far.parts.clear();
+    }
+  }
+}
+
+void PeerExchange::takeEngine(const EngineDigest& engine, absl::Time now) {
+  const auto server = core_.directory.findByHash(engine.server);
+  if (server == nullptr) {
+    return;
+  }
+  server->loading_until =
+      engine.closed_ms == 0 ? absl::InfinitePast() : now + absl::Milliseconds(engine.closed_ms);
+  for (const LoadedModel& model : server->entry.models) {
+    if (hashOf(model.model.value()) == engine.model) {
+      forwarding::ServerDirectory::noteVersion(*server, ModelName(model.model),
+                                               WeightsVersion(engine.version));
+      return;
+    }
+  }
+}
+
+}  // namespace quincewick::gateway
--- a/tests/soak/processes.cc
+++ b/tests/soak/processes.cc
@@ -70,7 +70,7 @@
     execl(program_.c_str(), program_.c_str(), "serve", "--settings", settings.c_str(), nullptr);
     _exit(kNoProgram);
   }
-  children_[gateway] = {pid, false};
+  children_[gateway] = {pid, false, children_[gateway].life + 1};
 }
 
 void Processes::signal(size_t gateway, int number) {
--- a/tests/soak/processes.h
+++ b/tests/soak/processes.h
@@ -37,6 +37,8 @@
   const GatewayPlace& place(size_t gateway) const { return places_[gateway]; }
   // Starts the gateway's process; `is_new`: the whole site starts for the first time.
   void start(size_t gateway, bool is_new);
+  // Rises with each start.
+  uint64_t life(size_t gateway) const { return children_[gateway].life; }
   // Does nothing where no process runs.
   void signal(size_t gateway, int number);
   // Takes note of processes that ended; those nobody ended are in the history. Returns the gateways that run
@@ -48,6 +50,7 @@
   struct Child {
     pid_t pid = 0;  // 0: none runs
     bool is_ended_by_us = false;
+    uint64_t life = 0;
   };
 
   std::string settingsFile(size_t gateway) const;
--- a/tests/soak/run.cc
+++ b/tests/soak/run.cc
@@ -272,7 +272,12 @@
         is_planned_[id] = true;
         disturb(id, settings_.bounds.stop_grace, true);
         processes_->signal(gateway, SIGTERM);
-        later(settings_.bounds.stop_grace, [this, gateway] { processes_->signal(gateway, SIGKILL); });
+        // Only the process that was told to stop: another one may run by then.
+        later(settings_.bounds.stop_grace, [this, gateway, life = processes_->life(gateway)] {
+          if (processes_->life(gateway) == life) {
+            processes_->signal(gateway, SIGKILL);
+          }
+        });
         return;
       case FaultKind::kKill:
         is_planned_[id] = false;
