A server's life is its id and its start; entries that can't be used name no server

Now ServerDirectory names lives by the hash of id and start, and places, digests, placements, kept connections, reserved engines and what a request has tried go by it; an older start never comes back. Also refused with a line now: rows of gateways, named versions and when they were named, which were passed over in silence.

Tests changed: upsert tells what an entry did (was: is new), excluded servers go by life.

--- a/src/forwarding/engine_placement.cc
+++ b/src/forwarding/engine_placement.cc
@@ -171,17 +171,18 @@
 // choice alone. Every node ranks a chain's engines alike, whatever their versions.
 std::vector<EnginePlacement::Candidate> EnginePlacement::candidatesFor(
     const PlacementRequest& request, const std::vector<ServerDirectory::ServerPointer>& engines,
-    const std::vector<std::string>& excluded, WeightsVersion required, absl::Time now) {
+    const std::vector<uint64_t>& excluded, WeightsVersion required, absl::Time now) {
   const Chain unversioned = chainOf(request, WeightsVersion(), now);
   const uint64_t home = unversioned.keys.empty() ? 0 : unversioned.keys.back().low;
   const uint64_t draw = XXH3_64bits_withSeed(&choices_, sizeof(choices_), settings_.random_salt);
   ++choices_;
   std::vector<Candidate> candidates;
   for (const auto& server : engines) {
-    const bool is_excluded = std::find(excluded.begin(), excluded.end(), server->entry.id) != excluded.end();
+    const bool is_excluded =
+        std::find(excluded.begin(), excluded.end(), server->identity_hash) != excluded.end();
     const std::optional<WeightsVersion> version = server->versionOf(request.model);
     if (!is_excluded && server->takesWork(now) && version && *version >= required) {
-      candidates.push_back({server, *version, routing::rendezvousWeight(home, server->identity_hash),
+      candidates.push_back({server, *version, routing::rendezvousWeight(home, server->home_hash),
                             routing::rendezvousWeight(draw, server->identity_hash)});
     }
   }
@@ -200,7 +201,7 @@
 std::optional<EngineChoice> EnginePlacement::choose(
     const PlacementRequest& request, const std::vector<ServerDirectory::ServerPointer>& engines,
     const ServerDirectory& directory, const std::vector<CacheStoreTraits>& cache_stores,
-    const std::vector<std::string>& excluded, WeightsVersion required, absl::Time now) {
+    const std::vector<uint64_t>& excluded, WeightsVersion required, absl::Time now) {
   const std::vector<Candidate> candidates = candidatesFor(request, engines, excluded, required, now);
   absl::btree_map<WeightsVersion, Chain> chains;
   const Candidate* best = nullptr;
--- a/src/forwarding/engine_placement.h
+++ b/src/forwarding/engine_placement.h
@@ -99,7 +99,7 @@
                                      const std::vector<ServerDirectory::ServerPointer>& engines,
                                      const ServerDirectory& directory,
                                      const std::vector<CacheStoreTraits>& cache_stores,
-                                     const std::vector<std::string>& excluded, WeightsVersion required,
+                                     const std::vector<uint64_t>& excluded, WeightsVersion required,
                                      absl::Time now);
 
   // How long a request waits for what is in hand at an engine: others' prompts, and a slot.
@@ -127,7 +127,7 @@
   size_t candidatesAtMost() const;
   std::vector<Candidate> candidatesFor(const PlacementRequest& request,
                                        const std::vector<ServerDirectory::ServerPointer>& engines,
-                                       const std::vector<std::string>& excluded, WeightsVersion required,
+                                       const std::vector<uint64_t>& excluded, WeightsVersion required,
                                        absl::Time now);
   void chooseMemory(const Chain& chain, const ServerDirectory& directory,
                     const std::vector<CacheStoreTraits>& cache_stores, absl::Time now,
--- a/src/forwarding/occupancy_books.h
+++ b/src/forwarding/occupancy_books.h
@@ -20,7 +20,7 @@
  public:
   // A gateway's request at an engine, by the gateway's own number.
   struct Name {
-    uint64_t engine = 0;  // the hash of its id
+    uint64_t engine = 0;  // its identity hash
     NodeId gateway;
     uint64_t number = 0;
   };
--- a/src/forwarding/server_choice.cc
+++ b/src/forwarding/server_choice.cc
@@ -24,13 +24,13 @@
 }  // namespace
 
 ServerDirectory::ServerPointer chooseServer(const std::vector<ServerDirectory::ServerPointer>& servers,
-                                            const std::vector<std::string>& excluded,
-                                            const ZoneName& own_zone, absl::Time now,
-                                            absl::BitGenRef random) {
+                                            const std::vector<uint64_t>& excluded, const ZoneName& own_zone,
+                                            absl::Time now, absl::BitGenRef random) {
   ServerDirectory::ServerPointer best;
   double least = std::numeric_limits<double>::infinity();
   for (const auto& server : servers) {
-    const bool is_excluded = std::find(excluded.begin(), excluded.end(), server->entry.id) != excluded.end();
+    const bool is_excluded =
+        std::find(excluded.begin(), excluded.end(), server->identity_hash) != excluded.end();
     if (is_excluded || !server->takesWork(now)) {
       continue;
     }
--- a/src/forwarding/server_choice.h
+++ b/src/forwarding/server_choice.h
@@ -12,9 +12,10 @@
 
 namespace quincewick::forwarding {
 
-// Returns null where no server takes work. `excluded`: ids of servers that this request must not go to again.
+// Returns null where no server takes work. `excluded`: identity hashes of servers that this request must not
+// go to again.
 ServerDirectory::ServerPointer chooseServer(const std::vector<ServerDirectory::ServerPointer>& servers,
-                                            const std::vector<std::string>& excluded,
-                                            const ZoneName& own_zone, absl::Time now, absl::BitGenRef random);
+                                            const std::vector<uint64_t>& excluded, const ZoneName& own_zone,
+                                            absl::Time now, absl::BitGenRef random);
 
 }  // namespace quincewick::forwarding
--- a/src/forwarding/server_directory.cc
+++ b/src/forwarding/server_directory.cc
@@ -18,6 +18,20 @@
 // Until peers' digests tell of what came since.
 constexpr absl::Duration kBookedFor = absl::Milliseconds(400);
 constexpr double kLatencySmoothing = 0.2;
+// Twice the servers of the largest fleet that is planned for: those there now, and as many that went.
+constexpr size_t kStartsAtMost = 24'000;
+
+uint64_t hashOfId(const std::string& id) {
+  return XXH3_64bits(id.data(), id.size());
+}
+
+uint64_t hashOfLife(const ServerEntry& entry) {
+  if (entry.started == absl::InfinitePast()) {
+    return hashOfId(entry.id);
+  }
+  return XXH3_64bits_withSeed(entry.id.data(), entry.id.size(),
+                              static_cast<uint64_t>(absl::ToUnixMillis(entry.started)));
+}
 
 }  // namespace
 
@@ -49,32 +63,81 @@
 }
 
 bool Server::takesWork(absl::Time now) const {
-  return !isLeaving() && now >= ejected_until && now >= loading_until;
+  return !isLeaving() && is_readable && now >= ejected_until && now >= loading_until;
 }
 
-bool ServerDirectory::upsert(ServerEntry entry) {
+EntryEffect ServerDirectory::upsert(ServerEntry entry) {
+  if (isOutdated(entry)) {
+    return EntryEffect::kOutdated;
+  }
   const auto found = servers_.find(entry.id);
-  if (found != servers_.end()) {
-    Server& server = *found->second;
-    const std::vector<LoadedModel> listed = std::exchange(entry.models, server.entry.models);
-    const bool was_draining = server.entry.is_draining;
-    server.entry = std::move(entry);
-    server.entry.is_draining =
-        server.entry.is_draining || was_draining;  // a draining server never comes back
-    for (const LoadedModel& model : listed) {
-      noteVersion(server, model.model, model.weights_version);
-    }
-    return false;
+  if (found == servers_.end()) {
+    add(std::move(entry));
+    return EntryEffect::kNew;
+  }
+  Server& server = *found->second;
+  if (entry.started > server.entry.started) {
+    remove(server.entry.id);
+    add(std::move(entry));
+    return EntryEffect::kRestarted;
+  }
+  const std::vector<LoadedModel> listed = std::exchange(entry.models, server.entry.models);
+  const bool was_draining = server.entry.is_draining;
+  entry.started = server.entry.started;  // an entry without a start is of the life that is known
+  server.entry = std::move(entry);
+  server.entry.is_draining = server.entry.is_draining || was_draining;  // a draining life never comes back
+  server.is_readable = true;
+  for (const LoadedModel& model : listed) {
+    noteVersion(server, model.model, model.weights_version);
+  }
+  return EntryEffect::kKnown;
+}
+
+void ServerDirectory::noteRestart(const Server& earlier, absl::Time started,
+                                  std::vector<LoadedModel> models) {
+  ServerEntry entry = earlier.entry;
+  entry.started = started;
+  entry.is_draining = false;
+  entry.models = std::move(models);
+  upsert(std::move(entry));
+}
+
+void ServerDirectory::setReadable(const std::string& id, bool is_readable) {
+  if (const ServerPointer server = find(id)) {
+    server->is_readable = is_readable;
   }
+}
+
+void ServerDirectory::add(ServerEntry entry) {
+  rememberStart(entry);
   auto server = std::make_shared<Server>();
   server->entry = std::move(entry);
   server->slot = takeSlot();
-  server->identity_hash = XXH3_64bits(server->entry.id.data(), server->entry.id.size());
+  server->identity_hash = hashOfLife(server->entry);
+  server->home_hash = hashOfId(server->entry.id);
   by_slot_[static_cast<size_t>(server->slot)] = server;
   by_service_[server->entry.service].push_back(server);
   by_hash_.emplace(server->identity_hash, server);
   servers_.emplace(server->entry.id, server);
-  return true;
+}
+
+// What tells no start tells of no earlier life.
+bool ServerDirectory::isOutdated(const ServerEntry& entry) const {
+  const auto last = last_starts_.find(entry.id);
+  return last != last_starts_.end() && entry.started != absl::InfinitePast() && entry.started < last->second;
+}
+
+void ServerDirectory::rememberStart(const ServerEntry& entry) {
+  if (entry.started == absl::InfinitePast()) {
+    return;
+  }
+  if (last_starts_.insert_or_assign(entry.id, entry.started).second) {
+    last_starts_order_.push_back(entry.id);
+  }
+  if (last_starts_order_.size() > kStartsAtMost) {
+    last_starts_.erase(last_starts_order_.front());
+    last_starts_order_.pop_front();
+  }
 }
 
 void ServerDirectory::remove(const std::string& id) {
--- a/src/forwarding/server_directory.h
+++ b/src/forwarding/server_directory.h
@@ -1,9 +1,9 @@
 // What this node knows of the servers: as listed, as their answers and failures correct it, and how much work
 // this node and its peers have under way at each.
 //
-// A server is named by its id, which is new at each of its starts: what was learnt of an earlier start is
-// never used for a later one. Slots are small numbers for the cache index; one is used again after its server
-// went. Pure; `now` never goes back.
+// A server's life is named by its id and its start, where it tells one: what was learnt of an earlier life is
+// never used for a later one, and an earlier one never comes back. Slots are small numbers for the cache
+// index; one is used again after its server went. Pure; `now` never goes back.
 #pragma once
 
 #include <absl/container/btree_map.h>
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <string>
 #include <vector>
@@ -32,8 +33,10 @@
 struct Server {
   ServerEntry entry;
   EngineSlot slot{};
-  uint64_t identity_hash = 0;
-  bool is_listed = true;  // false: its entry is gone, only work under way keeps it here
+  uint64_t identity_hash = 0;  // of this life, in all that nodes tell each other
+  uint64_t home_hash = 0;      // of the id alone: a server that starts again is the home of the same chains
+  bool is_listed = true;       // false: this life is over, only work under way keeps it here
+  bool is_readable = true;     // false: its entry is there and can't be read, perhaps it tells of its leaving
   ServerLoad own;
   ServerLoad peers;  // of this node's zone, or all on a small site
   ServerLoad far;    // of other zones
@@ -66,9 +69,17 @@
   bool takesWork(absl::Time now) const;
 };
 
+// What an entry of the list did to the directory.
+enum class EntryEffect : uint8_t {
+  kNew,        // of an id that was not there
+  kRestarted,  // the server had started again: a new life in the old one's place
+  kKnown,      // of the life that is known
+  kOutdated,   // of an earlier life: passed over
+};
+
 // A peer's account of its own work at a server.
 struct PeerLoad {
-  uint64_t server = 0;  // the hash of its id
+  uint64_t server = 0;  // its identity hash
   ServerLoad load;
 };
 
@@ -84,8 +95,12 @@
  public:
   using ServerPointer = std::shared_ptr<Server>;
 
-  // Takes an entry of the list. Returns whether the server is new.
-  bool upsert(ServerEntry entry);
+  EntryEffect upsert(ServerEntry entry);
+  // The server itself told of a later start than the list: a new life, which holds these models and is else
+  // as the list had it.
+  void noteRestart(const Server& earlier, absl::Time started, std::vector<LoadedModel> models);
+  // The entry can't be read, or can be again. Unknown ids are passed over.
+  void setReadable(const std::string& id, bool is_readable);
   // The entry is gone: nothing new is sent there.
   void remove(const std::string& id);
   // Ids of all that are not in the list, as after a whole reading of it.
@@ -94,7 +109,7 @@
   ServerPointer find(const std::string& id) const;
   const std::vector<ServerPointer>& ofService(const ServiceName& service) const;
   const absl::btree_map<std::string, ServerPointer>& all() const { return servers_; }
-  // By the hash of its id; null: there is none.
+  // By its identity hash; null: there is none.
   ServerPointer findByHash(uint64_t identity_hash) const;
   // Of a slot in use; null: it is free.
   ServerPointer bySlot(EngineSlot slot) const;
@@ -120,11 +135,17 @@
 
  private:
   EngineSlot takeSlot();
+  void add(ServerEntry entry);
+  bool isOutdated(const ServerEntry& entry) const;
+  void rememberStart(const ServerEntry& entry);
   void replaceLoad(std::vector<PeerLoad>& last, const LoadShare& share, const std::vector<PeerLoad>& loads,
                    ServerLoad Server::*sum);
   void addLoad(const std::vector<PeerLoad>& loads, bool add, ServerLoad Server::*sum);
 
   absl::btree_map<std::string, ServerPointer> servers_;
+  // The latest start of each id, also of those that went; of so many ids at most, the first ones given up.
+  absl::flat_hash_map<std::string, absl::Time> last_starts_;
+  std::deque<std::string> last_starts_order_;
   absl::flat_hash_map<ServiceName, std::vector<ServerPointer>> by_service_;
   absl::flat_hash_map<uint64_t, ServerPointer> by_hash_;
   std::vector<ServerPointer> by_slot_;
--- a/src/forwarding/server_entry.h
+++ b/src/forwarding/server_entry.h
@@ -1,6 +1,8 @@
 // A server as the store lists it.
 #pragma once
 
+#include <absl/time/time.h>
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -11,7 +13,10 @@
 namespace quincewick::forwarding {
 
 struct ServerEntry {
-  std::string id;  // new at each start of a server
+  std::string id;
+  // When it started, by its own time of day; InfinitePast: it doesn't tell. Id and start name one life of a
+  // server: a server that starts again under its id holds and knows nothing of before.
+  absl::Time started = absl::InfinitePast();
   ServiceName service;
   Address address;
   ZoneName zone;
@@ -30,8 +35,9 @@
 
 // An engine's own report.
 struct EngineReport {
-  bool is_busy = false;       // an order is under way
-  uint64_t orders_taken = 0;  // since its start
+  absl::Time started = absl::InfinitePast();  // as in ServerEntry
+  bool is_busy = false;                       // an order is under way
+  uint64_t orders_taken = 0;                  // since its start
   std::vector<LoadedModel> models;
 };
 
--- a/src/gateway/back_end_pool.cc
+++ b/src/gateway/back_end_pool.cc
@@ -26,7 +26,7 @@
 
 std::unique_ptr<Attempt> BackEndPool::start(const forwarding::ServerDirectory::ServerPointer& server,
                                             AttemptRequest request, AttemptListener* listener) {
-  Links& links = links_[server->entry.id];
+  Links& links = links_[server->identity_hash];
   const absl::Time now = reactor::steadyNow();
   std::shared_ptr<BackEndLink> link;
   while (link == nullptr && !links.idle.empty()) {
@@ -51,11 +51,11 @@
 }
 
 void BackEndPool::giveBack(const std::shared_ptr<BackEndLink>& link) {
-  links_[link->server()->entry.id].idle.push_back(link);
+  links_[link->server()->identity_hash].idle.push_back(link);
 }
 
 void BackEndPool::forget(const BackEndLink* link) {
-  const auto found = links_.find(link->server()->entry.id);
+  const auto found = links_.find(link->server()->identity_hash);
   if (found == links_.end()) {
     return;
   }
@@ -65,7 +65,7 @@
 
 void BackEndPool::sweep(absl::Time now) {
   std::vector<std::shared_ptr<BackEndLink>> expired;
-  for (const auto& [id, links] : links_) {
+  for (const auto& [server, links] : links_) {
     for (const auto& link : links.idle) {
       if (!link->server()->is_listed || now - link->idleSince() >= link->idleLimit()) {
         expired.push_back(link);
--- a/src/gateway/back_end_pool.h
+++ b/src/gateway/back_end_pool.h
@@ -93,7 +93,7 @@
   void forget(const BackEndLink* link);
 
   Core& core_;
-  absl::flat_hash_map<std::string, Links> links_;  // by server id
+  absl::flat_hash_map<uint64_t, Links> links_;  // by the server's identity hash
   uint64_t opened_ = 0;
 };
 
--- a/src/gateway/core.cc
+++ b/src/gateway/core.cc
@@ -10,6 +10,8 @@
 namespace quincewick::gateway {
 namespace {
 
+// Clocks of machines differ by seconds. What is further ahead is no clock.
+constexpr absl::Duration kFurthestAhead = absl::Hours(1);
 constexpr absl::Duration kRevocationMargin = absl::Milliseconds(300);
 
 forwarding::EnginePlacementSettings placementSettings(const GatewaySettings& settings) {
@@ -64,6 +66,16 @@
   return live;
 }
 
+void Core::forgetFreedSlots() {
+  for (const forwarding::EngineSlot slot : directory.takeFreedSlots()) {
+    placement.forget(slot);
+  }
+}
+
+bool Core::isPlausibleStart(absl::Time started) const {
+  return started <= absl::Now() + kFurthestAhead;
+}
+
 void Core::applyBounds(const GatewayBounds& bounds) {
   settings.bounds = bounds;
   budget.setSettings(budgetSettings(settings));
--- a/src/gateway/core.h
+++ b/src/gateway/core.h
@@ -49,13 +49,13 @@
   forwarding::WeightsRegister weights;
   // Placements made since peers were last told.
   struct NewPlacement {
-    std::string server_id;
+    uint64_t server = 0;  // its identity hash
     std::vector<BlockKey> keys;
   };
   std::vector<NewPlacement> new_placements;
   // Versions of weights that engines' answers told, unknown here before, since peers were last told.
   struct NewVersion {
-    uint64_t server = 0;  // the hash of its id
+    uint64_t server = 0;  // its identity hash
     ModelName model;
     WeightsVersion version;
   };
@@ -76,6 +76,11 @@
   static uint64_t nameOfStore(const Address& store);
   // The configuration's stores of kept cache that can be reached, as far as known.
   std::vector<forwarding::CacheStoreTraits> liveCacheStores() const;
+  // What is believed of the caches of servers that went is void.
+  void forgetFreedSlots();
+  // Whether a server may have started then, by this node's time of day. One that is far ahead would make
+  // every later start an earlier one.
+  bool isPlausibleStart(absl::Time started) const;
   // Takes other bounds while serving; addresses and names stay as they were at the start.
   void applyBounds(const GatewayBounds& bounds);
   // The store's clock now, as far as known.
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -256,7 +256,7 @@
   request.attempt_id = facts_.attempt_id;
   request.is_head_method = head_.method == "HEAD";
   request.wants_fresh_connection = !route_->mayRunAgain();
-  tried_.push_back(server_->entry.id);
+  tried_.push_back(server_->identity_hash);
   attempt_ = pool_.start(server_, std::move(request), this);
 }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -90,7 +90,7 @@
   absl::Time began_;
   absl::Time deadline_ = absl::InfiniteFuture();
   reactor::TimerQueue::Key deadline_timer_;
-  std::vector<std::string> tried_;  // ids of servers
+  std::vector<uint64_t> tried_;  // identity hashes of servers
 
   // The tenant's limit.
   std::optional<uint64_t> quota_question_;  // while its keeper is asked
--- a/src/gateway/exchange_placement.cc
+++ b/src/gateway/exchange_placement.cc
@@ -99,7 +99,7 @@
   }
   core_.placement.noteKept(server_->slot, engine_->shared_keys, now);
   if (engine_->is_new_placement) {
-    core_.new_placements.push_back({server_->entry.id, engine_->shared_keys});
+    core_.new_placements.push_back({server_->identity_hash, engine_->shared_keys});
   }
 }
 
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -78,6 +78,8 @@
       attempts_(counters(registry_, "quincewick_attempts_total", "Attempts that gave no answer to pass on.")),
       prompt_tokens_(counters(registry_, "quincewick_prompt_tokens_total",
                               "Tokens of prompts by what was expected when the engine was chosen.")),
+      rows_refused_(counters(registry_, "quincewick_rows_refused_total",
+                             "Rows of the store, by table, that can't be used, and other reasons for it.")),
       retries_(counter(registry_, "quincewick_retries_total", "Requests sent to a further server.")),
       streams_resumed_(
           counter(registry_, "quincewick_streams_resumed_total", "Streams that went on elsewhere.")),
@@ -101,6 +103,10 @@
   attempts_.Add({{"end", nameOf(end)}}).Increment();
 }
 
+void GatewayMetrics::countRefusedRow(std::string_view table) {
+  rows_refused_.Add({{"table", std::string(table)}}).Increment();
+}
+
 void GatewayMetrics::countPromptTokens(uint64_t kept, uint64_t moved, uint64_t read) {
   prompt_tokens_.Add({{"how", "kept"}}).Increment(static_cast<double>(kept));
   prompt_tokens_.Add({{"how", "moved"}}).Increment(static_cast<double>(moved));
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -29,6 +29,8 @@
   void countResumed() { streams_resumed_->Increment(); }
   void countCut() { streams_cut_->Increment(); }
   void countRefusedDatagram() { datagrams_refused_->Increment(); }
+  // A row that others wrote can't be used.
+  void countRefusedRow(std::string_view table);
   void countPromptTokens(uint64_t kept, uint64_t moved, uint64_t read);
   void observeFirstPiece(absl::Duration time) { first_piece_->Observe(absl::ToDoubleSeconds(time)); }
   void observeAnswer(absl::Duration time) { answer_->Observe(absl::ToDoubleSeconds(time)); }
@@ -57,6 +59,7 @@
   prometheus::Family<prometheus::Counter>& refusals_;
   prometheus::Family<prometheus::Counter>& attempts_;
   prometheus::Family<prometheus::Counter>& prompt_tokens_;
+  prometheus::Family<prometheus::Counter>& rows_refused_;
   prometheus::Counter* retries_;
   prometheus::Counter* streams_resumed_;
   prometheus::Counter* streams_cut_;
--- a/src/gateway/occupancy_messages.h
+++ b/src/gateway/occupancy_messages.h
@@ -20,7 +20,7 @@
 struct OccupancyMessage {
   OccupancyMessageKind kind = OccupancyMessageKind::kReserve;
   uint64_t number = 0;          // of the asker; the answer bears the same
-  uint64_t engine = 0;          // the hash of its id
+  uint64_t engine = 0;          // its identity hash
   uint32_t running = 0;         // in an answer: what was in hand before
   uint64_t prefill_tokens = 0;  // in a question: of the request; in an answer: what was in hand before
   double most_seconds = 0;
--- a/src/gateway/order_giver.cc
+++ b/src/gateway/order_giver.cc
@@ -94,7 +94,7 @@
       engine.id = id;
       engine.version = *version;
       engine.is_loading = loads_.contains(id);
-      if (const auto reserved = reserved_.find(id); reserved != reserved_.end()) {
+      if (const auto reserved = reserved_.find(server->identity_hash); reserved != reserved_.end()) {
         engine.reserved_since = reserved->second;
       }
       engine.is_reachable = now >= server->ejected_until;
@@ -170,8 +170,11 @@
   }
   for (const std::string& id : plan.reserve) {
     const auto server = core_.directory.find(id);
-    reserved_.try_emplace(id, now);
-    if (server != nullptr && now >= server->loading_until) {
+    if (server == nullptr) {
+      continue;
+    }
+    reserved_.try_emplace(server->identity_hash, now);
+    if (now >= server->loading_until) {
       close(server, model, kReservedFor);
     }
   }
@@ -187,7 +190,7 @@
   load.model = model;
   load.target = core_.weights.newest(model);
   load.began = now;
-  reserved_.erase(server_id);
+  reserved_.erase(server->identity_hash);
   load.caller = std::make_unique<reactor::HttpCaller>(core_.reactor, core_.timers, server->entry.address);
   loads_.emplace(server_id, std::move(load));
   close(server, model, kClosedFor);
@@ -231,6 +234,11 @@
   }
   const auto report = core_.dialect->readReport(reply.value().body);
   if (report.has_error()) {
+    core_.log.event("report_refused", now).with("server", server_id).with("why", report.error().message);
+    finish(server_id, false);
+    return;
+  }
+  if (!isOfThisLife(load, report.value())) {
     finish(server_id, false);
     return;
   }
@@ -252,6 +260,23 @@
   giveOrder(server_id, report.value().orders_taken);
 }
 
+bool OrderGiver::isOfThisLife(const Load& load, const forwarding::EngineReport& report) {
+  const forwarding::ServerEntry& entry = load.server->entry;
+  const bool is_told = report.started != absl::InfinitePast() && core_.isPlausibleStart(report.started);
+  if (!is_told || report.started == entry.started) {
+    return true;
+  }
+  const bool is_later = report.started > entry.started;
+  core_.log.event("report_of_another_start", reactor::steadyNow())
+      .with("server", entry.id)
+      .with("later", is_later ? "true" : "false");
+  if (is_later) {
+    core_.directory.noteRestart(*load.server, report.started, report.models);
+    core_.forgetFreedSlots();
+  }
+  return false;
+}
+
 void OrderGiver::giveOrder(const std::string& server_id, uint64_t orders_taken) {
   Load& load = loads_.at(server_id);
   const absl::Time now = reactor::steadyNow();
--- a/src/gateway/order_giver.h
+++ b/src/gateway/order_giver.h
@@ -52,6 +52,9 @@
              absl::Duration closed_for);
   void askReport(const std::string& server_id);
   void takeReport(const std::string& server_id, const Result<reactor::HttpReply>& reply);
+  // Whether the report is of the life that the load is for; if it is of a later one, the directory learns of
+  // it.
+  bool isOfThisLife(const Load& load, const forwarding::EngineReport& report);
   void giveOrder(const std::string& server_id, uint64_t orders_taken);
   void takeOrderAnswer(const std::string& server_id, const Result<reactor::HttpReply>& reply);
   void askAgain(const std::string& server_id, absl::Duration after);
@@ -67,8 +70,8 @@
   absl::Time next_pursuit_ = absl::InfinitePast();
   absl::Time due_since_ = absl::InfiniteFuture();
   forwarding::LoadTime load_time_;
-  absl::flat_hash_map<std::string, Load> loads_;           // by server id
-  absl::flat_hash_map<std::string, absl::Time> reserved_;  // since when, by server id
+  absl::flat_hash_map<std::string, Load> loads_;        // by server id
+  absl::flat_hash_map<uint64_t, absl::Time> reserved_;  // since when, by the server's identity hash
 };
 
 }  // namespace quincewick::gateway
--- a/src/gateway/peer_digest.h
+++ b/src/gateway/peer_digest.h
@@ -15,7 +15,7 @@
 
 namespace quincewick::gateway {
 
-// A server is named by the hash of its id.
+// A server is named by its identity hash, so that a digest about one life says nothing of another.
 struct LoadDigest {
   uint64_t server = 0;
   uint16_t running = 0;
--- a/src/gateway/peer_directory.cc
+++ b/src/gateway/peer_directory.cc
@@ -57,7 +57,8 @@
 
 }  // namespace
 
-PeerDirectory::PeerDirectory(Core& core) : core_(core), store_(core), retry_pause_(kFirstRetryPause) {}
+PeerDirectory::PeerDirectory(Core& core)
+    : core_(core), store_(core), retry_pause_(kFirstRetryPause), refused_rows_(core, kTable) {}
 
 // On a new site the own row can't be there yet and is written first; else it mostly is, and one reading is
 // all.
@@ -112,7 +113,10 @@
     } else if (row.key == own_key) {
       is_own_there = row.value == own_value;
       own_version = row.version;
-    } else if (const auto read = parsePeer(row.value)) {
+    } else if (const auto read = parsePeer(row.value); !read) {
+      refused_rows_.note(row.key, "no address, capacity and zone of a gateway");
+    } else {
+      refused_rows_.forget(row.key);
       Peer& peer = peers_[NodeId(row.key)];
       peer.address = read->address;
       peer.zone = read->zone;
--- a/src/gateway/peer_directory.h
+++ b/src/gateway/peer_directory.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "gateway/core.h"
+#include "gateway/refused_rows.h"
 #include "gateway/store_client.h"
 #include "peer/authenticator.h"
 #include "routing/keeper_ranks.h"
@@ -58,6 +59,7 @@
   absl::Duration retry_pause_;  // until the next call where the store did not answer
   std::unique_ptr<peer::Authenticator> authenticator_;
   absl::btree_map<NodeId, Peer> peers_;
+  RefusedRows refused_rows_;
 };
 
 }  // namespace quincewick::gateway
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -138,7 +138,7 @@
 
 void PeerExchange::takePlacements() {
   for (Core::NewPlacement& placement : core_.new_placements) {
-    addPlacement({hashOf(placement.server_id), std::move(placement.keys)}, Origin::kOwn);
+    addPlacement({placement.server, std::move(placement.keys)}, Origin::kOwn);
   }
   core_.new_placements.clear();
 }
--- /dev/null
+++ b/src/gateway/refused_rows.cc
@@ -0,0 +1,29 @@
+#include "gateway/refused_rows.h"
+
+#include "reactor/timer_queue.h"
+
+namespace quincewick::gateway {
+namespace {
+
+// More are forgotten, and told once more: a writer of endless keys may not fill this process.
+constexpr size_t kRowsAtMost = 1'024;
+
+}  // namespace
+
+void RefusedRows::note(const std::string& key, const std::string& why) {
+  if (refused_.size() >= kRowsAtMost) {
+    refused_.clear();
+  }
+  const auto [place, is_new] = refused_.try_emplace(key, why);
+  if (!is_new && place->second == why) {
+    return;
+  }
+  place->second = why;
+  core_.metrics.countRefusedRow(table_);
+  core_.log.event("row_refused", reactor::steadyNow())
+      .with("table", table_)
+      .with("key", key)
+      .with("why", why);
+}
+
+}  // namespace quincewick::gateway
--- a/src/gateway/site_follower.cc
+++ b/src/gateway/site_follower.cc
@@ -61,7 +61,10 @@
   }
   const auto before = dialect.readServer(known.key, known.value);
   const auto after = dialect.readServer(written.key, written.value);
-  return before.has_value() && after.has_value() && before.value() == after.value();
+  if (before.has_error() || after.has_error()) {
+    return before.has_error() && after.has_error() && before.error().message == after.error().message;
+  }
+  return before.value() == after.value();
 }
 
 }  // namespace
@@ -72,6 +75,8 @@
       exchange_(exchange),
       relay_(relay),
       election_(core.settings.gateway_id, core.settings.capacity),
+      list_(core),
+      refused_rows_(core, core.dialect->tables().configuration),
       weights_record_(core),
       operator_rows_{core.dialect->tables().configuration, forwarding::RowCache(isSameVersion),
                      TableFollower(core, operatorSettings(core),
@@ -128,7 +133,7 @@
 
 void SiteFollower::tick() {
   const absl::Time now = reactor::steadyNow();
-  removeGone(now);
+  list_.removeGone(now);
   if (knowsPeers()) {
     peers_known_since_ = std::min(peers_known_since_, now);
     checkAge(now);
@@ -159,7 +164,7 @@
 void SiteFollower::noteWhetherAway(absl::Time now) {
   const bool is_list_old = now - core_.servers_as_of > oldestList();
   if (is_list_old && !election_.hearsReader() && !exchange_.hearsNobody(now)) {
-    lapsed_.noteAway();
+    list_.noteAway();
   }
 }
 
@@ -226,7 +231,7 @@
   if (&table == &operator_rows_) {
     takeOperatorRows(effect, from_store);
   } else if (&table == &servers_) {
-    takeServers(effect);
+    list_.take(effect, reactor::steadyNow());
   } else {
     weights_record_.take(news);  // what came before the store's clock was known is taken when it comes again
   }
@@ -251,7 +256,12 @@
 void SiteFollower::takeWeights(const StoreRow& row, bool from_store) {
   const auto weights = core_.dialect->readNamedWeights(row.value);
   const absl::Time now = reactor::steadyNow();
-  if (weights.has_error() || !core_.weights.note(weights.value(), now)) {
+  if (weights.has_error()) {
+    refused_rows_.note(row.key, weights.error().message);
+    return;
+  }
+  refused_rows_.forget(row.key);
+  if (!core_.weights.note(weights.value(), now)) {
     return;
   }
   core_.log.event("weights_named", now)
@@ -295,79 +305,4 @@
       .with("routes", static_cast<int64_t>(in_force.configuration->routes().size()));
 }
 
-void SiteFollower::takeServers(const TableNews& news) {
-  const absl::Time now = reactor::steadyNow();
-  const absl::Duration list_was_old = now - core_.servers_as_of;
-  if (news.as_of > core_.servers_as_of) {
-    core_.servers_as_of = news.as_of;
-    lapsed_.noteReading(now);
-  }
-  std::vector<std::string> ids;
-  for (const StoreRow& row : news.rows) {
-    if (row.is_gone) {
-      noteMissing(row.key, now);
-      continue;
-    }
-    auto entry = core_.dialect->readServer(row.key, row.value);
-    if (entry.has_error()) {
-      core_.log.event("server_refused", reactor::steadyNow())
-          .with("server", row.key)
-          .with("why", entry.error().message);
-      continue;
-    }
-    ids.push_back(row.key);
-    lapsed_.noteThere(row.key);
-    const bool is_draining = entry.value().is_draining;
-    const std::string service = entry.value().service.value();
-    const auto known = core_.directory.find(row.key);
-    if (is_draining && known != nullptr && !known->entry.is_draining) {
-      core_.log.event("server_draining", now).with("server", row.key).with("list_was_old_ms", list_was_old);
-    }
-    if (core_.directory.upsert(std::move(entry.value()))) {
-      core_.log.event("server_new", reactor::steadyNow())
-          .with("server", row.key)
-          .with("service", service)
-          .with("draining", is_draining ? "true" : "false");
-    }
-  }
-  if (news.is_whole) {
-    for (const std::string& id : core_.directory.missingFrom(ids)) {
-      noteMissing(id, now);
-    }
-    core_.knows_servers = true;
-  }
-  removeGone(now);
-}
-
-void SiteFollower::noteMissing(const std::string& server_id, absl::Time now) {
-  const auto server = core_.directory.find(server_id);
-  if (server == nullptr) {
-    return;
-  }
-  if (!server->entry.is_draining && lapsed_.mayComeBack(now)) {
-    core_.log.event("server_awaited", now).with("server", server_id);
-    lapsed_.await(server_id);
-  } else {
-    removeServer(server_id, now);
-  }
-}
-
-void SiteFollower::removeGone(absl::Time now) {
-  for (const std::string& id : lapsed_.takeGone(now)) {
-    removeServer(id, now);
-  }
-  forgetGone();
-}
-
-void SiteFollower::removeServer(const std::string& server_id, absl::Time now) {
-  core_.log.event("server_gone", now).with("server", server_id);
-  core_.directory.remove(server_id);
-}
-
-void SiteFollower::forgetGone() {
-  for (const forwarding::EngineSlot slot : core_.directory.takeFreedSlots()) {
-    core_.placement.forget(slot);
-  }
-}
-
 }  // namespace quincewick::gateway
--- a/src/gateway/site_follower.h
+++ b/src/gateway/site_follower.h
@@ -5,14 +5,15 @@
 #include <memory>
 #include <vector>
 
-#include "forwarding/lapsed_entries.h"
 #include "forwarding/reader_election.h"
 #include "forwarding/row_cache.h"
 #include "gateway/core.h"
 #include "gateway/peer_directory.h"
 #include "gateway/peer_exchange.h"
+#include "gateway/refused_rows.h"
 #include "gateway/relay_follower.h"
 #include "gateway/row_relay.h"
+#include "gateway/server_list.h"
 #include "gateway/table_follower.h"
 #include "gateway/weights_record.h"
 
@@ -54,11 +55,6 @@
   void takeWeights(const forwarding::StoreRow& row, bool from_store);
   void readWeightsRecordAgain();
   void takeConfiguration(const forwarding::StoreRow& row);
-  void takeServers(const forwarding::TableNews& news);
-  void noteMissing(const std::string& server_id, absl::Time now);
-  void removeGone(absl::Time now);
-  void removeServer(const std::string& server_id, absl::Time now);
-  void forgetGone();
 
   Core& core_;
   PeerDirectory& peers_;
@@ -71,7 +67,8 @@
   bool has_unread_row_ = false;      // a newer configuration can't be read: nothing confirms the old one
   bool has_read_rows_ = false;       // what is named from now on is news
   bool is_reader_outdated_ = false;  // the one that is followed, until there is a better one
-  forwarding::LapsedEntries lapsed_;
+  ServerList list_;
+  RefusedRows refused_rows_;  // of the operator
   WeightsRecord weights_record_;
   Table operator_rows_;
   Table servers_;
--- a/src/gateway/weights_record.cc
+++ b/src/gateway/weights_record.cc
@@ -32,7 +32,11 @@
   for (const forwarding::StoreRow& row : news.rows) {
     const auto weights = parseKey(row.key);
     const auto named_at = parseWhole(row.value);
-    if (weights && named_at) {
+    if (row.is_gone) {
+      refused_rows_.forget(row.key);
+    } else if (!weights || !named_at) {
+      refused_rows_.note(row.key, "no version of a model, or no time at which it was named");
+    } else {
       const absl::Duration age = *store_clock - absl::Milliseconds(*named_at);
       core_.weights.note(*weights, now - age);
     }
--- a/src/gateway/weights_record.h
+++ b/src/gateway/weights_record.h
@@ -6,13 +6,14 @@
 
 #include "forwarding/row_cache.h"
 #include "gateway/core.h"
+#include "gateway/refused_rows.h"
 #include "gateway/store_client.h"
 
 namespace quincewick::gateway {
 
 class WeightsRecord {
  public:
-  explicit WeightsRecord(Core& core) : core_(core), store_(core) {}
+  explicit WeightsRecord(Core& core) : core_(core), store_(core), refused_rows_(core, kTable) {}
 
   static constexpr const char* kTable = "gateway-weights";
 
@@ -24,6 +25,7 @@
  private:
   Core& core_;
   StoreClient store_;
+  RefusedRows refused_rows_;
 };
 
 }  // namespace quincewick::gateway
--- a/tests/forwarding/engine_placement_test.cc
+++ b/tests/forwarding/engine_placement_test.cc
@@ -44,8 +44,7 @@
   }
 
   WeightsVersion wanted;
-  std::optional<EngineChoice> choose(const std::string& session,
-                                     const std::vector<std::string>& excluded = {},
+  std::optional<EngineChoice> choose(const std::string& session, const std::vector<uint64_t>& excluded = {},
                                      const std::string& isolation = "", WeightsVersion required = {}) {
     const PlacementRequest request{
         kModel, {{"trunk", 2500}, {session, 3700}, {"own", 900}}, isolation, wanted};
@@ -79,7 +78,7 @@
   Fixture fixture;
   const auto first = fixture.choose("s1");
   fixture.placement.noteKept(first->server->slot, first->shared_keys, kNow);
-  const auto second = fixture.choose("s1", {first->server->entry.id});
+  const auto second = fixture.choose("s1", {first->server->identity_hash});
   REQUIRE(second);
   CHECK(second->server != first->server);
   CHECK(second->memory_source == fixture.stores[0].address);
@@ -106,7 +105,7 @@
     const auto first = fixture.choose("s1");
     fixture.placement.noteKept(first->server->slot, first->shared_keys, kNow);
     const auto at_the_same = fixture.choose("s1");
-    const auto elsewhere = fixture.choose("s1", {first->server->entry.id});
+    const auto elsewhere = fixture.choose("s1", {first->server->identity_hash});
     const auto another = fixture.choose("s2");
     return std::vector<bool>{at_the_same->memory_target.has_value(), elsewhere->memory_target.has_value(),
                              another->memory_target.has_value()};
@@ -141,7 +140,7 @@
   CHECK_FALSE(first->memory_source);
   CHECK_FALSE(first->memory_target);
   fixture.placement.noteKept(first->server->slot, first->shared_keys, kNow);
-  const auto second = fixture.choose("s1", {first->server->entry.id});
+  const auto second = fixture.choose("s1", {first->server->identity_hash});
   CHECK(second->memory_source == first->server->entry.address);
 }
 
@@ -215,13 +214,13 @@
 
 TEST_CASE("a request goes on to the next engine until all were tried") {
   Fixture site(20);
-  std::vector<std::string> tried;
+  std::vector<uint64_t> tried;
   for (int attempt = 0; attempt < 20; ++attempt) {
     const auto choice = site.choose("s", tried);
     REQUIRE(choice);
-    tried.push_back(choice->server->entry.id);
+    tried.push_back(choice->server->identity_hash);
   }
-  CHECK(std::set<std::string>(tried.begin(), tried.end()).size() == 20);
+  CHECK(std::set<uint64_t>(tried.begin(), tried.end()).size() == 20);
 }
 
 // Finding F14: short prompts waited for slots of one engine while others were free.
--- a/tests/forwarding/server_directory_test.cc
+++ b/tests/forwarding/server_directory_test.cc
@@ -27,10 +27,10 @@
 
 TEST_CASE("versions of one start only rise, whatever an old entry says") {
   ServerDirectory directory;
-  CHECK(directory.upsert(entry("a")));
+  CHECK(directory.upsert(entry("a")) == EntryEffect::kNew);
   const auto server = directory.find("a");
   ServerDirectory::noteVersion(*server, ModelName("m"), WeightsVersion(3));
-  CHECK_FALSE(directory.upsert(entry("a")));
+  CHECK(directory.upsert(entry("a")) == EntryEffect::kKnown);
   CHECK(server->versionOf(ModelName("m")) == WeightsVersion(3));
 }
 
@@ -128,14 +128,16 @@
     directory.upsert(entry(id));
   }
   std::mt19937 random(7);
-  const auto choose = [&](const std::vector<std::string>& excluded) {
+  const auto life = [&](const std::string& id) { return directory.find(id)->identity_hash; };
+  const auto choose = [&](const std::vector<uint64_t>& excluded) {
     return chooseServer(directory.ofService(kService), excluded, ZoneName("z"), kNow, random)->entry.id;
   };
   directory.find("a")->own.running = 8;
   ServerDirectory::noteFailure(*directory.find("b"), 4, kNow);
   CHECK(choose({}) == "c");
-  CHECK(choose({"c", "b"}) == "a");
-  CHECK(chooseServer(directory.ofService(kService), {"a", "b", "c"}, ZoneName("z"), kNow, random) == nullptr);
+  CHECK(choose({life("c"), life("b")}) == "a");
+  CHECK(chooseServer(directory.ofService(kService), {life("a"), life("b"), life("c")}, ZoneName("z"), kNow,
+                     random) == nullptr);
 }
 
 }  // namespace
