Engines are weighed by what their keepers learn; what gives way does so within its class

Keepers of books now learn each engine's time to read a token and the longest pauses of its streams, tell it with their answers and with digests, and the choice weighs it (EngineCapability). And what is foretold late waits before all less urgent classes of its service (scheduling/UrgencyLevels).

Tests changed: books' calls take the time and the pause; messages and digests carry capabilities.

--- a/src/forwarding/engine_placement.cc
+++ b/src/forwarding/engine_placement.cc
@@ -73,6 +73,7 @@
   double seconds = std::numeric_limits<double>::infinity();  // with all that counts against the engine
   double own = 0;   // of it: until the first piece, but for what is in hand
   double load = 0;  // of it: what is in hand
+  absl::Duration pause;
 };
 
 // What besides the chain makes an engine cheap or dear for a request.
@@ -121,8 +122,8 @@
 }
 
 EnginePlacement::Weighed EnginePlacement::weigh(const ServerDirectory::ServerPointer& server,
-                                                const Chain& chain, const Circumstances& circumstances,
-                                                absl::Time now) const {
+                                                const Chain& chain, const PlacementRequest& request,
+                                                const Circumstances& circumstances, absl::Time now) const {
   Weighed result;
   const uint64_t kept = chain.keptAt(server->slot);
   uint64_t elsewhere = 0;
@@ -132,9 +133,11 @@
   }
   const uint64_t fetched = elsewhere > kept ? elsewhere - kept : 0;
   const uint64_t shared_read = chain.shared_tokens - kept - fetched;
-  const double prefill = absl::ToDoubleSeconds(settings_.prefill_per_token);
+  const EngineCapability capability = capabilityOf(*server, now);
+  result.pause = capability.pause;
+  const double prefill = absl::ToDoubleSeconds(capability.read_per_token);
   const ServerLoad in_hand = server->load(now);
-  result.load = loadSeconds(in_hand, server->entry.slots);
+  result.load = loadSeconds(in_hand, server->entry.slots, capability);
   double seconds = prefill * static_cast<double>(chain.all_tokens - chain.shared_tokens);
   if (fetched > 0) {
     seconds += absl::ToDoubleSeconds(settings_.move_overhead + settings_.move_per_token * fetched);
@@ -146,16 +149,53 @@
   seconds += server->entry.zone == settings_.zone ? 0 : absl::ToDoubleSeconds(settings_.other_zone);
   seconds += circumstances.has_old_weights ? absl::ToDoubleSeconds(settings_.old_weights) : 0;
   seconds += kFailureSeconds * server->failureScore(now);
+  if (settings_.switches.learned_speed) {
+    const double reading = prefill * static_cast<double>(chain.all_tokens - kept - fetched);
+    seconds += settings_.read_beside_weight * reading * in_hand.running;
+    seconds += latenessByPauses(request, capability);
+  }
   result.seconds = seconds;
   return result;
 }
 
-double EnginePlacement::loadSeconds(const ServerLoad& in_hand, uint32_t slots) const {
+EngineCapability EnginePlacement::capabilityOf(const Server& server, absl::Time now) const {
+  if (settings_.switches.learned_speed) {
+    return server.capability.at(now);
+  }
+  EngineCapability alike;
+  alike.read_per_token = settings_.prefill_per_token;
+  return alike;
+}
+
+// A stream with a pause too long is worth as little as one whose first piece comes late: its chance of that
+// counts as so much of the time that the first piece may take.
+double EnginePlacement::latenessByPauses(const PlacementRequest& request,
+                                         const EngineCapability& capability) const {
+  const bool has_targets =
+      request.allowed_pause != absl::InfiniteDuration() && request.allowed_first != absl::InfiniteDuration();
+  if (!has_targets) {
+    return 0;
+  }
+  double chance = capability.chanceOfPauseOver(request.allowed_pause);
+  if (request.output_tokens > 0 && tokens_of_streams_ > 0) {
+    // Of the streams that told: a shorter one meets fewer of the moments that make pauses.
+    chance *= std::min(1.0, static_cast<double>(request.output_tokens) / tokens_of_streams_);
+  }
+  return chance * absl::ToDoubleSeconds(request.allowed_first);
+}
+
+void EnginePlacement::notePauses(uint64_t output_tokens) {
+  const auto tokens = static_cast<double>(output_tokens);
+  tokens_of_streams_ += tokens_of_streams_ == 0 ? tokens : (tokens - tokens_of_streams_) * kInSlotSmoothing;
+}
+
+double EnginePlacement::loadSeconds(const ServerLoad& in_hand, uint32_t slots,
+                                    const EngineCapability& capability) const {
   const uint32_t places = std::max<uint32_t>(slots, 1);
   const uint32_t waiting = in_hand.running + 1 - std::min(in_hand.running + 1, places);
   const absl::Duration for_slot = std::max(in_slot_ * waiting / places, settings_.wait_for_slot * waiting);
   double seconds =
-      absl::ToDoubleSeconds(settings_.prefill_per_token) * static_cast<double>(in_hand.prefill_tokens);
+      absl::ToDoubleSeconds(capability.read_per_token) * static_cast<double>(in_hand.prefill_tokens);
   seconds += absl::ToDoubleSeconds(for_slot);
   seconds += in_hand.running >= places * settings_.slots_for_full ? kFullSeconds : 0;
   seconds += kCrowdingSeconds * in_hand.running / places;
@@ -163,8 +203,12 @@
 }
 
 size_t EnginePlacement::candidatesAtMost() const {
-  return settings_.switches.few_candidates ? settings_.home_candidates + settings_.random_candidates
-                                           : std::numeric_limits<size_t>::max();
+  if (!settings_.switches.few_candidates) {
+    return std::numeric_limits<size_t>::max();
+  }
+  return settings_.home_candidates + (settings_.switches.learned_speed
+                                          ? settings_.random_candidates_of_known_speed
+                                          : settings_.random_candidates);
 }
 
 // Those that take the request, the first ones of its chain before all others, then some by a draw of this
@@ -216,7 +260,8 @@
       chains.emplace(candidate.version, chainOf(request, candidate.version, now));
     }
     const Circumstances circumstances{rank, candidate.version < request.wanted};
-    const Weighed weighed = weigh(candidate.server, chains.at(candidate.version), circumstances, now);
+    const Weighed weighed =
+        weigh(candidate.server, chains.at(candidate.version), request, circumstances, now);
     if (best == nullptr || weighed.seconds < least.seconds) {
       second_best = least.seconds;
       least = weighed;
@@ -233,6 +278,7 @@
   choice.version = best->version;
   choice.own_seconds = least.own;
   choice.load_seconds = least.load;
+  choice.pause = least.pause;
   choice.most_load_seconds = least.load + std::max(second_best - least.seconds, kWorthAsking);
   chooseMemory(chains.at(best->version), directory, cache_stores, now, choice);
   return choice;
--- a/src/forwarding/engine_placement.h
+++ b/src/forwarding/engine_placement.h
@@ -30,6 +30,10 @@
   bool few_candidates = true;      // a few engines are weighed for a request; off: all
   bool booked_places = true;       // the keeper of an engine's books is asked before a request is sent there
   bool late_gives_way = true;      // what is foretold to be late waits behind what can be in time
+  // What gives way waits before all less urgent classes of its service, else behind all requests.
+  bool late_within_class = false;
+  // Engines are weighed by what each can do, as the keepers of their books learn it.
+  bool learned_speed = false;
 
   friend bool operator==(const PlacementSwitches&, const PlacementSwitches&) = default;
 };
@@ -37,7 +41,7 @@
 struct EnginePlacementSettings {
   ZoneName zone;  // this node's
   PlacementSwitches switches;
-  absl::Duration prefill_per_token = absl::Microseconds(26);
+  absl::Duration prefill_per_token = kUnknownReadPerToken;
   absl::Duration move_per_token = absl::Microseconds(16);  // fetched from another engine or a store
   absl::Duration move_overhead = absl::Milliseconds(2);
   double shared_read_weight = 3;  // reading a shared part again costs others more than this request's time
@@ -47,6 +51,11 @@
   // A chain that leaves its home takes the place of as many tokens of other chains there, which are read
   // again then: each rank counts as so much of the time to read the chain's shared tokens.
   double displaced_read_weight = 1.2;
+  // With learnt speeds: reading a prompt holds up each request that runs beside it, and counts for each as so
+  // much of the time that it takes. By plays of two sites' days with 0, 0.1, 0.2 and 0.3: calm days of uneven
+  // engines are served best with 0.1 (0.58, 0.60, 0.60 and less of their worth), crowded ones gain little
+  // beyond it.
+  double read_beside_weight = 0.1;
   // For each request beyond an engine's slots, at least: what is known of the others' choices is old.
   absl::Duration wait_for_slot = absl::Milliseconds(40);
   // Only so many engines are weighed for a request, unless all of them are full: the first ones of its chain,
@@ -54,6 +63,9 @@
   // looks emptiest, it would be the fullest.
   size_t home_candidates = 3;
   size_t random_candidates = 3;
+  // With learnt speeds more are looked at: among three drawn ones there is often none that is fast enough for
+  // a stream's pauses, and the keepers of their books bound how many take the same one.
+  size_t random_candidates_of_known_speed = 9;
   uint64_t random_salt = 0;     // differs from node to node
   uint32_t slots_for_full = 2;  // running requests for each slot that make an engine full
   size_t index_entries = 4096;
@@ -65,6 +77,10 @@
   std::vector<PromptPart> prompt;  // the last part is the request's own
   std::string isolation;           // the tenant's name where it shares nothing; else empty
   WeightsVersion wanted;           // on an older one the request is worth less
+  // Between pieces, and until the first one, for the answer to be in time; infinite: any.
+  absl::Duration allowed_pause = absl::InfiniteDuration();
+  absl::Duration allowed_first = absl::InfiniteDuration();
+  uint64_t output_tokens = 0;  // at most, as declared; 0: not declared
 };
 
 struct EngineChoice {
@@ -81,6 +97,7 @@
   bool is_new_placement = false;      // the engine did not keep all shared parts before: peers should know
   double own_seconds = 0;             // until its first piece, but for what is in hand there
   double load_seconds = 0;            // for what is in hand there, as far as known
+  absl::Duration pause;               // the longest one of its streams, as far as known
   // Of work in hand: with more the next best engine is better, by what is known.
   double most_load_seconds = 0;
 
@@ -103,10 +120,14 @@
                                      absl::Time now);
 
   // How long a request waits for what is in hand at an engine: others' prompts, and a slot.
-  double loadSeconds(const ServerLoad& in_hand, uint32_t slots) const;
+  double loadSeconds(const ServerLoad& in_hand, uint32_t slots, const EngineCapability& capability) const;
+  // What the engine can do, as far as it is known and counts here.
+  EngineCapability capabilityOf(const Server& server, absl::Time now) const;
   // A request was in a slot for so long, from its first piece to its end: how soon slots come free is learnt
   // from this.
   void noteServed(absl::Duration in_slot);
+  // A stream that declared so many tokens, at most, told of its engine's pauses.
+  void notePauses(uint64_t output_tokens);
   // The engine now keeps the parts.
   void noteKept(EngineSlot engine, const std::vector<BlockKey>& keys, absl::Time now);
   // All that was believed of the engine is void: it went, or took new weights.
@@ -134,13 +155,15 @@
                     EngineChoice& choice) const;
   Chain chainOf(const PlacementRequest& request, WeightsVersion version, absl::Time now);
   double awayFromHome(uint64_t shared_tokens, size_t rank) const;
+  double latenessByPauses(const PlacementRequest& request, const EngineCapability& capability) const;
   Weighed weigh(const ServerDirectory::ServerPointer& server, const Chain& chain,
-                const Circumstances& circumstances, absl::Time now) const;
+                const PlacementRequest& request, const Circumstances& circumstances, absl::Time now) const;
   static const CacheStoreTraits* storeOf(const Chain& chain, const std::vector<CacheStoreTraits>& stores);
 
   EnginePlacementSettings settings_;
   prefix::TrunkIndex index_;
   absl::Duration in_slot_ = kInSlotAtFirst;  // smoothed
+  double tokens_of_streams_ = 0;             // of those that told of pauses, smoothed; 0: none did yet
   uint64_t choices_ = 0;
 };
 
--- a/src/forwarding/server_directory.h
+++ b/src/forwarding/server_directory.h
@@ -17,6 +17,7 @@
 #include <string>
 #include <vector>
 
+#include "forwarding/engine_capability.h"
 #include "forwarding/server_entry.h"
 #include "prefix/trunk_index.h"
 
@@ -48,6 +49,8 @@
   absl::Time loading_until = absl::InfinitePast();  // it is to take new weights: nothing new is sent there
   double latency_seconds = 0;                       // of plain requests, smoothed; 0: not known
 
+  ToldCapability capability;  // by the keeper of its books
+
   // What its books told is in hand there, and how much of it was this node's then.
   struct BookedLoad {
     ServerLoad in_hand;
--- a/src/forwarding/site_configuration.cc
+++ b/src/forwarding/site_configuration.cc
@@ -48,6 +48,32 @@
       tenant_by_key_.try_emplace(key, index);
     }
   }
+  rankUrgencies();
+}
+
+// A tenant's urgency goes before a route's, so it may come at any service.
+void SiteConfiguration::rankUrgencies() {
+  std::vector<uint32_t> of_tenants;
+  for (const Tenant& tenant : tenants_) {
+    if (tenant.urgency) {
+      of_tenants.push_back(*tenant.urgency);
+    }
+  }
+  absl::flat_hash_map<ServiceName, std::vector<uint32_t>> urgencies;
+  for (const Route& route : routes_) {
+    for (const ServiceShare& share : route.shares) {
+      urgencies.try_emplace(share.service, of_tenants).first->second.push_back(route.urgency);
+    }
+  }
+  for (auto& [service, all] : urgencies) {
+    levels_.emplace(service, scheduling::UrgencyLevels(std::move(all)));
+  }
+}
+
+const scheduling::UrgencyLevels& SiteConfiguration::levelsOf(const ServiceName& service) const {
+  static const scheduling::UrgencyLevels none;
+  const auto found = levels_.find(service);
+  return found == levels_.end() ? none : found->second;
 }
 
 const Route* SiteConfiguration::findRoute(std::string_view host, std::string_view target) const {
--- a/src/forwarding/site_configuration.h
+++ b/src/forwarding/site_configuration.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "quota/rate_limit.h"
+#include "scheduling/urgency_levels.h"
 #include "types/back_end.h"
 #include "types/identifiers.h"
 
@@ -37,7 +38,8 @@
   RepeatKind kind = RepeatKind::kOnce;
   std::optional<absl::Duration> timeout;
   std::optional<absl::Duration> target_latency;
-  uint32_t urgency = 5;  // 0 first
+  std::optional<absl::Duration> allowed_pause;  // between a stream's pieces, for it to be in time
+  uint32_t urgency = 5;                         // 0 first
   std::vector<ServiceShare> shares;
   uint32_t max_attempts = 1;
   bool is_public = false;     // served without a key
@@ -106,10 +108,14 @@
   // The tenant of that name; null: there is none.
   const Tenant* findTenantNamed(const TenantId& id) const;
   const Service* findService(const ServiceName& name) const;
+  // At which levels requests of the service wait, by the urgencies of its routes and of all tenants.
+  const scheduling::UrgencyLevels& levelsOf(const ServiceName& service) const;
   // The site's stores of kept cache, by address.
   const std::vector<CacheStoreTraits>& cacheStores() const { return cache_stores_; }
 
  private:
+  void rankUrgencies();
+
   ConfigurationVersion version_;
   std::vector<Route> routes_;  // by host, longest prefix first
   std::vector<Service> services_;
@@ -120,6 +126,7 @@
   absl::flat_hash_map<std::string, size_t> first_route_;  // by host: index into routes_
   absl::flat_hash_map<std::string, size_t> tenant_by_key_;
   absl::flat_hash_map<TenantId, size_t> tenant_by_name_;
+  absl::flat_hash_map<ServiceName, scheduling::UrgencyLevels> levels_;
 };
 
 }  // namespace quincewick::forwarding
--- a/src/gateway/core.h
+++ b/src/gateway/core.h
@@ -60,6 +60,12 @@
     WeightsVersion version;
   };
   std::vector<NewVersion> new_versions;
+  // What engines can do, of those whose books this gateway keeps, since peers were last told.
+  struct NewCapability {
+    uint64_t server = 0;  // its identity hash
+    forwarding::EngineCapability capability;
+  };
+  std::vector<NewCapability> new_capabilities;
   // Stores of kept cache that can't be reached, by name.
   absl::flat_hash_set<uint64_t> dead_cache_stores;
   // The store's clock less this node's, as its last answer told; nothing before the first one.
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -174,6 +174,15 @@
   sendAttempt();
 }
 
+// A tenant's urgency goes before the route's.
+uint32_t Exchange::levelAtEngine() const {
+  const uint32_t urgency = tenant_ != nullptr && tenant_->urgency ? *tenant_->urgency : route_->urgency;
+  if (core_.settings.placement.late_within_class) {
+    return configuration_->levelsOf(service_).levelOf(urgency, gives_way_);
+  }
+  return gives_way_ ? kLeastUrgent : std::min(urgency, kLeastUrgent - 1);
+}
+
 bool Exchange::mayRepeat(absl::Time now) {
   const bool may = core_.budget.tryRepeat(service_);
   core_.log.event("repeat", now)
@@ -209,6 +218,9 @@
   events_ = {};
   // What gives way waits behind all others: to them it is no work until it has begun.
   is_read_ = false;
+  attempt_piece_ = absl::InfinitePast();
+  attempt_pieces_ = 0;
+  attempt_pause_ = absl::ZeroDuration();
   gives_way_ = engine_ && isForetoldLate();
   if (gives_way_ && place_) {
     core_.occupancy->release(*std::exchange(place_, std::nullopt));
@@ -239,8 +251,7 @@
     send.last_event_id = absl::StrCat(*last_event_);
   }
   if (engine_) {
-    const uint32_t urgency = tenant_ != nullptr && tenant_->urgency ? *tenant_->urgency : route_->urgency;
-    send.urgency = gives_way_ ? kLeastUrgent : std::min(urgency, kLeastUrgent - 1);
+    send.urgency = levelAtEngine();
     send.cache_salt = engine_->salt;
     send.weights_version = engine_->version;
     send.memory_source = engine_->memory_source;
@@ -298,7 +309,7 @@
     core_.occupancy->forget(*std::exchange(place_question_, std::nullopt));
   }
   if (place_) {
-    core_.occupancy->release(*std::exchange(place_, std::nullopt));
+    core_.occupancy->release(*std::exchange(place_, std::nullopt), longestPauseNow());
   }
   if (server_ == nullptr) {
     return;
@@ -384,10 +395,14 @@
   if (is_quota_decided_) {
     line.with("keeper", quota_keeper_.value()).with("quota_ms", quota_took_);
   }
+  if (engine_ && first_piece_ != absl::InfiniteFuture()) {
+    core_.metrics.observeForecast(route_->name, first_piece_ - began_ - foretold_first_);
+  }
   if (first_piece_ != absl::InfiniteFuture()) {
     line.with("first_ms", first_piece_ - began_).with("pause_ms", longest_pause_);
   }
   if (engine_) {
+    line.with("foretold_pause_ms", engine_->pause);
     line.with("foretold_ms", foretold_first_).with("gives_way", gives_way_ ? "true" : "false");
     line.with("weights", static_cast<int64_t>(engine_->version.value()))
         .with("kept", static_cast<int64_t>(engine_->cached_tokens))
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -59,6 +59,7 @@
   bool choosePlainServer(absl::Time now);
   bool chooseEngine(absl::Time now);
   bool isForetoldLate() const;
+  uint32_t levelAtEngine() const;
   void notePlacement(absl::Time now);
   void sendAttempt();
   Verdict judge(const HttpHead& head, const forwarding::AnswerFacts& facts) const;
@@ -66,6 +67,7 @@
   void releaseServer();
   void passEvents(std::string_view bytes);
   void notePiece();
+  absl::Duration longestPauseNow() const;
   void noteReading();
   void reserveBegun();
   void passHead();
@@ -104,10 +106,13 @@
   std::optional<forwarding::EngineChoice> engine_;
   std::optional<uint64_t> place_question_;  // while the keeper of the engine's books is asked
   bool is_place_answered_ = false;
-  uint32_t places_asked_ = 0;       // for this attempt
-  bool is_read_ = false;            // its prompt, by the engine under way
-  std::optional<Place> place_;      // that is held
-  forwarding::ServerLoad counted_;  // as this attempt counts at the server
+  uint32_t places_asked_ = 0;                        // for this attempt
+  bool is_read_ = false;                             // its prompt, by the engine under way
+  absl::Time attempt_piece_ = absl::InfinitePast();  // its last one
+  uint32_t attempt_pieces_ = 0;
+  absl::Duration attempt_pause_ = absl::ZeroDuration();  // between its pieces, the longest
+  std::optional<Place> place_;                           // that is held
+  forwarding::ServerLoad counted_;                       // as this attempt counts at the server
   std::unique_ptr<Attempt> attempt_;
   absl::Time attempt_began_;
   absl::Duration foretold_first_;  // of the first try: until its first piece
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -13,6 +13,8 @@
 
 constexpr size_t kKeptAnswerBytes = 262144;    // a longer answer is passed on as it comes
 constexpr size_t kUnsentBytesAtMost = 262144;  // of a slow caller
+// A stream of fewer pieces seldom meets the moments that make pauses, such as the reading of a long prompt.
+constexpr uint32_t kPiecesThatTell = 4;
 constexpr double kRefusalWeight = 0.5;
 constexpr double kFailureWeight = 0.5;
 constexpr double kBrokenWeight = 1.0;
@@ -121,6 +123,22 @@
     longest_pause_ = std::max(longest_pause_, now - last_piece_);
   }
   last_piece_ = now;
+  if (attempt_piece_ != absl::InfinitePast()) {
+    attempt_pause_ = std::max(attempt_pause_, now - attempt_piece_);
+  }
+  attempt_piece_ = now;
+  if (++attempt_pieces_ == kPiecesThatTell && engine_) {
+    core_.placement.notePauses(facts_.output_tokens);
+  }
+}
+
+// Of the attempt under way, with the one that lasts: an engine that fell silent ends no pause. Zero where it
+// had too few pieces to tell of the engine.
+absl::Duration Exchange::longestPauseNow() const {
+  if (attempt_pieces_ < kPiecesThatTell) {
+    return absl::ZeroDuration();
+  }
+  return std::max(attempt_pause_, reactor::steadyNow() - attempt_piece_);
 }
 
 void Exchange::passHead() {
--- a/src/gateway/exchange_placement.cc
+++ b/src/gateway/exchange_placement.cc
@@ -18,6 +18,9 @@
   request.prompt = facts_.prompt;
   request.isolation = tenant_ != nullptr && tenant_->is_isolated ? tenant_->id.value() : "";
   request.wanted = core_.weights.wanted(facts_.model, now);
+  request.allowed_pause = route_->allowed_pause.value_or(absl::InfiniteDuration());
+  request.output_tokens = facts_.output_tokens;
+  request.allowed_first = route_->target_latency.value_or(absl::InfiniteDuration());
   const std::vector<forwarding::CacheStoreTraits> cache_stores = core_.liveCacheStores();
   const auto choose = [&](WeightsVersion least) {
     return core_.placement.choose(request, core_.directory.ofService(service_), core_.directory, cache_stores,
@@ -57,7 +60,9 @@
   const absl::Time now = reactor::steadyNow();
   if (answer.in_hand) {
     server_->noteBooked(*answer.in_hand, now);
-    engine_->load_seconds = core_.placement.loadSeconds(*answer.in_hand, server_->entry.slots);
+    server_->capability = {answer.capability, now};
+    engine_->load_seconds = core_.placement.loadSeconds(*answer.in_hand, server_->entry.slots,
+                                                        core_.placement.capabilityOf(*server_, now));
   }
   if (answer.is_held) {
     place_ = answer.place;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -80,6 +80,10 @@
                               "Tokens of prompts by what was expected when the engine was chosen.")),
       rows_refused_(counters(registry_, "quincewick_rows_refused_total",
                              "Rows of the store, by table, that can't be used, and other reasons for it.")),
+      forecast_(prometheus::BuildHistogram()
+                    .Name("quincewick_first_piece_forecast_error_seconds")
+                    .Help("How far first pieces came from their forecasts, by route.")
+                    .Register(registry_)),
       retries_(counter(registry_, "quincewick_retries_total", "Requests sent to a further server.")),
       streams_resumed_(
           counter(registry_, "quincewick_streams_resumed_total", "Streams that went on elsewhere.")),
@@ -103,6 +107,12 @@
   attempts_.Add({{"end", nameOf(end)}}).Increment();
 }
 
+// As many series as the configuration has routes.
+void GatewayMetrics::observeForecast(std::string_view route, absl::Duration off) {
+  forecast_.Add({{"route", std::string(route)}}, latencyBuckets())
+      .Observe(absl::ToDoubleSeconds(absl::AbsDuration(off)));
+}
+
 void GatewayMetrics::countRefusedRow(std::string_view table) {
   rows_refused_.Add({{"table", std::string(table)}}).Increment();
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -33,6 +33,8 @@
   void countRefusedRow(std::string_view table);
   void countPromptTokens(uint64_t kept, uint64_t moved, uint64_t read);
   void observeFirstPiece(absl::Duration time) { first_piece_->Observe(absl::ToDoubleSeconds(time)); }
+  // How far a first piece came from its forecast, by route.
+  void observeForecast(std::string_view route, absl::Duration off);
   void observeAnswer(absl::Duration time) { answer_->Observe(absl::ToDoubleSeconds(time)); }
   void observeStoreCall(absl::Duration time) { store_call_->Observe(absl::ToDoubleSeconds(time)); }
 
@@ -60,6 +62,7 @@
   prometheus::Family<prometheus::Counter>& attempts_;
   prometheus::Family<prometheus::Counter>& prompt_tokens_;
   prometheus::Family<prometheus::Counter>& rows_refused_;
+  prometheus::Family<prometheus::Histogram>& forecast_;
   prometheus::Counter* retries_;
   prometheus::Counter* streams_resumed_;
   prometheus::Counter* streams_cut_;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -17,6 +17,8 @@
           .add("few_candidates", &PlacementSwitches::few_candidates, Presence::kOptional)
           .add("booked_places", &PlacementSwitches::booked_places, Presence::kOptional)
           .add("late_gives_way", &PlacementSwitches::late_gives_way, Presence::kOptional)
+          .add("late_within_class", &PlacementSwitches::late_within_class, Presence::kOptional)
+          .add("learned_speed", &PlacementSwitches::learned_speed, Presence::kOptional)
           .add("home_by_size", &PlacementSwitches::home_by_size, Presence::kOptional));
   return *schema;
 }
--- a/src/gateway/occupancy_exchange.cc
+++ b/src/gateway/occupancy_exchange.cc
@@ -12,6 +12,19 @@
 constexpr absl::Duration kAnswerTime = absl::Milliseconds(25);
 constexpr absl::Duration kBeatInterval = absl::Milliseconds(250);  // between looks at who the gateways are
 constexpr absl::Duration kProbeInterval = absl::Milliseconds(500);
+// Peers are told again of what an engine can do once it changed by a fifth, or before what they know has
+// faded by a quarter.
+constexpr double kWorthTelling = 0.2;
+constexpr absl::Duration kTellAgain = absl::Milliseconds(1500);
+constexpr absl::Duration kTellAtMostEvery = absl::Milliseconds(250);
+constexpr size_t kToldAtMost = 20'000;
+
+bool isWorthTelling(const forwarding::EngineCapability& now, const forwarding::EngineCapability& told) {
+  const auto differs = [](absl::Duration one, absl::Duration other) {
+    return absl::AbsDuration(one - other) > kWorthTelling * other;
+  };
+  return differs(now.read_per_token, told.read_per_token) || differs(now.pause, told.pause);
+}
 
 }  // namespace
 
@@ -32,16 +45,16 @@
 uint64_t OccupancyExchange::reserve(const forwarding::Server& engine, uint64_t prefill_tokens,
                                     double most_seconds, Answered answered) {
   const uint64_t number = ++last_number_;
-  const OccupancyMessage question = {
-      OccupancyMessageKind::kReserve, number, engine.identity_hash, 0, prefill_tokens, most_seconds};
+  OccupancyMessage question;
+  question.kind = OccupancyMessageKind::kReserve;
+  question.number = number;
+  question.engine = engine.identity_hash;
+  question.prefill_tokens = prefill_tokens;
+  question.most_seconds = most_seconds;
   const std::vector<NodeId> keepers = ranks_.candidates(engine.entry.id);
   const NodeId self = core_.settings.gateway_id;
   if (keepers.empty() || keepers.front() == self) {
-    const OccupancyMessage answer = decide(self, question);
-    const bool is_held = answer.kind == OccupancyMessageKind::kHeld;
-    answered({is_held,
-              forwarding::ServerLoad{answer.running, answer.prefill_tokens},
-              {engine.identity_hash, number, self}});
+    answered(answerOf(self, decide(self, question)));
     return number;
   }
   probe(ranks_.before(engine.entry.id, keepers.front()), question);
@@ -65,6 +78,17 @@
   }
 }
 
+PlaceAnswer OccupancyExchange::answerOf(const NodeId& keeper, const OccupancyMessage& message) {
+  PlaceAnswer answer;
+  answer.is_held = message.kind == OccupancyMessageKind::kHeld;
+  answer.in_hand = forwarding::ServerLoad{message.running, message.prefill_tokens};
+  if (const auto capability = capabilityFrom(message.capability)) {
+    answer.capability = capability.value();
+  }
+  answer.place = {message.engine, message.number, keeper};
+  return answer;
+}
+
 // What other gateways told in turns counts only as long as the books are new.
 OccupancyMessage OccupancyExchange::decide(const NodeId& from, const OccupancyMessage& question) {
   const absl::Time now = reactor::steadyNow();
@@ -75,16 +99,47 @@
     in_hand.prefill_tokens = std::max(in_hand.prefill_tokens, server->prefillTokens());
   }
   const uint32_t slots = server == nullptr ? 1 : server->entry.slots;
-  const bool is_held = core_.placement.loadSeconds(in_hand, slots) <= question.most_seconds;
-  if (is_held) {
-    books_.reserve({question.engine, from, question.number}, question.prefill_tokens, now);
+  if (server != nullptr) {
+    books_.begin(question.engine, server->capability.at(now), now);
+  }
+  forwarding::EngineCapability capability;
+  if (core_.settings.placement.learned_speed) {
+    capability = books_.capability(question.engine, now);
+    tellCapability(question.engine, capability, now);
+  }
+  OccupancyMessage answer;
+  answer.number = question.number;
+  answer.engine = question.engine;
+  answer.running = in_hand.running;
+  answer.prefill_tokens = in_hand.prefill_tokens;
+  answer.capability = messageOf(capability);
+  answer.kind = OccupancyMessageKind::kFull;
+  const forwarding::EngineCapability just_now = books_.withOverdue(question.engine, capability, now);
+  if (core_.placement.loadSeconds(in_hand, slots, just_now) <= question.most_seconds) {
+    answer.kind = OccupancyMessageKind::kHeld;
+    const bool waits_for_slot = in_hand.running >= slots;
+    books_.reserve({question.engine, from, question.number}, question.prefill_tokens, waits_for_slot, now);
+  }
+  return answer;
+}
+
+// What this gateway learnt of an engine goes to itself at once, and to peers with the next digests.
+void OccupancyExchange::tellCapability(uint64_t engine, const forwarding::EngineCapability& capability,
+                                       absl::Time now) {
+  if (const auto server = core_.directory.findByHash(engine)) {
+    server->capability = {capability, now};
+  }
+  if (told_.size() >= kToldAtMost) {
+    told_.clear();
+  }
+  forwarding::ToldCapability& told = told_[engine];
+  const absl::Duration since = now - told.told;
+  const bool is_due =
+      since >= kTellAgain || (since >= kTellAtMostEvery && isWorthTelling(capability, told.capability));
+  if (is_due) {
+    told = {capability, now};
+    core_.new_capabilities.push_back({engine, capability});
   }
-  return {is_held ? OccupancyMessageKind::kHeld : OccupancyMessageKind::kFull,
-          question.number,
-          question.engine,
-          in_hand.running,
-          in_hand.prefill_tokens,
-          0};
 }
 
 Result<void> OccupancyExchange::take(const NodeId& from, std::string_view payload) {
@@ -100,10 +155,11 @@
       send(from, decide(from, message));
       return;
     case OccupancyMessageKind::kRead:
-      books_.noteRead({message.engine, from, message.number});
+      books_.noteRead({message.engine, from, message.number}, reactor::steadyNow());
       return;
     case OccupancyMessageKind::kRelease:
-      books_.release({message.engine, from, message.number});
+      books_.release({message.engine, from, message.number}, absl::Milliseconds(message.pause_ms),
+                     reactor::steadyNow());
       return;
     case OccupancyMessageKind::kHeld:
     case OccupancyMessageKind::kFull:
@@ -113,30 +169,33 @@
 }
 
 void OccupancyExchange::takeAnswer(const NodeId& from, const OccupancyMessage& answer) {
-  const Place place = {answer.engine, answer.number, from};
-  const bool is_held = answer.kind == OccupancyMessageKind::kHeld;
+  const PlaceAnswer place_answer = answerOf(from, answer);
   const auto found = questions_.find(answer.number);
   if (found == questions_.end() || found->second.keeper != from) {
-    if (is_held) {
-      release(place);  // it came too late
+    if (place_answer.is_held) {
+      release(place_answer.place);  // it came too late
     }
     return;
   }
   const Answered answered = std::move(found->second.answered);
   questions_.erase(found);
-  answered({is_held, forwarding::ServerLoad{answer.running, answer.prefill_tokens}, place});
+  answered(place_answer);
 }
 
 void OccupancyExchange::noteRead(const Place& place) {
-  tell(place, OccupancyMessageKind::kRead);
+  tell(place, OccupancyMessageKind::kRead, absl::ZeroDuration());
 }
 
-void OccupancyExchange::release(const Place& place) {
-  tell(place, OccupancyMessageKind::kRelease);
+void OccupancyExchange::release(const Place& place, absl::Duration longest_pause) {
+  tell(place, OccupancyMessageKind::kRelease, longest_pause);
 }
 
-void OccupancyExchange::tell(const Place& place, OccupancyMessageKind kind) {
-  const OccupancyMessage message = {kind, place.number, place.engine, 0, 0, 0};
+void OccupancyExchange::tell(const Place& place, OccupancyMessageKind kind, absl::Duration longest_pause) {
+  OccupancyMessage message;
+  message.kind = kind;
+  message.number = place.number;
+  message.engine = place.engine;
+  message.pause_ms = static_cast<uint32_t>(absl::ToInt64Milliseconds(longest_pause));
   if (place.keeper == core_.settings.gateway_id) {
     carryOut(place.keeper, message);
   } else {
--- a/src/gateway/occupancy_exchange.h
+++ b/src/gateway/occupancy_exchange.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
 
 #include <cstdint>
@@ -28,6 +29,7 @@
 struct PlaceAnswer {
   bool is_held = false;
   std::optional<forwarding::ServerLoad> in_hand;  // before this request; nothing: the keeper did not answer
+  forwarding::EngineCapability capability;        // of the engine, where the keeper answered
   Place place;                                    // where it is held
 };
 
@@ -45,7 +47,8 @@
   // Nobody waits for the answer any more: a place that is held all the same is given back.
   void forget(uint64_t number) { questions_.erase(number); }
   void noteRead(const Place& place);
-  void release(const Place& place);
+  // `longest_pause`: between the request's pieces; zero where it had none.
+  void release(const Place& place, absl::Duration longest_pause = absl::ZeroDuration());
 
  private:
   struct Question {
@@ -55,10 +58,12 @@
   };
 
   void probe(const std::vector<NodeId>& nodes, OccupancyMessage question);
+  static PlaceAnswer answerOf(const NodeId& keeper, const OccupancyMessage& message);
   OccupancyMessage decide(const NodeId& from, const OccupancyMessage& question);
   Result<void> take(const NodeId& from, std::string_view payload);
   void takeAnswer(const NodeId& from, const OccupancyMessage& answer);
-  void tell(const Place& place, OccupancyMessageKind kind);
+  void tell(const Place& place, OccupancyMessageKind kind, absl::Duration longest_pause);
+  void tellCapability(uint64_t engine, const forwarding::EngineCapability& capability, absl::Time now);
   void carryOut(const NodeId& from, const OccupancyMessage& message);
   void send(const NodeId& to, const OccupancyMessage& message);
   void beat();
@@ -72,6 +77,7 @@
   forwarding::OccupancyBooks books_;
   absl::btree_map<uint64_t, Question> questions_;  // by rising numbers, so by rising times to give up
   absl::btree_map<NodeId, absl::Time> probed_;
+  absl::flat_hash_map<uint64_t, forwarding::ToldCapability> told_;  // to peers, by engine
   uint64_t last_number_ = 0;
   bool has_timer_ = false;
 };
--- a/src/gateway/occupancy_messages.cc
+++ b/src/gateway/occupancy_messages.cc
@@ -27,6 +27,11 @@
   if (!is_known || std::isnan(message.most_seconds) || message.prefill_tokens > kMostTokens) {
     return fail(ErrorCode::kInvalidArgument, "a message about an engine's places of no known kind or size");
   }
+  const bool is_answer =
+      message.kind == OccupancyMessageKind::kHeld || message.kind == OccupancyMessageKind::kFull;
+  if (is_answer) {
+    BOOST_OUTCOME_TRY(capabilityFrom(message.capability));
+  }
   return decoded;
 }
 
--- a/src/gateway/occupancy_messages.h
+++ b/src/gateway/occupancy_messages.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 
+#include "gateway/capability_message.h"
 #include "types/error.h"
 
 namespace quincewick::gateway {
@@ -24,10 +25,12 @@
   uint32_t running = 0;         // in an answer: what was in hand before
   uint64_t prefill_tokens = 0;  // in a question: of the request; in an answer: what was in hand before
   double most_seconds = 0;
+  CapabilityMessage capability;  // in an answer: what the engine can do
+  uint32_t pause_ms = 0;         // of a release: the request's longest pause between pieces; 0: it had none
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(kind, number, engine, running, prefill_tokens, most_seconds);
+    archive(kind, number, engine, running, prefill_tokens, most_seconds, capability, pause_ms);
   }
 };
 
--- a/src/gateway/peer_digest.cc
+++ b/src/gateway/peer_digest.cc
@@ -51,6 +51,7 @@
   archiveList(archive, digest.zones, kMaximumElements);
   archiveList(archive, digest.placements, kMaximumElements);
   archiveList(archive, digest.engines, kMaximumElements);
+  archiveList(archive, digest.capabilities, kMaximumElements);
 }
 
 std::vector<LoadPart> cutIntoParts(const std::vector<LoadDigest>& loads, size_t most) {
@@ -83,7 +84,13 @@
 }
 
 Result<PeerDigest> decodeDigest(std::string_view bytes) {
-  return decodeArchive<PeerDigest>(bytes);
+  Result<PeerDigest> decoded = decodeArchive<PeerDigest>(bytes);
+  if (decoded.has_value()) {
+    for (const CapabilityDigest& capability : decoded.value().capabilities) {
+      BOOST_OUTCOME_TRY(capabilityFrom(capability.capability));
+    }
+  }
+  return decoded;
 }
 
 }  // namespace quincewick::gateway
--- a/src/gateway/peer_digest.h
+++ b/src/gateway/peer_digest.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "gateway/capability_message.h"
 #include "types/back_end.h"
 #include "types/block_key.h"
 #include "types/error.h"
@@ -58,6 +59,16 @@
   }
 };
 
+struct CapabilityDigest {
+  uint64_t server = 0;
+  CapabilityMessage capability;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(server, capability);
+  }
+};
+
 struct PeerDigest {
   Address address;  // where the sender takes datagrams
   std::string zone;
@@ -72,6 +83,7 @@
   std::vector<ZoneDigest> zones;      // from a reader: its own zone's for other readers, theirs for its zone
   std::vector<PlacementDigest> placements;
   std::vector<EngineDigest> engines;
+  std::vector<CapabilityDigest> capabilities;  // of engines whose books the sender keeps, or as it was told
 };
 
 // Cuts a whole account into as many parts as needed, of `most` loads each at most; one that is empty where
--- a/src/gateway/peer_directory.h
+++ b/src/gateway/peer_directory.h
@@ -27,6 +27,7 @@
   bool reads_well = false;    // it reads the store and gets answers
   uint64_t told_engines = 0;  // what it was told of, by the numbers of the news
   uint64_t told_placements = 0;
+  uint64_t told_capabilities = 0;
 };
 
 class PeerDirectory {
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -25,6 +25,8 @@
 constexpr size_t kPlacementBytes = 12;  // and its keys
 constexpr size_t kKeyBytes = 16;
 constexpr size_t kStoreBytes = 8;
+constexpr size_t kCapabilityBytes = 16;
+constexpr size_t kCapabilitiesKept = 512;
 constexpr size_t kStoresAtMost = 32;
 constexpr size_t kLoadsADatagram = kRoom / kLoadBytes;
 constexpr size_t kPlacementsKept = 512;
@@ -77,6 +79,7 @@
   noteReading();
   takePlacements();
   takeVersions();
+  takeCapabilities();
   tellInTurn(true, kNearATick, last_near_);
   if (++ticks_ % kTicksForFar == 0) {
     tellInTurn(false, 1, last_far_);
@@ -152,6 +155,23 @@
   core_.new_versions.clear();
 }
 
+void PeerExchange::takeCapabilities() {
+  for (const Core::NewCapability& news : core_.new_capabilities) {
+    addCapability({news.server, messageOf(news.capability)}, Origin::kOwn);
+  }
+  core_.new_capabilities.clear();
+}
+
+void PeerExchange::addCapability(const CapabilityDigest& capability, Origin origin) {
+  std::erase_if(capability_news_, [&capability](const CapabilityNews& news) {
+    return news.capability.server == capability.server;
+  });
+  capability_news_.push_back({++last_news_, capability, origin});
+  if (capability_news_.size() > kCapabilitiesKept) {
+    capability_news_.pop_front();
+  }
+}
+
 void PeerExchange::addPlacement(PlacementDigest placement, Origin origin) {
   placement_news_.push_back({++last_news_, std::move(placement), origin});
   if (placement_news_.size() > kPlacementsKept) {
@@ -163,14 +183,13 @@
   return !isNear(peer) && peer.reads_well && now - peer.heard <= kFarSilence;
 }
 
-bool PeerExchange::concerns(const PlacementNews& news, const Peer& peer) const {
-  return isNear(peer) ? news.origin != Origin::kZone
-                      : was_reading_ && peer.reads_well && news.origin != Origin::kFar;
+bool PeerExchange::concerns(Origin origin, const Peer& peer) const {
+  return isNear(peer) ? origin != Origin::kZone : was_reading_ && peer.reads_well && origin != Origin::kFar;
 }
 
 bool PeerExchange::hasPlacementsFor(const Peer& peer) const {
   return std::any_of(placement_news_.begin(), placement_news_.end(), [&](const PlacementNews& news) {
-    return news.number > peer.told_placements && concerns(news, peer);
+    return news.number > peer.told_placements && concerns(news.origin, peer);
   });
 }
 
@@ -284,8 +303,19 @@
       room -= kEngineBytes;
     }
   }
+  for (const CapabilityNews& news : capability_news_) {
+    if (news.number <= peer.told_capabilities || !concerns(news.origin, peer)) {
+      continue;
+    }
+    if (room < kCapabilityBytes) {
+      break;
+    }
+    digest.capabilities.push_back(news.capability);
+    peer.told_capabilities = news.number;
+    room -= kCapabilityBytes;
+  }
   for (const PlacementNews& news : placement_news_) {
-    if (news.number <= peer.told_placements || !concerns(news, peer)) {
+    if (news.number <= peer.told_placements || !concerns(news.origin, peer)) {
       continue;
     }
     const size_t bytes = kPlacementBytes + kKeyBytes * news.placement.keys.size();
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -68,6 +68,11 @@
     PlacementDigest placement;
     Origin origin = Origin::kOwn;
   };
+  struct CapabilityNews {
+    uint64_t number = 0;
+    CapabilityDigest capability;
+    Origin origin = Origin::kOwn;
+  };
   struct FarZone {
     std::vector<LoadPart> parts;  // by number, as they were heard last
     absl::Time heard;
@@ -81,9 +86,11 @@
   absl::Duration silence(bool is_near) const;
   void takePlacements();
   void takeVersions();
+  void takeCapabilities();
   void addPlacement(PlacementDigest placement, Origin origin);
+  void addCapability(const CapabilityDigest& capability, Origin origin);
   bool isFarReader(const Peer& peer, absl::Time now) const;
-  bool concerns(const PlacementNews& news, const Peer& peer) const;
+  bool concerns(Origin origin, const Peer& peer) const;
   // Tells up to `most` peers of the kind in turn, those behind `last` first.
   void tellInTurn(bool near, size_t most, NodeId& last);
   void tellEngineNews();
@@ -102,6 +109,7 @@
   void takeZones(const Peer& from, const std::vector<ZoneDigest>& zones, absl::Time now);
   void takeDigest(const NodeId& from, const PeerDigest& digest, absl::Time now);
   void takeEngine(const EngineDigest& engine, absl::Time now);
+  void takeCapability(const CapabilityDigest& capability, absl::Time now);
   void forgetSilent(absl::Time now);
 
   Core& core_;
@@ -112,8 +120,9 @@
   std::array<char, 2048> buffer_{};
   boost::asio::ip::udp::endpoint sender_;
   absl::btree_map<peer::PeerModule, Taker> takers_;
-  std::deque<EngineNews> engine_news_;        // the last of each engine, by rising numbers
-  std::deque<PlacementNews> placement_news_;  // the latest
+  std::deque<EngineNews> engine_news_;          // the last of each engine, by rising numbers
+  std::deque<PlacementNews> placement_news_;    // the latest
+  std::deque<CapabilityNews> capability_news_;  // the last of each engine, by rising numbers
   absl::btree_map<std::string, FarZone> far_zones_;
   bool was_reading_ = false;
   absl::Time gives_orders_until_ = absl::InfinitePast();
--- a/src/gateway/peer_exchange_receive.cc
+++ b/src/gateway/peer_exchange_receive.cc
@@ -84,14 +84,21 @@
   if (digest.has_news && watches_for_us) {
     core_.dead_cache_stores = {digest.dead_stores.begin(), digest.dead_stores.end()};
   }
+  // Another reader of the own zone passes on by itself what it hears.
+  const bool is_passed_on = was_reading_ && far_peers_ > 0 && !(isNear(peer) && peer.reads_well);
+  const Origin origin = isNear(peer) ? Origin::kZone : Origin::kFar;
   for (const PlacementDigest& placement : digest.placements) {
     if (const auto server = core_.directory.findByHash(placement.server)) {
       core_.placement.noteKept(server->slot, placement.keys, now);
     }
-    // Another reader of the own zone passes on by itself what it hears.
-    const bool is_passed_on = was_reading_ && far_peers_ > 0 && !(isNear(peer) && peer.reads_well);
     if (is_passed_on) {
-      addPlacement(placement, isNear(peer) ? Origin::kZone : Origin::kFar);
+      addPlacement(placement, origin);
+    }
+  }
+  for (const CapabilityDigest& capability : digest.capabilities) {
+    takeCapability(capability, now);
+    if (is_passed_on) {
+      addCapability(capability, origin);
     }
   }
   for (const EngineDigest& engine : digest.engines) {
@@ -119,6 +126,14 @@
   }
 }
 
+void PeerExchange::takeCapability(const CapabilityDigest& capability, absl::Time now) {
+  const auto server = core_.directory.findByHash(capability.server);
+  const auto read = capabilityFrom(capability.capability);
+  if (server != nullptr && read.has_value()) {
+    server->capability = {read.value(), now};
+  }
+}
+
 void PeerExchange::takeEngine(const EngineDigest& engine, absl::Time now) {
   const auto server = core_.directory.findByHash(engine.server);
   if (server == nullptr) {
--- a/tests/forwarding/occupancy_books_test.cc
+++ b/tests/forwarding/occupancy_books_test.cc
@@ -20,17 +20,17 @@
       const OccupancyBooks::Name name = {7, NodeId("g"), number};
       switch (*rc::gen::inRange(0, 3)) {
         case 0:
-          books.reserve(name, 100 + number, kNow);
+          books.reserve(name, 100 + number, false, kNow);
           reserved.try_emplace(number, 100 + number);
           break;
         case 1:
-          books.noteRead(name);
+          books.noteRead(name, kNow);
           if (reserved.contains(number)) {
             reserved[number] = 0;
           }
           break;
         default:
-          books.release(name);
+          books.release(name, absl::ZeroDuration(), kNow);
           reserved.erase(number);
       }
       uint64_t tokens = 0;
@@ -46,16 +46,16 @@
 
 TEST_CASE("gateways' numbers are their own") {
   OccupancyBooks books;
-  books.reserve({7, NodeId("a"), 1}, 10, kNow);
-  books.reserve({7, NodeId("b"), 1}, 20, kNow);
+  books.reserve({7, NodeId("a"), 1}, 10, false, kNow);
+  books.reserve({7, NodeId("b"), 1}, 20, false, kNow);
   CHECK(books.at(7, kNow).running == 2);
-  books.release({7, NodeId("a"), 1});
+  books.release({7, NodeId("a"), 1}, absl::ZeroDuration(), kNow);
   CHECK(books.at(7, kNow).prefill_tokens == 20);
 }
 
 TEST_CASE("what a dead gateway reserved lapses") {
   OccupancyBooks books;
-  books.reserve({7, NodeId("dead"), 1}, 10, kNow);
+  books.reserve({7, NodeId("dead"), 1}, 10, false, kNow);
   CHECK(books.at(7, kNow + absl::Seconds(14)).running == 1);
   CHECK(books.at(7, kNow + absl::Seconds(16)).running == 0);
   CHECK(books.at(7, kNow + absl::Seconds(16)).prefill_tokens == 0);
@@ -64,7 +64,7 @@
 TEST_CASE("books are complete once they were kept for as long as requests take") {
   OccupancyBooks books;
   CHECK_FALSE(books.areComplete(7, kNow));
-  books.reserve({7, NodeId("a"), 1}, 10, kNow);
+  books.reserve({7, NodeId("a"), 1}, 10, false, kNow);
   CHECK_FALSE(books.areComplete(7, kNow + absl::Seconds(3)));
   CHECK(books.areComplete(7, kNow + absl::Seconds(4)));
 }
--- a/tests/forwarding/server_starts_test.cc
+++ b/tests/forwarding/server_starts_test.cc
@@ -114,7 +114,7 @@
   ServerDirectory directory;
   OccupancyBooks books;
   directory.upsert(entry(kFirstStart));
-  books.reserve({directory.find("a")->identity_hash, NodeId("g"), 1}, 100, kNow);
+  books.reserve({directory.find("a")->identity_hash, NodeId("g"), 1}, 100, false, kNow);
   directory.upsert(entry(kSecondStart));
   CHECK(books.at(directory.find("a")->identity_hash, kNow).running == 0);
 }
--- a/tests/gateway/occupancy_messages_test.cc
+++ b/tests/gateway/occupancy_messages_test.cc
@@ -8,7 +8,7 @@
 namespace quincewick::gateway {
 namespace {
 
-const OccupancyMessage kHeld{OccupancyMessageKind::kHeld, 5, 77, 12, 9190, 0.25};
+const OccupancyMessage kHeld{OccupancyMessageKind::kHeld, 5, 77, 12, 9190, 0.25, {31'000, 180, 60}, 0};
 
 TEST_CASE(
     "a message about an engine's places reads back as it was written, and no part of it passes for one") {
@@ -21,6 +21,7 @@
   CHECK(read.value().running == 12);
   CHECK(read.value().prefill_tokens == 9190);
   CHECK(read.value().most_seconds == 0.25);
+  CHECK(read.value().capability == kHeld.capability);
   for (size_t length = 0; length < bytes.size(); ++length) {
     CHECK(decodeOccupancyMessage(bytes.substr(0, length)).has_error());
   }
@@ -40,6 +41,24 @@
   CHECK(decodeOccupancyMessage(encodeOccupancyMessage(message)).has_value());
 }
 
+TEST_CASE("an answer about an engine faster or slower than any is refused") {
+  for (const uint32_t nanoseconds : {0U, 999U, 10'000'001U}) {
+    OccupancyMessage message = kHeld;
+    message.capability.read_ns_per_token = nanoseconds;
+    CHECK(decodeOccupancyMessage(encodeOccupancyMessage(message)).has_error());
+    message.kind = OccupancyMessageKind::kReserve;  // tells of no engine
+    CHECK(decodeOccupancyMessage(encodeOccupancyMessage(message)).has_value());
+  }
+}
+
+TEST_CASE("what an engine can do reads back as it was told") {
+  forwarding::EngineCapability capability;
+  capability.read_per_token = absl::Microseconds(41);
+  capability.pause = absl::Milliseconds(320);
+  capability.pause_deviation = absl::Milliseconds(75);
+  CHECK(capabilityFrom(messageOf(capability)).value() == capability);
+}
+
 TEST_CASE("any bytes are refused or read, and nothing else") {
   CHECK(rc::check([] {
     const auto read = decodeOccupancyMessage(*rc::gen::arbitrary<std::string>());
--- a/tests/gateway/peer_digest_test.cc
+++ b/tests/gateway/peer_digest_test.cc
@@ -23,6 +23,7 @@
     digest.dead_stores = *rc::gen::arbitrary<std::vector<uint64_t>>();
     digest.zones.push_back({"y", load});
     digest.engines.push_back({1, 2, *rc::gen::arbitrary<uint64_t>(), 3500});
+    digest.capabilities.push_back({5, {31'000, *rc::gen::arbitrary<uint16_t>(), 9}});
     const std::string bytes = encodeDigest(digest);
     const auto read = decodeDigest(bytes);
     RC_ASSERT(read.has_value());
@@ -40,11 +41,18 @@
     RC_ASSERT(has_all);
     RC_ASSERT(read.value().placements[0].keys == digest.placements[0].keys);
     RC_ASSERT(read.value().engines[0].version == digest.engines[0].version);
+    RC_ASSERT(read.value().capabilities[0].capability == digest.capabilities[0].capability);
     const size_t kept = *rc::gen::inRange<size_t>(0, bytes.size());
     RC_ASSERT(decodeDigest(std::string_view(bytes).substr(0, kept)).has_error());
   }));
 }
 
+TEST_CASE("a digest that tells of an engine faster than any is refused whole") {
+  PeerDigest digest;
+  digest.capabilities.push_back({5, {0, 100, 9}});
+  CHECK(decodeDigest(encodeDigest(digest)).has_error());
+}
+
 TEST_CASE("loads are cut into parts that fit, and none of them is left out") {
   CHECK(rc::check([] {
     std::vector<LoadDigest> loads(*rc::gen::inRange<size_t>(0, 700));
