--- a/tests/soak/back_ends.cc
+++ b/tests/soak/back_ends.cc
@@ -202,12 +202,13 @@
 
 BackEnd::BackEnd(boost::asio::io_context& reactor, reactor::TimerQueue& timers, History& history,
                  std::string id, std::string service, std::vector<std::string> gateways, uint64_t seed,
-                 const std::vector<uint16_t>& ports)
+                 absl::Time started, const std::vector<uint16_t>& ports)
     : reactor_(reactor),
       timers_(timers),
       history_(history),
       id_(std::move(id)),
       service_(std::move(service)),
+      started_(started),
       gateways_(std::move(gateways)),
       random_(seed) {
   for (size_t gateway = 0; gateway < gateways_.size(); ++gateway) {
--- a/tests/soak/back_ends.h
+++ b/tests/soak/back_ends.h
@@ -33,7 +33,7 @@
  public:
   // `ports`: of a server that is gone, for each gateway; empty: any.
   BackEnd(boost::asio::io_context& reactor, reactor::TimerQueue& timers, History& history, std::string id,
-          std::string service, std::vector<std::string> gateways, uint64_t seed,
+          std::string service, std::vector<std::string> gateways, uint64_t seed, absl::Time started,
           const std::vector<uint16_t>& ports = {});
   ~BackEnd();
   BackEnd(const BackEnd&) = delete;
@@ -41,6 +41,8 @@
 
   const std::string& id() const { return id_; }
   const std::string& service() const { return service_; }
+  // Its start, by the time of day.
+  absl::Time started() const { return started_; }
   Misbehaviour& misbehaviour() { return misbehaviour_; }
   // Where that gateway reaches it.
   Address addressFor(size_t gateway) const;
@@ -61,6 +63,7 @@
   History& history_;
   std::string id_;
   std::string service_;
+  absl::Time started_;
   std::vector<std::string> gateways_;
   std::mt19937_64 random_;
   Misbehaviour misbehaviour_;
--- a/tests/soak/run.cc
+++ b/tests/soak/run.cc
@@ -28,8 +28,9 @@
 constexpr absl::Duration kTick = absl::Milliseconds(50);
 constexpr absl::Duration kSettledAfter = absl::Seconds(1);
 constexpr absl::Duration kRestartPause = absl::Milliseconds(400);
-constexpr absl::Duration kAddressRest = absl::Seconds(2);   // before another server gets it
-constexpr absl::Duration kEntryLapses = absl::Seconds(3);   // of a server that crashed
+constexpr absl::Duration kAddressRest = absl::Seconds(2);  // before another server gets it
+constexpr absl::Duration kEntryLapses = absl::Seconds(3);  // of a server that crashed
+constexpr absl::Duration kEarlierStart = absl::Seconds(60);
 constexpr absl::Duration kServesOn = absl::Seconds(4);      // a leaving server, longer than it promises
 constexpr absl::Duration kReadyAtMost = absl::Seconds(30);  // until the site's first start is done
 // The site serves all again once so many requests in a row got what they asked for.
@@ -109,28 +110,32 @@
   // Each gateway reaches a server at a port of its own.
   std::string rendered(const std::string& table, const std::string& key, const std::string& value,
                        size_t gateway) const {
-    const auto found = std::find_if(back_ends_.begin(), back_ends_.end(),
+    const auto found = std::find_if(back_ends_.rbegin(), back_ends_.rend(),
                                     [&key](const auto& back_end) { return back_end->id() == key; });
-    if (table != "servers" || found == back_ends_.end()) {
+    if (table != "servers" || found == back_ends_.rend()) {
       return value;
     }
     return absl::StrReplaceAll(value, {{"ADDRESS", printAddress((*found)->addressFor(gateway))}});
   }
 
   BackEnd& addBackEnd(const std::string& service, const std::vector<uint16_t>& ports) {
-    const std::string id = absl::StrCat("s-", ++last_back_end_);
+    return start(absl::StrCat("s-", ++last_back_end_), service, ports);
+  }
+
+  BackEnd& start(const std::string& id, const std::string& service, const std::vector<uint16_t>& ports) {
     back_ends_.push_back(std::make_unique<BackEnd>(reactor_, timers_, history_, id, service, gateway_ids_,
-                                                   settings_.seed + last_back_end_, ports));
+                                                   settings_.seed + ++starts_, absl::Now(), ports));
     putServer(*back_ends_.back(), "ready");
     serving_.push_back(back_ends_.back().get());
     return *back_ends_.back();
   }
 
-  void putServer(const BackEnd& back_end, const std::string& state) {
-    store_->put(
-        "servers", back_end.id(),
-        absl::StrCat(R"({"service":")", back_end.service(), R"(","address":"ADDRESS","zone":"z)",
-                     last_back_end_ % kZones, R"(","slots":8,"state":")", state, R"(","models":[]})"));
+  void putServer(const BackEnd& back_end, const std::string& state,
+                 absl::Duration earlier = absl::ZeroDuration()) {
+    store_->put("servers", back_end.id(),
+                absl::StrCat(R"({"service":")", back_end.service(), R"(","address":"ADDRESS","zone":"z)",
+                             last_back_end_ % kZones, R"(","slots":8,"state":")", state, R"(","born":)",
+                             absl::ToUnixMillis(back_end.started() - earlier), R"(,"models":[]})"));
   }
 
   void putConfiguration() {
@@ -353,6 +358,16 @@
       case FaultKind::kBackEndCrashes:
         crash(*back_end);
         return;
+      case FaultKind::kBackEndRestarts:
+        restart(*back_end, fault.lasts);
+        return;
+      case FaultKind::kRowUnreadable:
+        spoil(*back_end, fault);
+        return;
+      case FaultKind::kRowOutdated:
+        putServer(*back_end, "draining", kEarlierStart);
+        putAgain(*back_end, fault.lasts);
+        return;
       default:
         misbehave(*back_end, fault);
     }
@@ -399,6 +414,32 @@
     });
   }
 
+  // It is back under its id and at its address, and knows nothing of before.
+  void restart(BackEnd& back_end, absl::Duration after) {
+    std::erase(serving_, &back_end);
+    disturb("", after);
+    const std::vector<uint16_t> ports = back_end.ports();
+    back_end.crash();
+    later(after, [this, &back_end, ports] { start(back_end.id(), back_end.service(), ports); });
+  }
+
+  void spoil(const BackEnd& back_end, const Fault& fault) {
+    static constexpr std::array kSpoiled = {
+        "\xff{", R"({"service":"calls"})",
+        R"({"service":3,"address":"ADDRESS","slots":"many","state":"gone"})"};
+    store_->put("servers", back_end.id(), kSpoiled.at(fault.target % kSpoiled.size()));
+    putAgain(back_end, fault.lasts);
+  }
+
+  // Its own next heartbeat.
+  void putAgain(const BackEnd& back_end, absl::Duration after) {
+    later(after, [this, &back_end] {
+      if (std::find(serving_.begin(), serving_.end(), &back_end) != serving_.end()) {
+        putServer(back_end, "ready");
+      }
+    });
+  }
+
   // The first key stays, so that there is always something to serve.
   void removeKey(uint32_t target) {
     const size_t index = 1 + target % (traffic_.keys.size() - 1);
@@ -428,6 +469,7 @@
   std::array<bool, 4> is_key_removed_ = {};
   uint64_t configuration_version_ = 0;
   uint64_t last_back_end_ = 0;
+  uint64_t starts_ = 0;  // of back ends
   uint64_t ticks_ = 0;
   absl::Time began_;
   absl::Time faults_over_;
--- a/tests/soak/schedule.cc
+++ b/tests/soak/schedule.cc
@@ -16,18 +16,40 @@
     "stop",          "kill",          "freeze",     "reload",      "kill-many",     "store-refuses",
     "store-silent",  "store-down",    "store-slow", "store-loses", "store-forgets", "back-end-leaves",
     "back-end-goes", "back-end-dies", "refuses",    "fails",       "answers-lost",  "answers-cut",
-    "reset",         "silent",        "route",      "key",
+    "reset",         "silent",        "route",      "key",         "restarts",      "row-spoiled",
+    "row-old",
 };
 constexpr size_t kKinds = kNames.size();
-static_assert(static_cast<size_t>(FaultKind::kKeyRemoved) + 1 == kKinds);
+static_assert(static_cast<size_t>(FaultKind::kRowOutdated) + 1 == kKinds);
+// Kinds that came later are drawn apart, so that what a seed drew before it draws still.
+constexpr size_t kFirstKinds = static_cast<size_t>(FaultKind::kKeyRemoved) + 1;
 
 // A fault begins about so often; some come twice or three times in a row, half a second to two apart.
 constexpr absl::Duration kMeanPause = absl::Milliseconds(400);
+constexpr absl::Duration kMeanPauseOfLater = absl::Milliseconds(1500);
 constexpr absl::Duration kShortestFault = absl::Milliseconds(300);
 constexpr absl::Duration kLongestFault = absl::Seconds(6);
 constexpr int kLongestSeries = 3;
 constexpr uint32_t kTargets = 60;
 
+// Faults of the kinds that came later, each alone.
+void drawLaterKinds(uint64_t seed, absl::Duration last, absl::Duration longest, Schedule& schedule) {
+  std::mt19937_64 random(~seed);
+  const auto drawn = [&random](absl::Duration least, absl::Duration most) {
+    const auto span = static_cast<uint64_t>(absl::ToInt64Milliseconds(most - least)) + 1;
+    return least + absl::Milliseconds(static_cast<int64_t>(random() % span));
+  };
+  for (absl::Duration at = drawn(absl::Milliseconds(500), kMeanPauseOfLater * 2); at < last;
+       at += drawn(absl::ZeroDuration(), kMeanPauseOfLater * 2)) {
+    Fault fault;
+    fault.at = at;
+    fault.kind = static_cast<FaultKind>(kFirstKinds + random() % (kKinds - kFirstKinds));
+    fault.target = static_cast<uint32_t>(random() % kTargets);
+    fault.lasts = drawn(kShortestFault, longest);
+    schedule.push_back(fault);
+  }
+}
+
 }  // namespace
 
 // The generator is the standard's own and its numbers are taken as they are, so that a seed means the same
@@ -43,7 +65,7 @@
   for (absl::Duration at = drawn(absl::Milliseconds(500), kMeanPause * 2); at < last;
        at += drawn(absl::ZeroDuration(), kMeanPause * 2)) {
     Fault fault;
-    fault.kind = static_cast<FaultKind>(random() % kKinds);
+    fault.kind = static_cast<FaultKind>(random() % kFirstKinds);
     fault.target = static_cast<uint32_t>(random() % kTargets);
     fault.lasts = drawn(kShortestFault, std::min(kLongestFault, length - last));
     const int times = random() % 3 == 0 ? static_cast<int>(random() % kLongestSeries) + 1 : 1;
@@ -55,6 +77,7 @@
       fault.target = random() % 2 == 0 ? fault.target : static_cast<uint32_t>(random() % kTargets);
     }
   }
+  drawLaterKinds(seed, last, std::min(kLongestFault, length - last), schedule);
   std::stable_sort(schedule.begin(), schedule.end(),
                    [](const Fault& one, const Fault& other) { return one.at < other.at; });
   return schedule;
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -34,6 +34,9 @@
   kConnectionsSilent,  // the same: nothing comes over them any more, without a reset
   kRouteChanges,       // the configuration gets a route, or loses it
   kKeyRemoved,         // a key is taken away
+  kBackEndRestarts,    // connections are reset; it starts again under its id and address
+  kRowUnreadable,      // another writer spoils its entry, until it writes it anew
+  kRowOutdated,        // an entry of its earlier start is told once more
 };
 
 struct Fault {
