Sight: the same request is known by its hash in the log, and a refused connection from a lost one

Logs could not tell whether two attempts were of one request, for callers' ids are new each time, nor whether a connection was reset or its server had ended. attempt_ended names a hash of method, target, tenant and body (same_as); connect_failed tells whether nothing listened.

--- /dev/null
+++ b/src/forwarding/request_identity.cc
@@ -0,0 +1,27 @@
+#include "forwarding/request_identity.h"
+
+#include <absl/strings/str_format.h>
+#include <xxhash.h>
+
+namespace quincewick::forwarding {
+namespace {
+
+uint64_t hashOf(std::string_view text, uint64_t seed) {
+  return XXH3_64bits_withSeed(text.data(), text.size(), seed);
+}
+
+}  // namespace
+
+// Each part's hash is the next one's seed: what stands in one part can't pass for another.
+RequestIdentity identityOf(std::string_view method, std::string_view target, const TenantId& caller,
+                           std::string_view body) {
+  const uint64_t seed = hashOf(caller.value(), hashOf(target, hashOf(method, 0)));
+  const XXH128_hash_t hash = XXH3_128bits_withSeed(body.data(), body.size(), seed);
+  return {hash.high64, hash.low64};
+}
+
+std::string printIdentity(const RequestIdentity& identity) {
+  return absl::StrFormat("%016x%016x", identity.high, identity.low);
+}
+
+}  // namespace quincewick::forwarding
--- a/src/gateway/back_end_link.cc
+++ b/src/gateway/back_end_link.cc
@@ -41,32 +41,42 @@
   const auto self = shared_from_this();
   connect_limit_ = pool_.core_.timers.schedule(reactor::steadyNow() + kConnectLimit, [self] {
     AttemptListener* const listener = self->listener_;
-    forwarding::ServerDirectory::noteConnectFailure(*self->server_, reactor::steadyNow());
+    self->noteUnconnected(reactor::ConnectResult::kFailed);
     self->drop();
     if (listener != nullptr) {
       listener->onNeverSent();
     }
   });
-  connection_ =
-      reactor::Connection::connect(pool_.core_.reactor, server_->entry.address, [self](bool connected) {
-        self->pool_.core_.timers.cancel(self->connect_limit_);
-        if (!connected) {
-          forwarding::ServerDirectory::noteConnectFailure(*self->server_, reactor::steadyNow());
-        }
-        // It may have left while the connection was made, for up to a quarter of a second.
-        if (!connected || self->server_->isLeaving()) {
-          AttemptListener* const listener = self->listener_;
-          self->drop();
-          if (listener != nullptr) {
-            listener->onNeverSent();
-          }
-          return;
-        }
-        self->server_->connect_failures = 0;
-        self->connection_->dropWhenPeerIsSilent(kSilenceLimit);
-        self->connection_->start(self.get());
-        self->sendRequest();
-      });
+  connection_ = reactor::Connection::connect(pool_.core_.reactor, server_->entry.address,
+                                             [self](reactor::ConnectResult result) {
+                                               self->pool_.core_.timers.cancel(self->connect_limit_);
+                                               const bool connected = result == reactor::ConnectResult::kUp;
+                                               if (!connected) {
+                                                 self->noteUnconnected(result);
+                                               }
+                                               // It may have left while the connection was made, for up to a
+                                               // quarter of a second.
+                                               if (!connected || self->server_->isLeaving()) {
+                                                 AttemptListener* const listener = self->listener_;
+                                                 self->drop();
+                                                 if (listener != nullptr) {
+                                                   listener->onNeverSent();
+                                                 }
+                                                 return;
+                                               }
+                                               self->server_->connect_failures = 0;
+                                               self->connection_->dropWhenPeerIsSilent(kSilenceLimit);
+                                               self->connection_->start(self.get());
+                                               self->sendRequest();
+                                             });
+}
+
+void BackEndLink::noteUnconnected(reactor::ConnectResult result) {
+  const absl::Time now = reactor::steadyNow();
+  forwarding::ServerDirectory::noteConnectFailure(*server_, now);
+  pool_.core_.log.event("connect_failed", now)
+      .with("server", server_->entry.id)
+      .with("refused", result == reactor::ConnectResult::kRefused ? "true" : "false");
 }
 
 void BackEndLink::sendRequest() {
--- a/src/gateway/back_end_link.h
+++ b/src/gateway/back_end_link.h
@@ -34,6 +34,7 @@
   void onEnd(reactor::EndKind kind) override;
 
   void connect();
+  void noteUnconnected(reactor::ConnectResult result);
   void sendRequest();
   void readOn();
   bool takeHead();
--- a/src/gateway/cache_store_watch.cc
+++ b/src/gateway/cache_store_watch.cc
@@ -28,10 +28,12 @@
   }
   look.limit =
       core_.timers.schedule(reactor::steadyNow() + kConnectLimit, [this, name] { end(name, false); });
-  look.connection = reactor::Connection::connect(core_.reactor, store, [this, name](bool connected) {
+  const auto connected = [this, name](reactor::ConnectResult result) {
+    const bool is_reached = result == reactor::ConnectResult::kUp;
     // Not from within the connection's own call.
-    core_.timers.schedule(reactor::steadyNow(), [this, name, connected] { end(name, connected); });
-  });
+    core_.timers.schedule(reactor::steadyNow(), [this, name, is_reached] { end(name, is_reached); });
+  };
+  look.connection = reactor::Connection::connect(core_.reactor, store, connected);
 }
 
 void CacheStoreWatch::end(uint64_t name, bool is_reached) {
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -49,6 +49,8 @@
   if (!admit()) {
     return;
   }
+  identity_ = forwarding::identityOf(head_.method, head_.target,
+                                     tenant_ == nullptr ? TenantId() : tenant_->id, body_);
   ledger_ = forwarding::AttemptLedger(route_->mayRunAgain(), route_->max_attempts);
   setDeadline();
   chooseService();
@@ -285,6 +287,7 @@
   core_.log.event("attempt_ended", reactor::steadyNow())
       .with("request", facts_.attempt_id)
       .with("server", server_->entry.id)
+      .with("same_as", forwarding::printIdentity(identity_))
       .with("end", static_cast<int64_t>(end))
       .with("status", answer_.status)
       .with("after_ms", reactor::steadyNow() - attempt_began_);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -11,6 +11,7 @@
 
 #include "forwarding/attempt_ledger.h"
 #include "forwarding/event_splitter.h"
+#include "forwarding/request_identity.h"
 #include "gateway/answer_sink.h"
 #include "gateway/back_end_pool.h"
 #include "gateway/core.h"
@@ -87,6 +88,7 @@
   const forwarding::Route* route_ = nullptr;
   const forwarding::Tenant* tenant_ = nullptr;
   forwarding::RequestFacts facts_;
+  forwarding::RequestIdentity identity_;
   forwarding::ServiceName service_;
   forwarding::AttemptLedger ledger_;
   absl::Time began_;
--- a/src/reactor/connection.cc
+++ b/src/reactor/connection.cc
@@ -33,6 +33,13 @@
          error == asio::error::interrupted;
 }
 
+ConnectResult resultOf(const error_code& failure) {
+  if (!failure) {
+    return ConnectResult::kUp;
+  }
+  return failure == asio::error::connection_refused ? ConnectResult::kRefused : ConnectResult::kFailed;
+}
+
 void prepare(tcp::socket& socket) {
   error_code ignored;
   socket.non_blocking(true, ignored);
@@ -44,7 +51,7 @@
 Connection::Connection(Socket socket) : socket_(std::move(socket)) {}
 
 std::shared_ptr<Connection> Connection::connect(asio::io_context& reactor, const Address& address,
-                                                std::function<void(bool)> done) {
+                                                Connected done) {
   auto connection = std::make_shared<Connection>(Socket(reactor));
   connection->connected_ = std::move(done);
   error_code error;
@@ -55,7 +62,7 @@
       return;
     }
     prepare(connection->socket_);
-    callback(!failure);
+    callback(resultOf(failure));
   });
   return connection;
 }
--- a/src/reactor/connection.h
+++ b/src/reactor/connection.h
@@ -22,6 +22,13 @@
   kBroken,   // reset, or given up by the system
 };
 
+// What came of a try to connect.
+enum class ConnectResult : uint8_t {
+  kUp,
+  kRefused,  // the machine answers, and nothing listens there
+  kFailed,   // nothing was heard, or the system gave up
+};
+
 class ConnectionHandler {
  public:
   ConnectionHandler() = default;
@@ -43,9 +50,10 @@
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
 
-  // Connects to the address; the callback hears once whether it came up. `close` ends the try unheard.
+  // Connects to the address; the callback hears once what came of it. `abort` ends the try unheard.
+  using Connected = std::function<void(ConnectResult result)>;
   static std::shared_ptr<Connection> connect(boost::asio::io_context& reactor, const Address& address,
-                                             std::function<void(bool connected)> done);
+                                             Connected done);
 
   // Begins to read. The handler outlives the connection or detaches by `close`.
   void start(ConnectionHandler* handler);
@@ -79,7 +87,7 @@
 
   Socket socket_;
   ConnectionHandler* handler_ = nullptr;
-  std::function<void(bool)> connected_;
+  Connected connected_;
   std::string unsent_;
   size_t unsent_begin_ = 0;
   bool open_ = true;
--- a/src/reactor/http_caller.cc
+++ b/src/reactor/http_caller.cc
@@ -39,8 +39,8 @@
     sendCurrent();
     return;
   }
-  connection_ = Connection::connect(reactor_, address_, [this](bool connected) {
-    if (!connected) {
+  connection_ = Connection::connect(reactor_, address_, [this](ConnectResult result) {
+    if (result != ConnectResult::kUp) {
       finish(fail(ErrorCode::kUnavailable, "no connection"), false);
       return;
     }
--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -91,8 +91,8 @@
       return;
     }
     connection_ = reactor::Connection::connect(caller_.reactor_, caller_.processes_.place(gateway_).callers,
-                                               [self](bool connected) {
-                                                 if (connected) {
+                                               [self](reactor::ConnectResult result) {
+                                                 if (result == reactor::ConnectResult::kUp) {
                                                    self->connection_->start(self.get());
                                                    self->send();
                                                  } else {
