--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -1,124 +1,13 @@
 // The whole way of a request, on loopback: caller, gateway, store and servers.
 #include "gateway/gateway.h"
 
-#include <boost/asio/connect.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
-#include <thread>
 
-#include "platform/platform_dialect.h"
-#include "stand_in_site.h"
+#include "running_gateway.h"
 
 namespace quincewick::gateway {
 namespace {
 
-using boost::asio::ip::tcp;
-
-constexpr const char* kConfiguration = R"({"version":3,"routes":[
-  {"name":"safe","host":"h","pathPrefix":"/safe/","kind":"safe","timeoutMs":5000,"service":"pool","maxAttempts":2},
-  {"name":"once","host":"h","pathPrefix":"/once/","kind":"unsafe","timeoutMs":5000,"service":"pool","maxAttempts":2},
-  {"name":"short","host":"h","pathPrefix":"/short/","kind":"unsafe","timeoutMs":200,"service":"pool","maxAttempts":1},
-  {"name":"resumed","host":"h","pathPrefix":"/resumed/","kind":"streaming","timeoutMs":5000,"service":"pool",
-   "maxAttempts":2,"resumable":true},
-  {"name":"stream","host":"h","pathPrefix":"/stream/","kind":"streaming","timeoutMs":5000,"service":"pool",
-   "maxAttempts":2},
-  {"name":"open","host":"h","pathPrefix":"/open/","kind":"safe","service":"pool","public":true}],
- "services":[{"name":"pool","maxConnections":100}],
- "limits":{"maxHeaderBytes":2000,"maxBodyBytes":5000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
- "tenants":[{"name":"t","apiKeys":["key"]},
-  {"name":"limited","apiKeys":["limited"],"unit":"tokens","uncachedTokens":200,"ratePerS":100,"burst":1000}]})";
-
-// A gateway on a thread of its own.
-class RunningGateway {
- public:
-  explicit RunningGateway(const StandInSite& site) : RunningGateway(settings(site)) {}
-  explicit RunningGateway(const GatewaySettings& settings)
-      : gateway_(settings, platform_dialect::makePlatformDialect(), -1) {
-    REQUIRE(gateway_.start().has_value());
-    thread_ = std::thread([this] { gateway_.run(); });
-    awaitReady();
-  }
-  ~RunningGateway() {
-    gateway_.stop();
-    thread_.join();
-  }
-  RunningGateway(const RunningGateway&) = delete;
-  RunningGateway& operator=(const RunningGateway&) = delete;
-
-  // Sends bytes on a new connection and reads until it ends.
-  std::string ask(const std::string& bytes) const { return askAt(gateway_.callersPort(), bytes); }
-
-  // Asks whether the gateway is ready.
-  bool isReady() const {
-    const std::string question = "GET /ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
-    return askAt(gateway_.readinessPort(), question).find(" 200 ") != std::string::npos;
-  }
-  // Its figures as text.
-  std::string metrics() const {
-    return askAt(gateway_.metricsPort(), "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
-  }
-  void stopInGoodOrder() { gateway_.stopInGoodOrder(); }
-
-  std::string ask(const std::string& target, const HeaderFields& more, const std::string& body = "") const {
-    HeaderFields fields = {{"Host", "h"},
-                           {"Connection", "close"},
-                           {"Quincewick-Attempt-Id", "attempt-1"},
-                           {"Content-Length", std::to_string(body.size())}};
-    fields.insert(fields.end(), more.begin(), more.end());
-    return ask(printRequestHead("POST", target, fields) + body);
-  }
-
-  static GatewaySettings settings(const StandInSite& site) {
-    GatewaySettings result;
-    result.gateway_id = NodeId("g");
-    result.zone = ZoneName("z");
-    result.listen.callers = {"127.0.0.1", 0};
-    result.listen.readiness = {"127.0.0.1", 0};
-    result.store = site.storeAddress();
-    result.site_is_new = true;
-    return result;
-  }
-
-  // One of several in a zone.
-  static GatewaySettings settings(const std::string& id, const Address& store, const StandInSite& site) {
-    GatewaySettings result = settings(site);
-    result.gateway_id = NodeId(id);
-    result.store = store;
-    result.listen.peers = Address{"127.0.0.1", 0};
-    result.listen.metrics = Address{"127.0.0.1", 0};
-    return result;
-  }
-
- private:
-  static std::string askAt(uint16_t port, const std::string& bytes) {
-    boost::asio::io_context reactor;
-    tcp::socket socket(reactor);
-    socket.connect(tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), port));
-    boost::system::error_code error;
-    boost::asio::write(socket, boost::asio::buffer(bytes), error);
-    std::string answer;
-    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
-    return answer;
-  }
-
-  void awaitReady() const {
-    while (!isReady()) {
-      std::this_thread::yield();
-    }
-  }
-
-  Gateway gateway_;
-  std::thread thread_;
-};
-
-const HeaderFields kKey = {{"Authorization", "Bearer key"}};
-
-std::string signedAnswer(const std::string& body) {
-  return answerOf(200, {{"Quincewick-Response-Signature", "s"}, {"Quincewick-Attempt-Id", "attempt-1"}},
-                  body);
-}
-
 std::string streamHead(const std::string& signature) {
   return printAnswerHead(200, "OK",
                          {{"Quincewick-Response-Signature", signature}, {"Transfer-Encoding", "chunked"}});
@@ -128,10 +17,6 @@
   return "id: " + std::to_string(id) + "\ndata: x\n\n";
 }
 
-bool has(const std::string& text, const std::string& part) {
-  return text.find(part) != std::string::npos;
-}
-
 // Two servers that fail the first request which reaches either, and serve all others.
 void addFailingOnce(StandInSite& site, const Script& failure, const Script& then) {
   auto failed = std::make_shared<bool>(false);
@@ -142,11 +27,6 @@
   }
 }
 
-struct Fixture {
-  StandInSite site;
-  Fixture() { site.setRow("op", "config", kConfiguration); }
-};
-
 TEST_CASE_METHOD(Fixture, "a request and its answer pass unchanged, the key stays here") {
   site.addServer("i-1", [](const Seen& /*seen*/) { return Script{signedAnswer("the body")}; });
   const RunningGateway gateway(site);
@@ -327,18 +207,6 @@
   site.setRow("op", "config", configuration);
 }
 
-// Each look takes a connection, of which a machine has only so many.
-template <class Condition>
-void await(const Condition& condition) {
-  while (!condition()) {
-    std::this_thread::sleep_for(std::chrono::milliseconds(20));
-  }
-}
-
-void awaitPeer(const RunningGateway& gateway) {
-  await([&gateway] { return has(gateway.metrics(), "quincewick_peers 1"); });
-}
-
 void awaitRoute(const RunningGateway& gateway) {
   await([&gateway] { return gateway.ask("/new/", kKey).ends_with("served"); });
 }
--- a/tests/gateway/stand_in_site.h
+++ b/tests/gateway/stand_in_site.h
@@ -29,6 +29,7 @@
   bool closes = false;     // the connection ends after the answer
   bool resets = false;     // it is reset after the answer
   bool is_silent = false;  // no answer
+  bool crashes = false;    // after the answer, the server ends: all its connections break, nothing listens
 };
 
 // Takes requests at a port of its own and answers each by the handler, which runs on the site's thread.
@@ -51,6 +52,7 @@
           connection_(std::make_shared<reactor::Connection>(std::move(socket))),
           reader_(reactor::MessageKind::kRequest, {}) {}
     void start() { connection_->start(this); }
+    void breakOff() { connection_->abort(); }
 
    private:
     void onBytes(std::string_view bytes) override {
@@ -58,6 +60,10 @@
       while (reader_.status() == reactor::ReadStatus::kDone) {
         const Script script = server_.handler_(reader_.head(), reader_.takeBody());
         connection_->send(script.answer);
+        if (script.crashes) {
+          server_.crash();
+          return;
+        }
         if (script.resets) {
           connection_->abort();
           return;
@@ -77,6 +83,13 @@
     reactor::MessageReader reader_;
   };
 
+  void crash() {
+    listener_.close();
+    for (const auto& talk : talks_) {
+      talk->breakOff();
+    }
+  }
+
   void accept(reactor::Connection::Socket socket) {
     talks_.push_back(std::make_unique<Talk>(*this, std::move(socket)));
     talks_.back()->start();
