A request that ends the servers that run it is known over its arrivals, at all gateways

What callers saw: one request, sent again and again under new ids, ended 14 and 18 engines, and with each all streams that ran there. Cause: what is known of a request's runs lived in one exchange at one gateway; the next arrival began anew. Why this holds: the request is named by what it asks for, not by its ids. After an attempt broke off the gateway looks whether the server ended (a refused connection, not a reset or a cut) and tells all others; a third end that no other request explains puts the blame on it, five where that is unclear, and whoever served it whole objects. Gateways that start, come back or all lost power hear of it from peers or from the store's row. Messages are of a kind of their own: what gateways of the landing before read is unchanged.

--- a/src/forwarding/request_identity.cc
+++ b/src/forwarding/request_identity.cc
@@ -1,11 +1,14 @@
 #include "forwarding/request_identity.h"
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_format.h>
 #include <xxhash.h>
 
 namespace quincewick::forwarding {
 namespace {
 
+constexpr size_t kDigits = 32;
+
 uint64_t hashOf(std::string_view text, uint64_t seed) {
   return XXH3_64bits_withSeed(text.data(), text.size(), seed);
 }
@@ -24,4 +27,14 @@
   return absl::StrFormat("%016x%016x", identity.high, identity.low);
 }
 
+std::optional<RequestIdentity> parseIdentity(std::string_view text) {
+  RequestIdentity identity;
+  const bool is_read =
+      text.size() == kDigits &&
+      absl::SimpleHexAtoi(absl::string_view(text.data(), kDigits / 2), &identity.high) &&
+      absl::SimpleHexAtoi(absl::string_view(text.data() + kDigits / 2, kDigits / 2), &identity.low);
+  // Reading alone would take signs, blanks and capitals, too.
+  return is_read && printIdentity(identity) == text ? std::optional(identity) : std::nullopt;
+}
+
 }  // namespace quincewick::forwarding
--- a/src/forwarding/request_identity.h
+++ b/src/forwarding/request_identity.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -38,5 +39,7 @@
 
 // 32 hexadecimal digits.
 std::string printIdentity(const RequestIdentity& identity);
+// Nothing where the text is not what printIdentity writes.
+std::optional<RequestIdentity> parseIdentity(std::string_view text);
 
 }  // namespace quincewick::forwarding
--- a/src/gateway/core.h
+++ b/src/gateway/core.h
@@ -29,6 +29,7 @@
   absl::Time confirmed = absl::InfinitePast();  // when the last reading of the store that confirmed it began
 };
 
+class CrashWatch;
 class OccupancyExchange;
 class QuotaExchange;
 
@@ -72,6 +73,7 @@
   std::optional<absl::Duration> store_clock_ahead;
   QuotaExchange* quotas = nullptr;         // set by the gateway before it takes callers
   OccupancyExchange* occupancy = nullptr;  // the same
+  CrashWatch* crashes = nullptr;           // the same
   bool is_stopping = false;
   bool refuses_requests = false;  // late in a stop: what comes now is told to go elsewhere
   bool knows_servers = false;
--- /dev/null
+++ b/src/gateway/crash_message.cc
@@ -0,0 +1,49 @@
+#include "gateway/crash_message.h"
+
+#include "types/bounded_archive.h"
+
+namespace quincewick::forwarding {
+
+namespace {
+
+constexpr uint32_t kRequestsAtMost = 64;  // of one datagram
+
+}  // namespace
+
+template <class Archive>
+void serialize(Archive& archive, ServerEnd& end) {
+  archive(end.life, end.service);
+  archiveList(archive, end.there, kRequestsAtMost);
+}
+
+}  // namespace quincewick::forwarding
+
+namespace quincewick::gateway {
+namespace {
+
+constexpr uint8_t kVersion = 1;
+constexpr uint32_t kListedAtMost = 64;
+
+}  // namespace
+
+template <class Archive>
+void serialize(Archive& archive, CrashMessage& message) {
+  uint8_t version = kVersion;
+  archive(version);
+  if (version != kVersion) {
+    throw cereal::Exception("a version that is not known");
+  }
+  archiveList(archive, message.ends, kListedAtMost);
+  archiveList(archive, message.sound, kListedAtMost);
+  archiveList(archive, message.blamed, kListedAtMost);
+}
+
+std::string encodeCrashMessage(const CrashMessage& message) {
+  return encodeArchive(message);
+}
+
+Result<CrashMessage> decodeCrashMessage(std::string_view bytes) {
+  return decodeArchive<CrashMessage>(bytes);
+}
+
+}  // namespace quincewick::gateway
--- /dev/null
+++ b/src/gateway/crash_record.cc
@@ -0,0 +1,60 @@
+#include "gateway/crash_record.h"
+
+#include <utility>
+
+namespace quincewick::gateway {
+namespace {
+
+// Rows of the table: what callers send must not fill the store.
+constexpr uint32_t kRowsAtMost = 256;
+// The key says all. A constant of this type, for g++ 12 warns of an overlap in assigned literals.
+const std::string kValue = "blamed";
+constexpr absl::Duration kRetryPause = absl::Seconds(2);
+
+}  // namespace
+
+void CrashRecord::write(const forwarding::RequestIdentity& identity) {
+  if (known_.size() >= kRowsAtMost && !known_.contains(identity)) {
+    core_.log.event("crash_not_recorded", reactor::steadyNow())
+        .with("same_as", forwarding::printIdentity(identity))
+        .with("why", "the table is full");
+    return;
+  }
+  known_.insert(identity);
+  forwarding::StoreRow row;
+  row.table = kTable;
+  row.key = forwarding::printIdentity(identity);
+  row.value = kValue;
+  store_.write(row, 0, [this, identity](StoreStatus status, const forwarding::StoreRows& /*rows*/) {
+    const bool is_settled = status == StoreStatus::kDone || status == StoreStatus::kConflict;
+    if (!is_settled) {
+      core_.timers.schedule(reactor::steadyNow() + kRetryPause, [this, identity] { write(identity); });
+    }
+  });
+}
+
+void CrashRecord::read(Found found) {
+  store_.read(kTable, "", kRowsAtMost,
+              [this, found = std::move(found)](StoreStatus status, const forwarding::StoreRows& answer) {
+                if (status != StoreStatus::kDone) {
+                  readAgain(found);
+                  return;
+                }
+                for (const forwarding::StoreRow& row : answer.rows) {
+                  const auto identity = forwarding::parseIdentity(row.key);
+                  if (identity) {
+                    known_.insert(*identity);
+                    found(*identity);
+                  } else {
+                    refused_rows_.note(row.key, "no request's hash");
+                  }
+                }
+              });
+}
+
+void CrashRecord::readAgain(Found found) {
+  core_.timers.schedule(reactor::steadyNow() + kRetryPause,
+                        [this, found = std::move(found)] { read(found); });
+}
+
+}  // namespace quincewick::gateway
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "forwarding/server_choice.h"
+#include "gateway/crash_watch.h"
 
 namespace quincewick::gateway {
 namespace {
@@ -21,7 +22,11 @@
 constexpr double kGoldenRatioPart = 0.6180339887498949;  // spreads a counter evenly over 0 to 1
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
+constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
+// Between looks whether a request that waits may be sent.
+constexpr absl::Duration kCrashVerdictPause = absl::Milliseconds(10);
+constexpr std::string_view kEndsServers = "ends_servers";
 
 }  // namespace
 
@@ -37,6 +42,7 @@
 
 Exchange::~Exchange() {
   core_.timers.cancel(deadline_timer_);
+  core_.timers.cancel(crash_timer_);
   settleQuota();
   releaseServer();
   --core_.requests_under_way;
@@ -55,6 +61,10 @@
   setDeadline();
   chooseService();
   core_.budget.noteRequest(service_);
+  if (core_.crashes->verdictOn(identity_) == forwarding::CrashVerdict::kReject) {
+    rejectForCrashes();
+    return;
+  }
   askQuota();
 }
 
@@ -150,9 +160,40 @@
     giveUp(false, "keys_not_confirmed");
     return false;
   }
+  return mayReachServers();
+}
+
+// Asked before each send, for what is known of a request outlives its arrivals: it may have ended servers
+// through other gateways while this one chose.
+bool Exchange::mayReachServers() {
+  switch (core_.crashes->verdictOn(identity_)) {
+    case forwarding::CrashVerdict::kSend:
+      return true;
+    case forwarding::CrashVerdict::kWait:
+      releaseServer();
+      server_ = nullptr;
+      crash_timer_ = core_.timers.schedule(reactor::steadyNow() + kCrashVerdictPause, [this] {
+        const auto self = shared_from_this();
+        crash_timer_ = reactor::TimerQueue::Key();
+        tryNext();
+      });
+      return false;
+    case forwarding::CrashVerdict::kReject:
+      rejectForCrashes();
+      return false;
+  }
   return true;
 }
 
+// Neither "it has not run", nor a time to come back: it would end the next servers.
+void Exchange::rejectForCrashes() {
+  if (head_passed_ || has_failure_) {
+    giveUp(false, kEndsServers);
+  } else {
+    refuse(kBadGateway, kEndsServers, absl::ZeroDuration());
+  }
+}
+
 void Exchange::sendChosen() {
   const absl::Time now = reactor::steadyNow();
   if (engine_ && !mayBeSent()) {
@@ -382,6 +423,7 @@
   }
   done_ = true;
   core_.timers.cancel(deadline_timer_);
+  core_.timers.cancel(crash_timer_);
   settleQuota();
   const absl::Time now = reactor::steadyNow();
   core_.metrics.countRequest(route_ == nullptr ? std::nullopt : std::optional(route_->kind), outcome);
@@ -424,7 +466,8 @@
   const auto self = shared_from_this();
   sink_ = nullptr;
   const bool may_break_off = route_ == nullptr || route_->kind != RepeatKind::kOnce ||
-                             quota_question_.has_value() || place_question_.has_value();
+                             quota_question_.has_value() || place_question_.has_value() ||
+                             crash_timer_ != reactor::TimerQueue::Key();
   if (may_break_off) {
     attempt_.reset();
     releaseServer();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -51,6 +51,10 @@
   void chooseService();
   void tryNext();
   bool mayBeSent();
+  // Whether the request may reach a server, as far as ends of servers under it go; else it waits or is
+  // rejected.
+  bool mayReachServers();
+  void rejectForCrashes();
   void askForPlace();
   void takePlace(const PlaceAnswer& answer);
   void sendChosen();
@@ -94,7 +98,8 @@
   absl::Time began_;
   absl::Time deadline_ = absl::InfiniteFuture();
   reactor::TimerQueue::Key deadline_timer_;
-  std::vector<uint64_t> tried_;  // identity hashes of servers
+  reactor::TimerQueue::Key crash_timer_;  // while it waits for what is found of a server's end
+  std::vector<uint64_t> tried_;           // identity hashes of servers
 
   // The tenant's limit.
   std::optional<uint64_t> quota_question_;  // while its keeper is asked
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/crash_watch.h"
 #include "gateway/exchange.h"
 
 namespace quincewick::gateway {
@@ -204,6 +205,9 @@
   if (engine_ && first_piece_ != absl::InfiniteFuture()) {
     core_.placement.noteServed(now - first_piece_);
   }
+  if (answer_.status >= kFirstSuccess && answer_.status < kFirstRedirect) {
+    core_.crashes->noteServed(identity_);
+  }
   passKeptAnswer();
   complete("answered");
 }
@@ -223,6 +227,7 @@
 void Exchange::onAnswerBroken() {
   const auto self = shared_from_this();
   ServerDirectory::noteFailure(*server_, kBrokenWeight, reactor::steadyNow());
+  core_.crashes->noteBroken(server_, identity_);
   endAttempt(AttemptEnd::kUnknown);
 }
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -27,6 +27,8 @@
       peers_(core_, peer_directory_),
       quotas_(core_, peer_directory_, peers_),
       occupancy_(core_, peer_directory_, peers_),
+      crash_exchange_(core_, peer_directory_, peers_),
+      crashes_(core_, crash_exchange_),
       relay_(core_, peer_directory_),
       follower_(core_, peer_directory_, peers_, relay_),
       orders_(core_, peers_),
@@ -55,8 +57,10 @@
   awaitSignal();
   core_.quotas = &quotas_;
   core_.occupancy = &occupancy_;
+  core_.crashes = &crashes_;
   quotas_.start();
   occupancy_.start();
+  crash_exchange_.start([this] { return follower_.readsWell(); });
   follower_.start();
   startPeers();
   orders_.start();
@@ -118,6 +122,8 @@
   levels.servers = static_cast<double>(core_.directory.all().size());
   levels.servers_age_seconds = absl::ToDoubleSeconds(now - core_.servers_as_of);
   levels.repeats_left = core_.budget.fewestLeft();
+  levels.requests_suspect = static_cast<double>(crash_exchange_.suspectCount());
+  levels.requests_blamed = static_cast<double>(crash_exchange_.blamedCount());
   levels.caller_connections = static_cast<double>(connections_.size());
   levels.server_connections_opened = static_cast<double>(pool_.openedConnections());
   levels.requests_under_way = static_cast<double>(core_.requests_under_way);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,8 @@
 #include "gateway/cache_store_watch.h"
 #include "gateway/caller_connection.h"
 #include "gateway/core.h"
+#include "gateway/crash_exchange.h"
+#include "gateway/crash_watch.h"
 #include "gateway/occupancy_exchange.h"
 #include "gateway/order_giver.h"
 #include "gateway/peer_directory.h"
@@ -67,6 +69,8 @@
   PeerExchange peers_;
   QuotaExchange quotas_;
   OccupancyExchange occupancy_;
+  CrashExchange crash_exchange_;
+  CrashWatch crashes_;
   RowRelay relay_;
   SiteFollower follower_;
   OrderGiver orders_;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -91,6 +91,10 @@
       streams_cut_(counter(registry_, "quincewick_streams_cut_total", "Answers broken off midway.")),
       datagrams_refused_(counter(registry_, "quincewick_datagrams_refused_total",
                                  "Messages of peers that were forged or can't be read.")),
+      server_ends_(counter(registry_, "quincewick_server_ends_total",
+                           "Servers that ended while requests of this gateway were there.")),
+      ends_untold_(counter(registry_, "quincewick_server_ends_untold_total",
+                           "Ends that peers were not told of, for there were too many.")),
       first_piece_(histogram(registry_, "quincewick_first_piece_seconds", "Until a stream's first piece.")),
       answer_(histogram(registry_, "quincewick_answer_seconds", "Until an answer was whole.")),
       store_call_(
@@ -137,6 +141,10 @@
   addLevel(families, "quincewick_repeats_left",
            "Requests that may go to a further server now, of the service with the fewest.",
            levels.repeats_left);
+  addLevel(families, "quincewick_requests_suspect", "Requests under which servers ended.",
+           levels.requests_suspect);
+  addLevel(families, "quincewick_requests_blamed", "Requests that are rejected, for they end servers.",
+           levels.requests_blamed);
   addLevel(families, "quincewick_caller_connections", "Open.", levels.caller_connections);
   addLevel(families, "quincewick_server_connections_opened", "Since the start.",
            levels.server_connections_opened);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -29,6 +29,9 @@
   void countResumed() { streams_resumed_->Increment(); }
   void countCut() { streams_cut_->Increment(); }
   void countRefusedDatagram() { datagrams_refused_->Increment(); }
+  void countServerEnd() { server_ends_->Increment(); }
+  // An end of a server that too many others crowd out is not told to peers.
+  void countUntoldEnd() { ends_untold_->Increment(); }
   // A row that others wrote can't be used.
   void countRefusedRow(std::string_view table);
   void countPromptTokens(uint64_t kept, uint64_t moved, uint64_t read);
@@ -47,6 +50,8 @@
     double servers = 0;
     double servers_age_seconds = 0;
     double repeats_left = 0;
+    double requests_suspect = 0;
+    double requests_blamed = 0;
     double caller_connections = 0;
     double server_connections_opened = 0;
     double requests_under_way = 0;
@@ -67,6 +72,8 @@
   prometheus::Counter* streams_resumed_;
   prometheus::Counter* streams_cut_;
   prometheus::Counter* datagrams_refused_;
+  prometheus::Counter* server_ends_;
+  prometheus::Counter* ends_untold_;
   prometheus::Histogram* first_piece_;
   prometheus::Histogram* answer_;
   prometheus::Histogram* store_call_;
--- a/src/peer/envelope.h
+++ b/src/peer/envelope.h
@@ -19,6 +19,7 @@
   kLimits = 5,
   kRouting = 6,
   kOccupancy = 7,
+  kCrashes = 8,
 };
 
 // How a message travels. It is part of what the MAC covers, so none can be passed off as another.
--- /dev/null
+++ b/tests/gateway/crash_message_test.cc
@@ -0,0 +1,86 @@
+#include "gateway/crash_message.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+
+#include "peer/envelope.h"
+
+namespace quincewick::gateway {
+namespace {
+
+forwarding::RequestIdentity request(uint64_t number) {
+  return {number, ~number};
+}
+
+CrashMessage fullMessage() {
+  CrashMessage message;
+  forwarding::ServerEnd end{11, 12, {}};
+  for (uint64_t number = 0; number < kCrashMessageRoom - 2; ++number) {
+    end.there.push_back(request(number));
+  }
+  message.ends.push_back(end);
+  return message;
+}
+
+TEST_CASE("a message about ends of servers reads back as it was written, and no part of it passes for one") {
+  CrashMessage message;
+  message.ends.push_back({1, 2, {request(3), request(4)}});
+  message.sound.push_back(request(5));
+  message.blamed.push_back(request(6));
+  const std::string bytes = encodeCrashMessage(message);
+  const auto read = decodeCrashMessage(bytes);
+  REQUIRE(read.has_value());
+  REQUIRE(read.value().ends.size() == 1);
+  CHECK(read.value().ends[0].life == 1);
+  CHECK(read.value().ends[0].service == 2);
+  CHECK(read.value().ends[0].there == message.ends[0].there);
+  CHECK(read.value().sound == message.sound);
+  CHECK(read.value().blamed == message.blamed);
+  for (size_t size = 0; size < bytes.size(); ++size) {
+    CHECK(decodeCrashMessage(bytes.substr(0, size)).has_error());
+  }
+  CHECK(decodeCrashMessage(bytes + "x").has_error());
+}
+
+TEST_CASE("a full message about ends of servers fits into a datagram") {
+  CHECK(encodeCrashMessage(fullMessage()).size() <= peer::kMaximumDatagramPayload);
+  CrashMessage blamed;
+  for (uint64_t number = 0; number < kCrashMessageRoom; ++number) {
+    blamed.blamed.push_back(request(number));
+  }
+  CHECK(encodeCrashMessage(blamed).size() <= peer::kMaximumDatagramPayload);
+}
+
+TEST_CASE("a message about ends of servers of another version is refused") {
+  std::string bytes = encodeCrashMessage(fullMessage());
+  const size_t version = 1;  // behind the archive's byte order
+  for (const char other : {char(0), char(2), char(255)}) {
+    bytes[version] = other;
+    CHECK(decodeCrashMessage(bytes).has_error());
+  }
+}
+
+TEST_CASE("any bytes are refused as ends of servers or read, and nothing else") {
+  CHECK(rc::check([](const std::string& bytes) {
+    const auto read = decodeCrashMessage(bytes);
+    const bool is_bounded = read.has_error() || read.value().ends.size() <= 64;
+    RC_ASSERT(is_bounded);
+  }));
+}
+
+// What a gateway of the landing before this message can't read is one kind of envelope: all others are as
+// they were.
+TEST_CASE("the kinds of messages between gateways keep their numbers") {
+  CHECK(static_cast<int>(peer::PeerModule::kMembership) == 1);
+  CHECK(static_cast<int>(peer::PeerModule::kConfiguration) == 2);
+  CHECK(static_cast<int>(peer::PeerModule::kLedger) == 3);
+  CHECK(static_cast<int>(peer::PeerModule::kFleet) == 4);
+  CHECK(static_cast<int>(peer::PeerModule::kLimits) == 5);
+  CHECK(static_cast<int>(peer::PeerModule::kRouting) == 6);
+  CHECK(static_cast<int>(peer::PeerModule::kOccupancy) == 7);
+  CHECK(static_cast<int>(peer::PeerModule::kCrashes) == 8);
+}
+
+}  // namespace
+}  // namespace quincewick::gateway
--- a/tests/gateway/crashing_requests_test.cc
+++ b/tests/gateway/crashing_requests_test.cc
@@ -73,5 +73,77 @@
   CHECK(second.ask("/safe/a", kKey, "sound").ends_with("served"));
 }
 
+void awaitBlamed(const RunningGateway& gateway) {
+  await([&gateway] { return has(gateway.metrics(), "quincewick_requests_blamed 1"); });
+}
+
+// Ends servers until the gateway blames the request.
+void blame(const RunningGateway& gateway) {
+  int attempt = 0;
+  while (!has(gateway.metrics(), "quincewick_requests_blamed 1")) {
+    askDeadly(gateway, "/safe/a", ++attempt);
+  }
+}
+
+TEST_CASE_METHOD(CrashingSite, "a request that is to blame is rejected at once and not told to come back") {
+  const RunningGateway gateway(RunningGateway::settings("a", site.storeAddress(), site));
+  blame(gateway);
+  const size_t before = deadlySends();
+  await([&gateway] { return has(askDeadly(gateway, "/safe/a", 1), "ends_servers"); });
+  const std::string answer = askDeadly(gateway, "/once/a", 2);
+  CHECK(has(answer, "HTTP/1.1 502"));  // another path: another request, which has ended none yet
+  CHECK_FALSE(has(answer, "ends_servers"));
+  const std::string rejected = askDeadly(gateway, "/safe/a", 3);
+  CHECK(has(rejected, "HTTP/1.1 502"));
+  CHECK(has(rejected, "ends_servers"));
+  CHECK_FALSE(has(rejected, "Retry-After"));
+  CHECK(deadlySends() <= before + 1);
+}
+
+TEST_CASE_METHOD(CrashingSite, "a gateway that starts later hears which requests are to blame") {
+  const RunningGateway first(RunningGateway::settings("a", site.storeAddress(), site));
+  blame(first);
+  const RunningGateway second(RunningGateway::settings("b", site.storeAddress(), site));
+  awaitBlamed(second);
+  const size_t before = deadlySends();
+  await([&second] { return has(askDeadly(second, "/safe/a", 1), "ends_servers"); });
+  CHECK(deadlySends() == before);
+}
+
+TEST_CASE_METHOD(CrashingSite, "a site whose gateways all ended still knows which requests are to blame") {
+  auto first = std::make_unique<RunningGateway>(RunningGateway::settings("a", site.storeAddress(), site));
+  blame(*first);
+  await([this] { return site.hasRows("gateway-crashes"); });
+  first.reset();
+  GatewaySettings settings = RunningGateway::settings("a", site.storeAddress(), site);
+  settings.site_is_new = false;
+  const RunningGateway again(settings);
+  awaitBlamed(again);
+  const size_t before = deadlySends();
+  await([&again] { return has(askDeadly(again, "/safe/a", 1), "ends_servers"); });
+  CHECK(deadlySends() == before);
+}
+
+TEST_CASE_METHOD(Fixture, "connections that servers reset are no ends of servers") {
+  auto resets = std::make_shared<bool>(true);
+  for (const char* id : {"i-1", "i-2", "i-3", "i-4"}) {
+    site.addServer(id, [resets](const Seen& /*seen*/) {
+      Script script{signedAnswer("served")};
+      if (*resets) {
+        script.answer.clear();
+        script.resets = true;
+      }
+      return script;
+    });
+  }
+  const RunningGateway gateway(RunningGateway::settings("a", site.storeAddress(), site));
+  for (int arrival = 0; arrival < 10; ++arrival) {
+    CHECK(has(askDeadly(gateway, "/safe/a", arrival), "HTTP/1.1 502"));
+  }
+  *resets = false;
+  CHECK(askDeadly(gateway, "/safe/a", 1).ends_with("served"));
+  CHECK(has(gateway.metrics(), "quincewick_server_ends_total 0"));
+}
+
 }  // namespace
 }  // namespace quincewick::gateway
--- a/tests/gateway/stand_in_site.h
+++ b/tests/gateway/stand_in_site.h
@@ -141,6 +141,12 @@
     rows_[table][key] = {value, ++version_};
   }
 
+  bool hasRows(const std::string& table) const {
+    const std::lock_guard lock(mutex_);
+    const auto found = rows_.find(table);
+    return found != rows_.end() && !found->second.empty();
+  }
+
   // Adds a server of the service "pool" that answers by script; `answers` gets what it was asked.
   void addServer(const std::string& id, std::function<Script(const Seen& seen)> answers,
                  const std::string& models = "[]") {
