The steady clock counts the time for which a machine was suspended

What callers could see: a machine that was suspended for seconds woke with its keys, configuration, leases for orders and list of servers as young as before, so a revoked key or a lease that others had taken over still held there. Cause: all ages went by a clock that stands still meanwhile.

--- a/src/reactor/timer_queue.cc
+++ b/src/reactor/timer_queue.cc
@@ -1,11 +1,15 @@
 #include "reactor/timer_queue.h"
 
+#include <time.h>  // NOLINT: CLOCK_BOOTTIME
+
 #include <chrono>
 
 namespace quincewick::reactor {
 
 absl::Time steadyNow() {
-  return absl::UnixEpoch() + absl::FromChrono(std::chrono::steady_clock::now().time_since_epoch());
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return absl::UnixEpoch() + absl::DurationFromTimespec(now);
 }
 
 TimerQueue::Key TimerQueue::schedule(absl::Time due, std::function<void()> action) {
@@ -26,8 +30,7 @@
     return;
   }
   armed_for_ = actions_.begin()->first.first;
-  const absl::Duration since_epoch = armed_for_ - absl::UnixEpoch();
-  timer_.expires_at(std::chrono::steady_clock::time_point(absl::ToChronoNanoseconds(since_epoch)));
+  timer_.expires_after(absl::ToChronoNanoseconds(armed_for_ - clock_()));
   timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
       armed_for_ = absl::InfiniteFuture();
@@ -37,7 +40,7 @@
 }
 
 void TimerQueue::runDue() {
-  const absl::Time now = steadyNow();
+  const absl::Time now = clock_();
   while (!actions_.empty() && actions_.begin()->first.first <= now) {
     const std::function<void()> action = std::move(actions_.begin()->second);
     actions_.erase(actions_.begin());
--- a/src/reactor/timer_queue.h
+++ b/src/reactor/timer_queue.h
@@ -13,7 +13,8 @@
 
 namespace quincewick::reactor {
 
-// The steady clock as a time of its own epoch; never goes back.
+// The steady clock as a time of its own epoch; never goes back. It counts the time for which the machine was
+// suspended, too: a lease, a key or a list is as old then as it is to the others.
 absl::Time steadyNow();
 
 class TimerQueue {
@@ -21,9 +22,13 @@
   // Names one deadline; a default one names none.
   using Key = std::pair<absl::Time, uint64_t>;
 
-  explicit TimerQueue(boost::asio::io_context& reactor) : timer_(reactor) {}
+  using Clock = std::function<absl::Time()>;
 
-  // Calls `action` once, at `due` or soon after.
+  explicit TimerQueue(boost::asio::io_context& reactor, Clock clock = steadyNow)
+      : timer_(reactor), clock_(std::move(clock)) {}
+
+  // Calls `action` once, at `due` or soon after. The system's timers stand still while the machine is
+  // suspended: what came due meanwhile runs with the first timer after.
   Key schedule(absl::Time due, std::function<void()> action);
   // Forgets the deadline if it has not come; `key` names none afterwards.
   void cancel(Key& key);
@@ -33,6 +38,7 @@
   void runDue();
 
   boost::asio::steady_timer timer_;
+  Clock clock_;
   std::map<Key, std::function<void()>> actions_;
   absl::Time armed_for_ = absl::InfiniteFuture();
   uint64_t last_number_ = 0;
