A request that asked several engines for a place forgets the question that is open

What callers saw: a gateway's process ended while connections were reset and servers fell (codes 134 and 139); all that it served was cut. Cause: an engine whose books a gateway keeps itself answers at once, the next engine is asked from within that answer, and the first question's number was written over the second's. When the caller then left, the open question was not forgotten, and its answer came to a request that was gone (OccupancyExchange::takeAnswer in the trace). Why it holds: only the last question that was asked is kept as the open one.

--- a/src/forwarding/crash_register.cc
+++ b/src/forwarding/crash_register.cc
@@ -233,6 +233,7 @@
   std::sort(all.rbegin(), all.rend());
   all.resize(std::min(all.size(), most));
   std::vector<BlamedRequest> result;
+  result.reserve(all.size());
   for (const auto& [asked, identity] : all) {
     result.push_back({identity, blamed_.at(identity).was_tried});
   }
@@ -249,6 +250,7 @@
   }
   std::sort(worst.rbegin(), worst.rend());
   std::vector<RequestIdentity> result;
+  result.reserve(worst.size());
   for (const auto& [count, identity] : worst) {
     result.push_back(identity);
   }
@@ -274,6 +276,7 @@
     }
   }
   std::vector<ServerEnd> result;
+  result.reserve(open.size());
   for (auto& [number, end] : open) {
     result.push_back(std::move(end));
   }
--- a/src/forwarding/request_identity.h
+++ b/src/forwarding/request_identity.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 
 #include "types/identifiers.h"
@@ -20,7 +21,9 @@
   uint64_t low = 0;
 
   friend bool operator==(const RequestIdentity&, const RequestIdentity&) = default;
-  friend auto operator<=>(const RequestIdentity&, const RequestIdentity&) = default;
+  friend bool operator<(const RequestIdentity& left, const RequestIdentity& right) {
+    return std::tie(left.high, left.low) < std::tie(right.high, right.low);
+  }
 
   template <class Hash>
   friend Hash AbslHashValue(Hash hash, const RequestIdentity& identity) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -112,6 +112,7 @@
   forwarding::ServerDirectory::ServerPointer server_;
   std::optional<forwarding::EngineChoice> engine_;
   std::optional<uint64_t> place_question_;  // while the keeper of the engine's books is asked
+  uint32_t place_turn_ = 0;                 // counts these questions
   bool is_place_answered_ = false;
   uint32_t places_asked_ = 0;                        // for this attempt
   bool is_read_ = false;                             // its prompt, by the engine under way
--- a/src/gateway/exchange_placement.cc
+++ b/src/gateway/exchange_placement.cc
@@ -44,12 +44,17 @@
   const double most = places_asked_ < kPlacesAskedAtMost ? engine_->most_load_seconds
                                                          : std::numeric_limits<double>::infinity();
   is_place_answered_ = false;
+  const uint32_t turn = ++place_turn_;
   const uint64_t question =
       core_.occupancy->reserve(*server_, engine_->read_tokens, most, [this](const PlaceAnswer& answer) {
         const auto self = shared_from_this();
         takePlace(answer);
       });
-  if (!is_place_answered_) {
+  // An engine whose books are kept here answers at once, and so the next one may have been asked meanwhile:
+  // its question is the one to forget when this request ends. Else its answer came to a request that was
+  // gone, and ended the process.
+  const bool is_open = turn == place_turn_ && !is_place_answered_;
+  if (is_open) {
     place_question_ = question;
   }
 }
