A suspect waits for others' runs for a second at most; what was served lately is not told as a suspect

Reading the change: where servers fall all the time many requests are suspects, and each waited for the runs of all before it, two seconds each, up to its deadline. Now it goes beside them after a second.

--- a/src/gateway/crash_exchange.cc
+++ b/src/gateway/crash_exchange.cc
@@ -69,7 +69,10 @@
   register_.noteSent(identity, reactor::steadyNow());
 }
 
-void CrashExchange::noteEnd(const ServerEnd& end) {
+// What was served lately is sound: it is not told as one that was there.
+void CrashExchange::noteEnd(ServerEnd end) {
+  const absl::Time now = reactor::steadyNow();
+  std::erase_if(end.there, [this, now](const auto& identity) { return register_.wasServed(identity, now); });
   takeEnd(end, true);
   addNews(end);
 }
--- a/src/gateway/crash_exchange.h
+++ b/src/gateway/crash_exchange.h
@@ -28,7 +28,7 @@
   void start(std::function<bool()> reads_store);
 
   // A server ended while these requests of this gateway were there.
-  void noteEnd(const forwarding::ServerEnd& end);
+  void noteEnd(forwarding::ServerEnd end);
   // A request was served whole here.
   void noteServed(const forwarding::RequestIdentity& identity);
   // An attempt at a server begins, and is over.
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -26,6 +26,9 @@
 constexpr int kUnavailable = 503;
 // Between looks whether a request that waits may be sent.
 constexpr absl::Duration kCrashVerdictPause = absl::Milliseconds(10);
+// What is found of an end is known within 0.4 s. Beyond that a request waits for the runs of other suspects,
+// of which there are many where servers fall all the time: then it goes beside them.
+constexpr absl::Duration kLongestCrashWait = absl::Seconds(1);
 constexpr std::string_view kEndsServers = "ends_servers";
 
 }  // namespace
@@ -166,13 +169,18 @@
 // Asked before each send, for what is known of a request outlives its arrivals: it may have ended servers
 // through other gateways while this one chose.
 bool Exchange::mayReachServers() {
+  const absl::Time now = reactor::steadyNow();
   switch (core_.crashes->verdictOn(identity_)) {
     case forwarding::CrashVerdict::kSend:
       return true;
     case forwarding::CrashVerdict::kWait:
+      crash_wait_ends_ = std::min(crash_wait_ends_, now + kLongestCrashWait);
+      if (now >= crash_wait_ends_) {
+        return true;
+      }
       releaseServer();
       server_ = nullptr;
-      crash_timer_ = core_.timers.schedule(reactor::steadyNow() + kCrashVerdictPause, [this] {
+      crash_timer_ = core_.timers.schedule(now + kCrashVerdictPause, [this] {
         const auto self = shared_from_this();
         crash_timer_ = reactor::TimerQueue::Key();
         tryNext();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -98,8 +98,9 @@
   absl::Time began_;
   absl::Time deadline_ = absl::InfiniteFuture();
   reactor::TimerQueue::Key deadline_timer_;
-  reactor::TimerQueue::Key crash_timer_;  // while it waits for what is found of a server's end
-  std::vector<uint64_t> tried_;           // identity hashes of servers
+  reactor::TimerQueue::Key crash_timer_;                 // while it waits for what is found of a server's end
+  absl::Time crash_wait_ends_ = absl::InfiniteFuture();  // once it has begun
+  std::vector<uint64_t> tried_;                          // identity hashes of servers
 
   // The tenant's limit.
   std::optional<uint64_t> quota_question_;  // while its keeper is asked
--- a/tests/forwarding/crash_register_site_test.cc
+++ b/tests/forwarding/crash_register_site_test.cc
@@ -22,6 +22,7 @@
 constexpr absl::Duration kLook = absl::Milliseconds(5);
 constexpr absl::Duration kRecordIsRead = absl::Milliseconds(1500);  // after a start
 constexpr absl::Duration kGossip = absl::Seconds(1);
+constexpr absl::Duration kLongestWait = absl::Seconds(1);
 constexpr size_t kGossipTo = 2;
 constexpr size_t kFurtherSends = 3;
 constexpr size_t kEndsAllowed = 3;
@@ -86,6 +87,7 @@
     absl::Time ends;
     bool is_deadly = false;
     int sends_left = 0;  // its caller comes back so often
+    absl::Time wait_ends = absl::InfiniteFuture();
   };
   struct Server {
     uint64_t life = 0;
@@ -157,14 +159,19 @@
   }
 
   void arrive(Run run) {
-    run.gateway = draw(gateways_.size());
+    const bool is_waiting = run.wait_ends != absl::InfiniteFuture();
+    run.gateway = is_waiting ? run.gateway : draw(gateways_.size());
     switch (verdictOn(run)) {
       case CrashVerdict::kReject:
         (run.is_deadly ? deadly_rejected : rejected_sound) += 1;
         return;
       case CrashVerdict::kWait:
-        later_.emplace(now_ + absl::Milliseconds(10), run);
-        return;
+        run.wait_ends = std::min(run.wait_ends, now_ + kLongestWait);
+        if (now_ < run.wait_ends) {
+          later_.emplace(now_ + absl::Milliseconds(10), run);
+          return;
+        }
+        break;
       case CrashVerdict::kSend:
         break;
     }
@@ -250,6 +257,7 @@
       if (run.sends_left > 1) {
         Run again = run;
         again.sends_left -= 1;
+        again.wait_ends = absl::InfiniteFuture();
         later_.emplace(now_ + absl::Milliseconds(uniform(2, 300)), again);
       }
     }
