The one more try of a blamed request is sent, and once only

Cause: the verdict is asked at the arrival and again before the send. The first answer took the trial, the second rejected the request; and a reader that read its own record took the request for one that was tried. Why it holds: a trial that was taken stands until an attempt begins, which uses it up; of the record only what isn't known already counts.

--- a/src/forwarding/crash_register.cc
+++ b/src/forwarding/crash_register.cc
@@ -187,7 +187,9 @@
 }
 
 void CrashRegister::takeTrial(const RequestIdentity& identity, absl::Time now) {
-  blamed_.at(identity).was_tried = true;
+  Blame& blame = blamed_.at(identity);
+  blame.was_tried = true;
+  blame.may_be_sent = true;
   apart_ = {identity, now};
 }
 
@@ -201,6 +203,9 @@
 }
 
 void CrashRegister::noteSent(const RequestIdentity& identity, absl::Time now) {
+  if (const auto found = blamed_.find(identity); found != blamed_.end()) {
+    found->second.may_be_sent = false;
+  }
   if (endsUnder(identity) >= kEndsToRunApart) {
     apart_ = {identity, now};
   }
@@ -219,6 +224,9 @@
     return another_runs && endsUnder(identity) >= kEndsToRunApart ? CrashVerdict::kWait : CrashVerdict::kSend;
   }
   found->second.asked = now;
+  if (found->second.may_be_sent) {
+    return CrashVerdict::kSend;
+  }
   return found->second.is_settled ? CrashVerdict::kReject : CrashVerdict::kWait;
 }
 
--- a/src/forwarding/crash_register.h
+++ b/src/forwarding/crash_register.h
@@ -76,6 +76,7 @@
   // All ends under the requests that are nearest to be blamed, of those under which a server ended within the
   // last minute: what a gateway that starts must know to count on. As many as hold `most` requests.
   std::vector<ServerEnd> openEnds(size_t most, absl::Time now) const;
+  bool isBlamed(const RequestIdentity& identity) const { return blamed_.contains(identity); }
   size_t blamedCount() const { return blamed_.size(); }
   size_t suspectCount() const { return suspects_.size(); }
   // Distinct ends that are held against the request.
@@ -117,7 +118,9 @@
     absl::Time since;
     absl::Time asked;  // when the request came last
     bool is_settled = false;
-    bool was_tried = false;  // or is being tried
+    bool was_tried = false;  // or is about to be
+    // Its trial was taken here and has not been sent yet: it is asked for several times on a request's way.
+    bool may_be_sent = false;
   };
   struct Apart {
     RequestIdentity identity;
--- a/src/gateway/crash_exchange.cc
+++ b/src/gateway/crash_exchange.cc
@@ -262,8 +262,12 @@
   const bool begins = reads_store_() && !was_reading_;
   was_reading_ = was_reading_ || begins;
   if (begins) {
-    // Whether such a request was tried once more isn't known any longer.
-    record_.read([this](const RequestIdentity& identity) { takeBlamed({identity, true}); });
+    // Whether a request that only the record knows was tried once more isn't known any longer.
+    record_.read([this](const RequestIdentity& identity) {
+      if (!register_.isBlamed(identity)) {
+        takeBlamed({identity, true});
+      }
+    });
   }
 }
 
--- a/tests/forwarding/crash_register_test.cc
+++ b/tests/forwarding/crash_register_test.cc
@@ -215,6 +215,10 @@
   REQUIRE(crashes.isTrialDue(kBeside, now));
   crashes.takeTrial(kBeside, now);
   CHECK_FALSE(crashes.isTrialDue(kBeside, now));
+  CHECK(verdict(kBeside) == CrashVerdict::kSend);
+  CHECK(verdict(kBeside) == CrashVerdict::kSend);  // asked once more on its way
+  crashes.noteSent(kBeside, now);
+  CHECK(verdict(kBeside) == CrashVerdict::kReject);
   CHECK_FALSE(crashes.isTrialDue(kDeadly, now));  // one at a time
   crashes.noteServed(kBeside, now);
   crashes.noteOver(kBeside);
