--- a/tests/forwarding/crash_register_test.cc
+++ b/tests/forwarding/crash_register_test.cc
@@ -225,6 +225,7 @@
   CHECK(verdict(kBeside) == CrashVerdict::kSend);
   REQUIRE(crashes.isTrialDue(kDeadly, now));
   crashes.takeTrial(kDeadly, now);
+  crashes.noteSent(kDeadly, now);
   end({kDeadly});
   crashes.noteOver(kDeadly);
   now += absl::Hours(1);
