Whole tables are read page by page everywhere; a conflict is no reason to ask without a pause

Cause: the directory of gateways read 500 rows and never asked for more. Change: WholeTableReader, used by the directory and by followers of tables; pauses after a second conflict; keys in a query are percent-encoded (the next page's key ends in a byte that no request line may hold: our own reader refused it). A 5xx that is passed on counts as its server's failure, no longer as a quick answer.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -86,6 +86,7 @@
   void noteReading();
   void reserveBegun();
   void passHead();
+  void noteServersAnswer(absl::Time now);
   void passKeptAnswer();
   void keepOrPass(std::string bytes);
   void outOfTime();
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -203,9 +203,7 @@
     case Verdict::kPassOn:
       break;
   }
-  noteRolloutEnd(answer_.status >= kFirstServerError ? RolloutExchange::End::kFailed
-                                                     : RolloutExchange::End::kAnswered);
-  ServerDirectory::noteSuccess(*server_, now - attempt_began_);
+  noteServersAnswer(now);
   if (engine_ && first_piece_ != absl::InfiniteFuture()) {
     core_.placement.noteServed(now - first_piece_);
   }
@@ -216,6 +214,18 @@
   complete("answered");
 }
 
+// A failure that is passed on, for the request may not run again, is a failure all the same: counted as a quick
+// answer, it drew all further requests to its server.
+void Exchange::noteServersAnswer(absl::Time now) {
+  if (answer_.status >= kFirstServerError) {
+    noteRolloutEnd(RolloutExchange::End::kFailed);
+    ServerDirectory::noteFailure(*server_, kFailureWeight, now);
+  } else {
+    noteRolloutEnd(RolloutExchange::End::kAnswered);
+    ServerDirectory::noteSuccess(*server_, now - attempt_began_);
+  }
+}
+
 void Exchange::passKeptAnswer() {
   passHead();
   if (sink_ == nullptr) {
--- a/src/gateway/peer_directory.cc
+++ b/src/gateway/peer_directory.cc
@@ -17,7 +17,6 @@
 
 constexpr const char* kTable = "gateway-peers";
 constexpr const char* kKeyRow = "!key";  // sorts before the gateways' rows
-constexpr uint32_t kRowsAtOnce = 500;
 // Gateways of a new site start together and write one after the other, so that one alone writes the key.
 constexpr absl::Duration kNewSiteSpread = absl::Milliseconds(400);
 // Restarted ones only read, and can't serve before: as soon as the store's rate allows for a whole site.
@@ -58,7 +57,7 @@
 }  // namespace
 
 PeerDirectory::PeerDirectory(Core& core)
-    : core_(core), store_(core), retry_pause_(kFirstRetryPause), refused_rows_(core, kTable) {}
+    : core_(core), store_(core), reader_(core), retry_pause_(kFirstRetryPause), refused_rows_(core, kTable) {}
 
 // On a new site the own row can't be there yet and is written first; else it mostly is, and one reading is
 // all.
@@ -88,28 +87,28 @@
 }
 
 void PeerDirectory::readRows() {
-  store_.read(kTable, "", kRowsAtOnce, [this](StoreStatus status, const forwarding::StoreRows& answer) {
+  reader_.read(kTable, [this](StoreStatus status, const WholeTable& table) {
     if (status != StoreStatus::kDone) {
       readRowsAgain(nextRetryPause());
       return;
     }
     retry_pause_ = kFirstRetryPause;
-    takeRows(answer);
+    takeRows(table);
   });
 }
 
 // The key's row is written once, by the first gateway that finds none. The own row is written before others'
 // rows are read for the last time: of two that start together, one at least finds the other.
-void PeerDirectory::takeRows(const forwarding::StoreRows& answer) {
+void PeerDirectory::takeRows(const WholeTable& table) {
   const std::string own_key = core_.settings.gateway_id.value();
   const std::string own_value = printPeer(core_.settings);
   bool has_key = false;
   bool is_own_there = false;
   uint64_t own_version = 0;
-  for (const forwarding::StoreRow& row : answer.rows) {
+  for (const forwarding::StoreRow& row : table.rows) {
     if (row.key == kKeyRow) {
       has_key = true;
-      takeKey(row.value, answer.clock);
+      takeKey(row.value, table.clock);
     } else if (row.key == own_key) {
       is_own_there = row.value == own_value;
       own_version = row.version;
@@ -138,10 +137,8 @@
   row.table = kTable;
   row.key = kKeyRow;
   row.value = newSecret();
-  store_.write(row, 0, [this](StoreStatus status, const forwarding::StoreRows& /*rows*/) {
-    const bool is_settled = status == StoreStatus::kDone || status == StoreStatus::kConflict;
-    readRowsAgain(is_settled ? absl::ZeroDuration() : nextRetryPause());
-  });
+  store_.write(
+      row, 0, [this](StoreStatus status, const forwarding::StoreRows& /*rows*/) { readAfterWrite(status); });
 }
 
 void PeerDirectory::writeOwnRow(uint64_t expected_version) {
@@ -150,11 +147,22 @@
   row.key = core_.settings.gateway_id.value();
   row.value = printPeer(core_.settings);
   store_.write(row, expected_version, [this](StoreStatus status, const forwarding::StoreRows& /*rows*/) {
-    const bool is_settled = status == StoreStatus::kDone || status == StoreStatus::kConflict;
-    readRowsAgain(is_settled ? absl::ZeroDuration() : nextRetryPause());
+    readAfterWrite(status);
   });
 }
 
+// Two gateways may write at the same moment; a conflict that comes again has another cause, and is no reason to
+// ask the store without a pause.
+void PeerDirectory::readAfterWrite(StoreStatus status) {
+  const bool is_first_conflict =
+      status == StoreStatus::kConflict && !std::exchange(had_conflict_, true);
+  if (status == StoreStatus::kDone) {
+    had_conflict_ = false;
+  }
+  const bool is_at_once = status == StoreStatus::kDone || is_first_conflict;
+  readRowsAgain(is_at_once ? absl::ZeroDuration() : nextRetryPause());
+}
+
 void PeerDirectory::takeKey(const std::string& secret, absl::Duration store_clock) {
   if (authenticator_ != nullptr) {
     return;
--- a/src/gateway/peer_directory.h
+++ b/src/gateway/peer_directory.h
@@ -13,6 +13,7 @@
 #include "gateway/core.h"
 #include "gateway/refused_rows.h"
 #include "gateway/store_client.h"
+#include "gateway/whole_table_reader.h"
 #include "peer/authenticator.h"
 #include "routing/keeper_ranks.h"
 
@@ -47,17 +48,20 @@
 
  private:
   void readRows();
-  void takeRows(const forwarding::StoreRows& answer);
+  void takeRows(const WholeTable& table);
   void takeKey(const std::string& secret, absl::Duration store_clock);
   void writeKey();
   void writeOwnRow(uint64_t expected_version);
   void readRowsAgain(absl::Duration after);
+  void readAfterWrite(StoreStatus status);
   absl::Duration nextRetryPause();
 
   Core& core_;
   StoreClient store_;
+  WholeTableReader reader_;
   std::function<void()> ready_;
   absl::Duration retry_pause_;  // until the next call where the store did not answer
+  bool had_conflict_ = false;   // the last write met a row that the reading before had not shown
   std::unique_ptr<peer::Authenticator> authenticator_;
   absl::btree_map<NodeId, Peer> peers_;
   RefusedRows refused_rows_;
--- a/src/gateway/table_follower.cc
+++ b/src/gateway/table_follower.cc
@@ -4,17 +4,13 @@
 #include <utility>
 
 namespace quincewick::gateway {
-namespace {
-
-constexpr uint32_t kRowsAtOnce = 500;
-}  // namespace
 
 TableFollower::TableFollower(Core& core, TableFollowerSettings settings, News news)
     : core_(core),
       settings_(std::move(settings)),
       pace_(settings_.pace),
       news_(std::move(news)),
-      whole_store_(core) {}
+      whole_reader_(core) {}
 
 void TableFollower::start() {
   if (std::exchange(is_following_, true)) {
@@ -24,11 +20,12 @@
   follows_changes_ = false;
   feed_store_ = std::make_unique<StoreClient>(core_);
   pace_.restart();
-  readWhole("", {}, reactor::steadyNow(), 0);
+  readWhole();
 }
 
 void TableFollower::stop() {
   ++turn_;
+  whole_reader_.cancel();
   is_following_ = false;
   is_down_ = false;
 }
@@ -41,49 +38,35 @@
   });
 }
 
-// Pages are of one moment each. A row of an earlier page may change while later ones are read: the whole
-// reading stands for the version of its first page, and the changes since are asked for after that one.
-void TableFollower::readWhole(const std::string& from, std::vector<forwarding::StoreRow> read,
-                              absl::Time began, uint64_t version) {
-  whole_store_.read(settings_.table, from, kRowsAtOnce,
-                    [this, turn = turn_, read = std::move(read), began, version, from_start = from.empty()](
-                        StoreStatus status, const forwarding::StoreRows& answer) mutable {
-                      if (turn != turn_) {
-                        return;
-                      }
-                      if (status != StoreStatus::kDone) {
-                        noteDown();
-                        return;
-                      }
-                      const uint64_t first = from_start ? answer.version : version;
-                      read.insert(read.end(), answer.rows.begin(), answer.rows.end());
-                      if (answer.has_more && !answer.rows.empty()) {
-                        const std::string next = answer.rows.back().key + '\x01';
-                        readWhole(next, std::move(read), began, first);
-                        return;
-                      }
-                      takeWhole(std::move(read), first, began);
-                    });
+void TableFollower::readWhole() {
+  const absl::Time began = reactor::steadyNow();
+  whole_reader_.read(settings_.table, [this, began](StoreStatus status, WholeTable table) {
+    if (status == StoreStatus::kDone) {
+      takeWhole(std::move(table), began);
+    } else {
+      noteDown();
+    }
+  });
 }
 
 void TableFollower::noteDown() {
   if (!std::exchange(is_down_, true)) {
     core_.log.event("store_lost", reactor::steadyNow()).with("table", settings_.table);
   }
-  later(pace_.afterFailedWhole(core_.random), [this] { readWhole("", {}, reactor::steadyNow(), 0); });
+  later(pace_.afterFailedWhole(core_.random), [this] { readWhole(); });
 }
 
-void TableFollower::takeWhole(std::vector<forwarding::StoreRow> rows, uint64_t version, absl::Time began) {
+void TableFollower::takeWhole(WholeTable whole, absl::Time began) {
   if (std::exchange(is_down_, false)) {
     core_.log.event("store_regained", reactor::steadyNow()).with("table", settings_.table);
   }
-  version_ = std::max(version_, version);
+  version_ = std::max(version_, whole.version);
   const uint64_t turn = turn_;
-  news_({std::move(rows), true, version, began, began});
+  news_({std::move(whole.rows), true, whole.version, began, began});
   if (turn != turn_) {
     return;
   }
-  later(pace_.afterWhole(core_.random), [this] { readWhole("", {}, reactor::steadyNow(), 0); });
+  later(pace_.afterWhole(core_.random), [this] { readWhole(); });
   if (!std::exchange(follows_changes_, true)) {
     followOn(pace_.afterChanges());
   }
@@ -100,10 +83,11 @@
 // Changes can't be told, or not any more: a whole reading tells them, too.
 void TableFollower::readWholeInstead(StoreStatus why) {
   ++turn_;
+  whole_reader_.cancel();
   follows_changes_ = false;
   const bool is_at_once = why == StoreStatus::kHistoryGone;
   later(is_at_once ? absl::ZeroDuration() : pace_.afterFailedChanges(),
-        [this] { readWhole("", {}, reactor::steadyNow(), 0); });
+        [this] { readWhole(); });
 }
 
 // While the store is down, whole readings alone ask whether it is back.
--- a/src/gateway/table_follower.h
+++ b/src/gateway/table_follower.h
@@ -14,6 +14,7 @@
 #include "forwarding/row_cache.h"
 #include "gateway/core.h"
 #include "gateway/store_client.h"
+#include "gateway/whole_table_reader.h"
 
 namespace quincewick::gateway {
 
@@ -38,10 +39,9 @@
   bool isDown() const { return is_down_; }
 
  private:
-  void readWhole(const std::string& from, std::vector<forwarding::StoreRow> read, absl::Time began,
-                 uint64_t version);
+  void readWhole();
   void readWholeInstead(StoreStatus why);
-  void takeWhole(std::vector<forwarding::StoreRow> rows, uint64_t version, absl::Time began);
+  void takeWhole(WholeTable whole, absl::Time began);
   void noteDown();
   void followOn(absl::Duration after);
   void follow();
@@ -52,7 +52,7 @@
   TableFollowerSettings settings_;
   forwarding::ReadingPace pace_;
   News news_;
-  StoreClient whole_store_;
+  WholeTableReader whole_reader_;
   std::unique_ptr<StoreClient> feed_store_;  // a new one at each start: an old wait may go on for long
   uint64_t version_ = 0;                     // all changes up to here have been taken; 0: none yet
   uint64_t turn_ = 0;                        // rises with each start and stop
--- /dev/null
+++ b/src/gateway/whole_table_reader.h
@@ -0,0 +1,40 @@
+// Reads a table of the store whole, page by page.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "gateway/core.h"
+#include "gateway/store_client.h"
+
+namespace quincewick::gateway {
+
+struct WholeTable {
+  std::vector<forwarding::StoreRow> rows;
+  // The store's before the first page: a row of it may change while later ones are read, and the changes since
+  // are told after this version.
+  uint64_t version = 0;
+  absl::Duration clock;  // the store's, at the last page
+};
+
+class WholeTableReader {
+ public:
+  // `table` is whole if the status is kDone.
+  using Done = std::function<void(StoreStatus status, WholeTable table)>;
+
+  explicit WholeTableReader(Core& core) : store_(core) {}
+
+  void read(const std::string& table, Done done);
+  // What is under way is not told any more.
+  void cancel() { ++turn_; }
+
+ private:
+  void readPage(const std::string& name, const std::string& from, WholeTable table, Done done);
+
+  StoreClient store_;
+  uint64_t turn_ = 0;  // rises with each reading and cancellation
+};
+
+}  // namespace quincewick::gateway
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -110,6 +110,46 @@
   CHECK(site.seen().size() == 2);
 }
 
+// 500 rows are what the store gives at once: of 986 gateways' rows nobody read the other half, and a gateway
+// whose own row stood there wrote and read it again without a pause and without end.
+TEST_CASE_METHOD(Fixture, "a gateway finds its own row behind those of 1,200 others, and asks no more then") {
+  site.addServer("i-1", [](const Seen& /*seen*/) { return Script{signedAnswer("")}; });
+  for (int number = 1000; number < 2200; ++number) {
+    site.setRow("gateway-peers", absl::StrCat("g-", number), "127.0.0.1:9 1 elsewhere");
+  }
+  GatewaySettings settings = RunningGateway::settings("z-last", site.secondStoreAddress(), site);
+  settings.site_is_new = false;
+  const RunningGateway gateway(settings);
+  for (int asked = 0; asked < 30; ++asked) {
+    CHECK(has(gateway.ask("/open/", {}), " 200 "));
+  }
+  // The key and the own row are written, each after a whole reading: three of those in all.
+  size_t readings = 0;
+  size_t later_pages = 0;
+  for (const std::string& target : site.secondCalls()) {
+    const bool is_directory = has(target, "table=gateway-peers&");
+    readings += is_directory && has(target, "from=&") ? 1 : 0;
+    later_pages += is_directory && !has(target, "from=&") ? 1 : 0;
+  }
+  CHECK(readings <= 3);
+  CHECK(later_pages == 2 * readings);
+}
+
+// Its failures came sooner than others' answers, and so it looked like the quickest server.
+TEST_CASE_METHOD(Fixture, "a server that fails quickly draws no further requests") {
+  size_t failed = 0;
+  site.addServer("i-1", [&failed](const Seen& /*seen*/) {
+    ++failed;
+    return Script{answerOf(500, {{"Quincewick-Response-Signature", "s"}}, "")};
+  });
+  site.addServer("i-2", [](const Seen& /*seen*/) { return Script{signedAnswer("")}; });
+  const RunningGateway gateway(site);
+  for (int asked = 0; asked < 20; ++asked) {
+    gateway.ask("/once/", kKey);
+  }
+  CHECK(failed <= 2);
+}
+
 TEST_CASE_METHOD(Fixture, "a success without a signature is no answer") {
   site.addServer("i-1", [](const Seen& /*seen*/) { return Script{answerOf(200, {}, "spoilt")}; });
   const RunningGateway gateway(site);
--- a/tests/gateway/stand_in_site.h
+++ b/tests/gateway/stand_in_site.h
@@ -208,7 +208,17 @@
       return "";
     }
     const size_t value = begin + name.size() + 1;
-    return target.substr(value, target.find('&', value) - value);
+    const std::string encoded = target.substr(value, target.find('&', value) - value);
+    std::string decoded;
+    for (size_t place = 0; place < encoded.size(); ++place) {
+      if (encoded[place] == '%') {
+        decoded += static_cast<char>(std::stoi(encoded.substr(place + 1, 2), nullptr, 16));
+        place += 2;
+      } else {
+        decoded += encoded[place];
+      }
+    }
+    return decoded;
   }
 
   // Writes every row of `put` whose condition holds.
@@ -238,8 +248,14 @@
     }
     std::string rows;
     const bool is_read = head.target.starts_with("/v1/rows-get");
+    const std::string limit = parameter(head.target, "limit");
+    size_t room = limit.empty() ? SIZE_MAX : std::stoul(limit);
+    bool has_more = false;
     for (const auto& [key, row] : rows_[parameter(head.target, "table")]) {
-      if (is_read && key >= parameter(head.target, "from")) {
+      const bool is_asked_for = is_read && key >= parameter(head.target, "from");
+      has_more = has_more || (is_asked_for && room == 0);
+      if (is_asked_for && room > 0) {
+        --room;
         absl::StrAppend(&rows, rows.empty() ? "" : ",", R"({"table":")", parameter(head.target, "table"),
                         R"(","key":")", key, R"(","value":")", absl::Base64Escape(row.value), R"(","ver":)",
                         row.version, "}");
@@ -249,8 +265,8 @@
       return {answerOf(503, {}, ""), false, false, false};  // changes are seen by whole readings
     }
     return {answerOf(200, {},
-                     absl::StrCat(R"({"rows":[)", rows, R"(],"more":false,"ver":)", version_,
-                                  R"(,"now_ms":1000})")),
+                     absl::StrCat(R"({"rows":[)", rows, R"(],"more":)", has_more ? "true" : "false",
+                                  R"(,"ver":)", version_, R"(,"now_ms":1000})")),
             false, false, false};
   }
 
