--- a/src/gateway/rollout_director.cc
+++ b/src/gateway/rollout_director.cc
@@ -236,11 +236,21 @@
                 const auto record = is_there ? staged_rollout::decodeRecord(answer.rows.front().value)
                                              : fail(ErrorCode::kUnavailable, "the record was not read");
                 if (record.has_value()) {
-                  takeWritten({record.value(), answer.rows.front().version});
+                  takeReadAgain({record.value(), answer.rows.front().version});
                 }
               });
 }
 
+// A write is answered with the store's version, which another write may have raised: the row's own one stands.
+void RolloutDirector::takeReadAgain(const KnownRecord& known) {
+  const auto state = rollouts_.services().find(known.record.service);
+  if (state != rollouts_.services().end() && state->second.gate.known() &&
+      state->second.gate.known()->record == known.record) {
+    state->second.gate.correctRow(known.row);
+  }
+  takeWritten(known);
+}
+
 // Told to all at once: gateways need not wait for the reading of their zone.
 void RolloutDirector::takeWritten(const KnownRecord& known) {
   const RolloutNotice notice{known, false};
--- a/src/gateway/rollout_director.h
+++ b/src/gateway/rollout_director.h
@@ -57,6 +57,7 @@
                          staged_rollout::Situation& situation) const;
   void write(staged_rollout::RolloutRecord record, uint64_t expected_row);
   void readAgain(const forwarding::ServiceName& service);
+  void takeReadAgain(const staged_rollout::KnownRecord& known);
   void takeWritten(const staged_rollout::KnownRecord& known);
   void tellAll(const staged_rollout::RolloutNotice& notice);
   void tellInTurn(const staged_rollout::RolloutNotice& notice);
--- a/src/staged_rollout/traffic_gate.h
+++ b/src/staged_rollout/traffic_gate.h
@@ -43,6 +43,8 @@
   void takeRecord(const KnownRecord& known, absl::Time as_of);
   // A reading found it unchanged, or not there.
   void confirmRecord(absl::Time as_of) { record_as_of_ = std::max(record_as_of_, as_of); }
+  // The record that is known stands in the store under this version.
+  void correctRow(uint64_t row) { known_->row = row; }
   // `now`: when the notice came.
   void takeNotice(const RolloutNotice& notice, absl::Time now);
   // Versions that the service's servers have; the base is guessed from them while no record is known.
--- a/tests/gateway/stand_in_site.h
+++ b/tests/gateway/stand_in_site.h
@@ -147,9 +147,17 @@
     return found != rows_.end() && !found->second.empty();
   }
 
+  // The row's value; empty: it isn't there.
+  std::string row(const std::string& table, const std::string& key) const {
+    const std::lock_guard lock(mutex_);
+    const auto found = rows_.find(table);
+    const auto row = found == rows_.end() ? nullptr : &found->second;
+    return row == nullptr || !row->contains(key) ? "" : row->at(key).value;
+  }
+
   // Adds a server of the service "pool" that answers by script; `answers` gets what it was asked.
   void addServer(const std::string& id, std::function<Script(const Seen& seen)> answers,
-                 const std::string& models = "[]") {
+                 const std::string& models = "[]", const std::string& software = "v1") {
     std::promise<void> done;
     boost::asio::post(reactor_, [&] {
       servers_.push_back(std::make_unique<StandInServer>(
@@ -166,7 +174,8 @@
     const Address address = servers_.back()->address();
     setRow("servers", id,
            absl::StrCat(R"({"service":"pool","address":")", address.host, ":", address.port,
-                        R"(","zone":"z","slots":4,"state":"ready","models":)", models, "}"));
+                        R"(","zone":"z","slots":4,"state":"ready","version":")", software, R"(","models":)",
+                        models, "}"));
   }
 
   // From now on the store refuses those who ask at its second address, or serves them again.
@@ -221,7 +230,7 @@
     return decoded;
   }
 
-  // Writes every row of `put` whose condition holds.
+  // Writes all rows of `put` if all conditions hold; they get one version, as the store's transactions do.
   Script write(const std::string& body) {
     const nlohmann::json transaction = nlohmann::json::parse(body);
     for (const auto& condition : transaction["expectedRevision"]) {
@@ -232,10 +241,11 @@
         return {answerOf(412, {}, R"({"rows":[],"ver":1,"now_ms":1000})"), false, false, false};
       }
     }
+    ++version_;
     for (const auto& put : transaction["put"]) {
       std::string value;
       absl::Base64Unescape(put["value"].get<std::string>(), &value);
-      rows_[put["table"]][put["key"]] = {value, ++version_};
+      rows_[put["table"]][put["key"]] = {value, version_};
     }
     return {answerOf(200, {}, absl::StrCat(R"({"ver":)", version_, R"(,"now_ms":1000})")), false, false,
             false};
