--- a/tests/forwarding/server_choice_test.cc
+++ b/tests/forwarding/server_choice_test.cc
@@ -24,8 +24,6 @@
   return entry;
 }
 
-// Of 331 servers of a large site 259 got no request all day, and the busiest ten times the mean: a quick answer to
-// a trifle made a server look several times as fast as all that nobody had tried.
 TEST_CASE("requests of many gateways, each of which sends few, spread over all servers of a service") {
   constexpr int servers = 60;
   constexpr int gateways = 200;
