--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -214,8 +214,8 @@
   complete("answered");
 }
 
-// A failure that is passed on, for the request may not run again, is a failure all the same: counted as a quick
-// answer, it drew all further requests to its server.
+// A failure that is passed on, for the request may not run again, is a failure all the same: counted as a
+// quick answer, it drew all further requests to its server.
 void Exchange::noteServersAnswer(absl::Time now) {
   if (answer_.status >= kFirstServerError) {
     noteRolloutEnd(RolloutExchange::End::kFailed);
--- a/src/gateway/exchange_rollout.cc
+++ b/src/gateway/exchange_rollout.cc
@@ -67,8 +67,7 @@
 
 void Exchange::settleRollout() {
   if (rollout_end_) {
-    core_.rollouts->noteOver(*server_, route_->name, was_crowded_,
-                             *std::exchange(rollout_end_, std::nullopt),
+    core_.rollouts->noteOver(*server_, route_->name, was_crowded_, *std::exchange(rollout_end_, std::nullopt),
                              reactor::steadyNow() - attempt_began_);
   }
 }
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -56,7 +56,7 @@
   // Of a service's requests, at most, that go to a new version of its servers before it was found good; 0:
   // versions of servers don't matter.
   double rollout_share = 0;
-  double capacity = 0;       // of its machine, in any unit: in each zone the greatest reads the store first
+  double capacity = 0;  // of its machine, in any unit: in each zone the greatest reads the store first
 
   friend bool operator==(const GatewaySettings&, const GatewaySettings&) = default;
 };
--- a/src/gateway/order_giver.cc
+++ b/src/gateway/order_giver.cc
@@ -31,9 +31,7 @@
 }  // namespace
 
 OrderGiver::OrderGiver(Core& core, PeerExchange& peers)
-    : core_(core),
-      peers_(peers),
-      lease_(core, kLeaseRow, [this] { peers_.announceOrders(); }) {}
+    : core_(core), peers_(peers), lease_(core, kLeaseRow, [this] { peers_.announceOrders(); }) {}
 
 void OrderGiver::tick() {
   const absl::Time now = reactor::steadyNow();
@@ -53,8 +51,8 @@
   // A gateway that stops goes on with what it holds, but takes nothing new.
   const bool is_lease_needed = is_due_ && (!core_.is_stopping || lease_.holds(now));
   const bool is_to_be_taken = is_lease_needed && !lease_.holds(now);
-  lease_.pursue(is_lease_needed, is_to_be_taken ? turnDelay(now) : absl::ZeroDuration(),
-                peers_.ordersHeard(), now);
+  lease_.pursue(is_lease_needed, is_to_be_taken ? turnDelay(now) : absl::ZeroDuration(), peers_.ordersHeard(),
+                now);
   if (lease_.mayAct(now)) {
     for (const auto& [model, plan] : plans) {
       carryOut(model, plan, now);
--- a/src/gateway/peer_directory.cc
+++ b/src/gateway/peer_directory.cc
@@ -137,8 +137,8 @@
   row.table = kTable;
   row.key = kKeyRow;
   row.value = newSecret();
-  store_.write(
-      row, 0, [this](StoreStatus status, const forwarding::StoreRows& /*rows*/) { readAfterWrite(status); });
+  store_.write(row, 0,
+               [this](StoreStatus status, const forwarding::StoreRows& /*rows*/) { readAfterWrite(status); });
 }
 
 void PeerDirectory::writeOwnRow(uint64_t expected_version) {
@@ -146,16 +146,14 @@
   row.table = kTable;
   row.key = core_.settings.gateway_id.value();
   row.value = printPeer(core_.settings);
-  store_.write(row, expected_version, [this](StoreStatus status, const forwarding::StoreRows& /*rows*/) {
-    readAfterWrite(status);
-  });
+  store_.write(row, expected_version,
+               [this](StoreStatus status, const forwarding::StoreRows& /*rows*/) { readAfterWrite(status); });
 }
 
-// Two gateways may write at the same moment; a conflict that comes again has another cause, and is no reason to
-// ask the store without a pause.
+// Two gateways may write at the same moment; a conflict that comes again has another cause, and is no reason
+// to ask the store without a pause.
 void PeerDirectory::readAfterWrite(StoreStatus status) {
-  const bool is_first_conflict =
-      status == StoreStatus::kConflict && !std::exchange(had_conflict_, true);
+  const bool is_first_conflict = status == StoreStatus::kConflict && !std::exchange(had_conflict_, true);
   if (status == StoreStatus::kDone) {
     had_conflict_ = false;
   }
--- a/src/gateway/relay_messages.h
+++ b/src/gateway/relay_messages.h
@@ -38,8 +38,8 @@
   absl::Duration held_for;
 };
 
-// The same answer with its rows packed (packed_rows.h), for those who ask at kPackedPath. Gateways of an earlier
-// build don't: they ask at kPlainPath, and answer a question at either path with a plain answer.
+// The same answer with its rows packed (packed_rows.h), for those who ask at kPackedPath. Gateways of an
+// earlier build don't: they ask at kPlainPath, and answer a question at either path with a plain answer.
 struct PackedRelayAnswer {
   RelayAnswer answer;  // without rows
   std::string packed;
--- a/src/gateway/rollout_director.cc
+++ b/src/gateway/rollout_director.cc
@@ -159,8 +159,8 @@
   if (judged.is_write_under_way) {
     return;
   }
-  const auto next = nextRecord(known.record, situationOf(state, judged, now),
-                               {core_.settings.bounds.key_revocation});
+  const auto next =
+      nextRecord(known.record, situationOf(state, judged, now), {core_.settings.bounds.key_revocation});
   if (next) {
     core_.log.event("rollout_step", now)
         .with("service", service.value())
@@ -241,7 +241,8 @@
               });
 }
 
-// A write is answered with the store's version, which another write may have raised: the row's own one stands.
+// A write is answered with the store's version, which another write may have raised: the row's own one
+// stands.
 void RolloutDirector::takeReadAgain(const KnownRecord& known) {
   const auto state = rollouts_.services().find(known.record.service);
   if (state != rollouts_.services().end() && state->second.gate.known() &&
--- a/src/gateway/rollout_exchange.cc
+++ b/src/gateway/rollout_exchange.cc
@@ -238,8 +238,8 @@
 
 // While a target is watched, its requests go to few of its servers, so that these are loaded as the base's
 // are: a version that is bad only under load is seen so.
-std::vector<ServerDirectory::ServerPointer> RolloutExchange::serversOf(
-    const ServiceName& service, const SoftwareVersion& version) const {
+std::vector<ServerDirectory::ServerPointer> RolloutExchange::serversOf(const ServiceName& service,
+                                                                       const SoftwareVersion& version) const {
   std::vector<ServerDirectory::ServerPointer> servers;
   size_t others = 0;
   const absl::Time now = reactor::steadyNow();
--- a/src/gateway/rollout_messages.cc
+++ b/src/gateway/rollout_messages.cc
@@ -80,8 +80,8 @@
 }
 
 size_t bytesOf(const AnswerCounts& counts) {
-  const auto classes = std::count_if(counts.times.begin(), counts.times.end(),
-                                     [](uint32_t answers) { return answers > 0; });
+  const auto classes =
+      std::count_if(counts.times.begin(), counts.times.end(), [](uint32_t answers) { return answers > 0; });
   return kStratumBytes + kTimeBytes * static_cast<size_t>(classes);
 }
 
--- a/src/gateway/row_relay.cc
+++ b/src/gateway/row_relay.cc
@@ -130,8 +130,8 @@
   }
   const std::vector<forwarding::StoreRow> rows = std::exchange(answer.rows, {});
   PackedRelayAnswer packed{std::move(answer), {}};
-  packed.packed = packed.answer.is_whole ? packedWhole(held.question.table, rows, packed.answer.version)
-                                         : packRows(rows);
+  packed.packed =
+      packed.answer.is_whole ? packedWhole(held.question.table, rows, packed.answer.version) : packRows(rows);
   return encodePackedAnswer(packed);
 }
 
--- a/src/gateway/site_follower.h
+++ b/src/gateway/site_follower.h
@@ -12,9 +12,9 @@
 #include "gateway/peer_exchange.h"
 #include "gateway/refused_rows.h"
 #include "gateway/relay_follower.h"
+#include "gateway/rollout_exchange.h"
 #include "gateway/row_relay.h"
 #include "gateway/server_list.h"
-#include "gateway/rollout_exchange.h"
 #include "gateway/table_follower.h"
 #include "gateway/weights_record.h"
 
--- a/src/gateway/table_follower.cc
+++ b/src/gateway/table_follower.cc
@@ -86,8 +86,7 @@
   whole_reader_.cancel();
   follows_changes_ = false;
   const bool is_at_once = why == StoreStatus::kHistoryGone;
-  later(is_at_once ? absl::ZeroDuration() : pace_.afterFailedChanges(),
-        [this] { readWhole(); });
+  later(is_at_once ? absl::ZeroDuration() : pace_.afterFailedChanges(), [this] { readWhole(); });
 }
 
 // While the store is down, whole readings alone ask whether it is back.
--- a/src/gateway/whole_answers.h
+++ b/src/gateway/whole_answers.h
@@ -1,5 +1,5 @@
-// How many followers are sent a whole large table at once: what a reader has ready to be sent must fit into its
-// memory, and what it sends must arrive before its followers give up. Pure; `now` never goes back.
+// How many followers are sent a whole large table at once: what a reader has ready to be sent must fit into
+// its memory, and what it sends must arrive before its followers give up. Pure; `now` never goes back.
 #pragma once
 
 #include <absl/container/flat_hash_map.h>
--- a/src/gateway/whole_table_reader.h
+++ b/src/gateway/whole_table_reader.h
@@ -13,8 +13,8 @@
 
 struct WholeTable {
   std::vector<forwarding::StoreRow> rows;
-  // The store's before the first page: a row of it may change while later ones are read, and the changes since
-  // are told after this version.
+  // The store's before the first page: a row of it may change while later ones are read, and the changes
+  // since are told after this version.
   uint64_t version = 0;
   absl::Duration clock;  // the store's, at the last page
 };
--- a/src/quota/tenant_quotas.cc
+++ b/src/quota/tenant_quotas.cc
@@ -9,7 +9,8 @@
 
 constexpr size_t kAskedAtMost = 3;  // gateways for one request
 constexpr absl::Duration kProbeInterval = absl::Milliseconds(100);
-// What all gateways together give out while they take another for the keeper, of the overshoot that is allowed.
+// What all gateways together give out while they take another for the keeper, of the overshoot that is
+// allowed.
 constexpr double kStandInPart = 0.5;
 constexpr absl::Duration kLongestPause = absl::Seconds(1);  // between beats of a process that runs
 constexpr size_t kAccountsAtMost = 4096;
@@ -64,8 +65,8 @@
   const bool is_keeper = isKeeper(tenant);
   const std::vector<NodeId> before = ranks_.before(tenant.value(), self_);
   probe(before, tenant, now, actions);
-  // Where some can't reach the keeper and others not the next one either, several stand in at the same time: by
-  // its rank each has half of what the one before it has, so that together they keep to one's part.
+  // Where some can't reach the keeper and others not the next one either, several stand in at the same time:
+  // by its rank each has half of what the one before it has, so that together they keep to one's part.
   const double share = std::exp2(-static_cast<double>(before.size()));
   const KeeperRights rights = {is_keeper ? 1 : tolerance_.overshoot * kStandInPart * share,
                                is_keeper && now >= was_away_until_, before.empty(), is_keeper ? 1 : share};
--- a/src/staged_rollout/rollout_course.cc
+++ b/src/staged_rollout/rollout_course.cc
@@ -133,8 +133,7 @@
 
 std::optional<NextRecord> nextRecord(const RolloutRecord& record, const Situation& situation,
                                      const CourseSettings& settings) {
-  const bool is_asked_anew =
-      situation.operators_row && situation.operators_row->row > record.request_row;
+  const bool is_asked_anew = situation.operators_row && situation.operators_row->row > record.request_row;
   if (is_asked_anew) {
     return answerRequest(record, situation, settings);
   }
--- a/src/staged_rollout/rollout_course.h
+++ b/src/staged_rollout/rollout_course.h
@@ -17,9 +17,9 @@
 // The operator's row for one service, as it was read last.
 struct OperatorsRow {
   forwarding::RolloutRequest request;
-  uint64_t row = 0;     // the store's version of it
+  uint64_t row = 0;      // the store's version of it
   bool is_gone = false;  // the operator took the request back
-  absl::Duration seen;  // by the store's clock, at first
+  absl::Duration seen;   // by the store's clock, at first
 };
 
 struct Situation {
@@ -33,7 +33,8 @@
 };
 
 struct CourseSettings {
-  absl::Duration key_revocation = absl::Seconds(5);  // who reads nothing for so long sends nothing under a key
+  absl::Duration key_revocation =
+      absl::Seconds(5);  // who reads nothing for so long sends nothing under a key
 };
 
 struct NextRecord {
--- a/src/staged_rollout/rollout_record.cc
+++ b/src/staged_rollout/rollout_record.cc
@@ -54,8 +54,8 @@
   archive(stage, record.share, record.request_row, record.began, record.deadline, record.stage_began,
           record.base_until, record.fence, record.bad_answers);
   if constexpr (Archive::is_loading::value) {
-    const bool is_sound = stage <= static_cast<uint8_t>(RolloutStage::kRolledBack) && record.share >= 0 &&
-                          record.share <= 1;
+    const bool is_sound =
+        stage <= static_cast<uint8_t>(RolloutStage::kRolledBack) && record.share >= 0 && record.share <= 1;
     if (!is_sound) {
       throw cereal::Exception("a stage or share that can't be");
     }
--- a/src/staged_rollout/traffic_gate.h
+++ b/src/staged_rollout/traffic_gate.h
@@ -2,10 +2,10 @@
 // service; pure, `now` is the node's steady clock.
 //
 // The target's share is a bound without a word between gateways: each request that a server of the base has
-// answered here adds the share to the bucket of its route, each that goes to the target takes one out. Buckets
-// start empty with each process and each rollout, so whatever gateways die, start or are cut off, the target
-// gets no more than its share of the requests that reached the service. A part that the decider would hand out
-// needs a round trip, and what a dead gateway held is lost or handed out twice.
+// answered here adds the share to the bucket of its route, each that goes to the target takes one out.
+// Buckets start empty with each process and each rollout, so whatever gateways die, start or are cut off, the
+// target gets no more than its share of the requests that reached the service. A part that the decider would
+// hand out needs a round trip, and what a dead gateway held is lost or handed out twice.
 #pragma once
 
 #include <absl/container/flat_hash_map.h>
@@ -57,8 +57,8 @@
   // Whether a request may be sent to a server of that version now.
   bool mayUse(const SoftwareVersion& version, absl::Duration store_clock, absl::Time now) const;
   // Which side a request of the route goes to; the target's share is taken if it is that. `place`: 0 to 1, by
-  // which requests are told apart that go over early: those of one prompt have the same. Nothing: neither side
-  // may be used.
+  // which requests are told apart that go over early: those of one prompt have the same. Nothing: neither
+  // side may be used.
   std::optional<Side> choose(uint64_t route, double place, absl::Duration store_clock, absl::Time now);
   // A server of the base answered a request of the route.
   void noteBaseAnswered(uint64_t route);
--- a/src/staged_rollout/version_verdict.cc
+++ b/src/staged_rollout/version_verdict.cc
@@ -43,8 +43,7 @@
   if (median == kTimeClasses) {
     return kTimeClasses;
   }
-  static const auto steps =
-      static_cast<size_t>(std::ceil(std::log(kSlowFactor) / std::log(1.4)));  // classes
+  static const auto steps = static_cast<size_t>(std::ceil(std::log(kSlowFactor) / std::log(1.4)));  // classes
   return median + steps;
 }
 
@@ -102,8 +101,8 @@
   target_answers_ += span.target.answers;
   unexplained_ += static_cast<double>(bad) - expected * static_cast<double>(span.target.answers);
   unexplained_ = std::max(unexplained_, 0.0);
-  const bool is_condemned = test.evidence >= thresholdForBad() ||
-                            together_.evidence >= thresholdForBad() || unexplained_ >= kUnexplainedAtMost;
+  const bool is_condemned = test.evidence >= thresholdForBad() || together_.evidence >= thresholdForBad() ||
+                            unexplained_ >= kUnexplainedAtMost;
   is_bad_ = is_bad_ || is_condemned;
 }
 
@@ -131,8 +130,8 @@
     return Verdict::kBad;
   }
   const bool is_accepted = together_.evidence <= thresholdForGood() && target_answers_ >= kFewestAnswers;
-  const bool is_any_suspect = std::any_of(tests_.begin(), tests_.end(),
-                                          [](const auto& entry) { return entry.second.evidence > 0; });
+  const bool is_any_suspect =
+      std::any_of(tests_.begin(), tests_.end(), [](const auto& entry) { return entry.second.evidence > 0; });
   return is_accepted && !is_any_suspect && isEachRouteSeen() ? Verdict::kGood : Verdict::kOpen;
 }
 
--- a/src/staged_rollout/version_verdict.h
+++ b/src/staged_rollout/version_verdict.h
@@ -4,8 +4,8 @@
 // Answers of the target are compared with those of the base of the same route, load and seconds, so that what
 // strikes both, as a burst or a failing store does, condemns neither. Bad are failures, and answers that took
 // several times the base's median. Each stratum has a sequential probability-ratio test, and all have one
-// together: "as bad as the base may be" against "that and a margin more". What speaks for the target is kept up
-// to the threshold for good only: one that turns bad late is found as soon as another.
+// together: "as bad as the base may be" against "that and a margin more". What speaks for the target is kept
+// up to the threshold for good only: one that turns bad late is found as soon as another.
 #pragma once
 
 #include <absl/container/btree_map.h>
--- a/tests/gateway/staged_rollout_test.cc
+++ b/tests/gateway/staged_rollout_test.cc
@@ -1,5 +1,5 @@
-// A rollout at one gateway on loopback: the operator's row, servers of two versions, the status that the operator
-// reads.
+// A rollout at one gateway on loopback: the operator's row, servers of two versions, the status that the
+// operator reads.
 #include <algorithm>
 #include <catch2/catch.hpp>
 
@@ -28,11 +28,14 @@
   }
 }
 
-TEST_CASE_METHOD(Fixture, "a bad version gets nothing before it is asked for, little then, and nothing afterwards") {
+TEST_CASE_METHOD(Fixture,
+                 "a bad version gets nothing before it is asked for, little then, and nothing afterwards") {
   site.addServer("old", [](const Seen& /*seen*/) { return Script{signedAnswer("")}; });
   site.addServer(
       "new",
-      [](const Seen& /*seen*/) { return Script{answerOf(500, {{"Quincewick-Response-Signature", "s"}}, "")}; },
+      [](const Seen& /*seen*/) {
+        return Script{answerOf(500, {{"Quincewick-Response-Signature", "s"}}, "")};
+      },
       "[]", "v2");
   const RunningGateway gateway(movingVersions(site));
   await([this] { return site.hasRows("gateway-rollouts"); });
@@ -54,7 +57,8 @@
 
 TEST_CASE_METHOD(Fixture, "a request that can't be read, or is of another service, changes nothing") {
   site.addServer("old", [](const Seen& /*seen*/) { return Script{signedAnswer("")}; });
-  site.addServer("new", [](const Seen& /*seen*/) { return Script{signedAnswer("")}; }, "[]", "v2");
+  site.addServer(
+      "new", [](const Seen& /*seen*/) { return Script{signedAnswer("")}; }, "[]", "v2");
   site.setRow("op", "rollout/pool", "no JSON");
   site.setRow("op", "rollout/other", kRequest);
   const RunningGateway gateway(movingVersions(site));
@@ -68,7 +72,8 @@
   site.addServer("old", [](const Seen& /*seen*/) {
     return Script{answerOf(503, {{"Quincewick-Not-Executed", "1"}}, "")};
   });
-  site.addServer("new", [](const Seen& /*seen*/) { return Script{signedAnswer("")}; }, "[]", "v2");
+  site.addServer(
+      "new", [](const Seen& /*seen*/) { return Script{signedAnswer("")}; }, "[]", "v2");
   site.setRow("op", "rollout/pool", kRequest);
   const RunningGateway gateway(site);
   ask(gateway, 5);
--- a/tests/quota/tenant_quotas_test.cc
+++ b/tests/quota/tenant_quotas_test.cc
@@ -184,9 +184,9 @@
   }
 }
 
-// One tenant sent many times its limit; its keeper was a small machine, and some gateways got no answer from it in
-// time, others none from the next one either. Two that stood in each gave out what one may: 7,316,841 tokens ran
-// in a window for which 7,171,700 were allowed.
+// One tenant sent many times its limit; its keeper was a small machine, and some gateways got no answer from
+// it in time, others none from the next one either. Two that stood in each gave out what one may: 7,316,841
+// tokens ran in a window for which 7,171,700 were allowed.
 TEST_CASE("gateways that stand in for a keeper at the same time keep to the tolerance together") {
   const RateLimit limit{LimitUnit::kTokens, 713'000, 713'000, 200};
   std::vector<routing::KeeperMember> members;
--- a/tests/staged_rollout/rollout_course_test.cc
+++ b/tests/staged_rollout/rollout_course_test.cc
@@ -140,7 +140,8 @@
 }
 
 TEST_CASE("a version that all traffic goes to already is completed at once") {
-  const auto next = nextRecord(firstRecord(kPool, kOld), at(kAsked, asks(kOld, absl::Seconds(12))), kSettings);
+  const auto next =
+      nextRecord(firstRecord(kPool, kOld), at(kAsked, asks(kOld, absl::Seconds(12))), kSettings);
   REQUIRE(next.has_value());
   CHECK(next->record.stage == RolloutStage::kCompleted);
   CHECK(next->record.base == kOld);
--- a/tests/staged_rollout/rollout_site_test.cc
+++ b/tests/staged_rollout/rollout_site_test.cc
@@ -1,5 +1,5 @@
-// A service's rollout on a site of gateways in virtual time: gateways die, start, freeze, are cut off from each
-// other and from the store, and the traffic rises and falls. Whatever happens, the promises hold:
+// A service's rollout on a site of gateways in virtual time: gateways die, start, freeze, are cut off from
+// each other and from the store, and the traffic rises and falls. Whatever happens, the promises hold:
 // - a version gets no request before it was asked for, nor once a roll-back is known;
 // - what gateways send to the target while it is watched is no more than its share of all requests;
 // - from the fiftieth bad answer on no gateway in touch sends it anything after the bound;
@@ -39,7 +39,7 @@
   bool is_up = true;
   bool hears_peers = true;
   bool hears_store = true;
-  absl::Time troubled = absl::InfinitePast();  // last
+  absl::Time troubled = absl::InfinitePast();          // last
   std::vector<std::pair<absl::Time, bool>> under_way;  // until when, and whether it is at the target
   uint64_t confirmed_row = 0;
 };
@@ -209,10 +209,9 @@
   // The base's servers are stopped in this moment.
   void checkBaseIsFree() {
     for (const Gateway& gateway : gateways) {
-      at_stopped_base += static_cast<uint64_t>(
-          std::count_if(gateway.under_way.begin(), gateway.under_way.end(), [&](const auto& request) {
-            return gateway.is_up && request.first > now && !request.second;
-          }));
+      at_stopped_base += static_cast<uint64_t>(std::count_if(
+          gateway.under_way.begin(), gateway.under_way.end(),
+          [&](const auto& request) { return gateway.is_up && request.first > now && !request.second; }));
     }
   }
 
--- a/tests/staged_rollout/version_verdict_test.cc
+++ b/tests/staged_rollout/version_verdict_test.cc
@@ -40,8 +40,8 @@
   };
 }
 
-// Nothing may reach a bad version five seconds after its fiftieth bad answer. Accounts come up to half a second
-// late, and a gateway that doesn't hear of the verdict goes on for a second and a half: two are left.
+// Nothing may reach a bad version five seconds after its fiftieth bad answer. Accounts come up to half a
+// second late, and a gateway that doesn't hear of the verdict goes on for a second and a half: two are left.
 constexpr int kTicksToFindBad = 20;
 
 struct Watched {
