--- a/src/staged_rollout/answer_account.h
+++ b/src/staged_rollout/answer_account.h
@@ -19,7 +19,7 @@
   uint64_t route = 0;       // the hash of its name
   bool is_crowded = false;  // the server had more than half of its slots taken, as far as known
 
-  friend auto operator<=>(const Stratum&, const Stratum&) = default;
+  friend auto operator<=>(const Stratum&, const Stratum&) = default;  // NOLINT
 };
 
 inline constexpr size_t kTimeClasses = 32;
