--- a/src/gateway/row_relay.cc
+++ b/src/gateway/row_relay.cc
@@ -13,6 +13,8 @@
 constexpr absl::Duration kLongestWait = absl::Seconds(2);
 // From so many rows on, a table as a whole is large.
 constexpr size_t kRowsOfLargeTable = 500;
+// Of one table: followers differ by an answer or two in what they know.
+constexpr size_t kPackedAtMost = 8;
 constexpr int kOk = 200;
 constexpr int kUnauthorized = 401;
 constexpr int kBadRequest = 400;
@@ -105,43 +107,53 @@
 }
 
 void RowRelay::answer(Held& held) {
-  const forwarding::TableNews news = caches_.at(held.question.table)->newsAfter(held.question.after);
-  RelayAnswer answer;
-  answer.rows = news.rows;
-  answer.is_whole = news.is_whole;
-  answer.version = news.version;
-  answer.readings = caches_.at(held.question.table)->readings();
   const absl::Time now = reactor::steadyNow();
-  answer.confirmed_ago = now - news.confirmed;
-  answer.as_of_ago = now - news.as_of;
-  answer.held_for = now - held.came;
   if (isLargeWhole(held)) {
     whole_answers_.noteSent(held.asker, now);
   }
-  const auto sealed =
-      peers_.authenticator()->seal(peer::Channel::kResponse, held.asker, peer::PeerModule::kRouting,
-                                   payloadFor(held, std::move(answer)), held.sequence);
+  const std::string payload = held.wants_packed ? packedAnswer(held, now) : plainAnswer(held, now);
+  const auto sealed = peers_.authenticator()->seal(peer::Channel::kResponse, held.asker,
+                                                   peer::PeerModule::kRouting, payload, held.sequence);
   held.respond({kOk, "application/octet-stream", sealed.bytes});
 }
 
-std::string RowRelay::payloadFor(const Held& held, RelayAnswer answer) {
-  if (!held.wants_packed) {
-    return encodeRelayAnswer(answer);
-  }
-  const std::vector<forwarding::StoreRow> rows = std::exchange(answer.rows, {});
-  PackedRelayAnswer packed{std::move(answer), {}};
-  packed.packed =
-      packed.answer.is_whole ? packedWhole(held.question.table, rows, packed.answer.version) : packRows(rows);
-  return encodePackedAnswer(packed);
+RelayAnswer RowRelay::answerWithoutRows(const Held& held, absl::Time now) const {
+  const forwarding::RowCache& cache = *caches_.at(held.question.table);
+  RelayAnswer answer;
+  answer.is_whole = cache.tellsAllAfter(held.question.after);
+  answer.version = cache.version();
+  answer.readings = cache.readings();
+  answer.confirmed_ago = now - cache.confirmed();
+  answer.as_of_ago = now - cache.asOf();
+  answer.held_for = now - held.came;
+  return answer;
 }
 
-const std::string& RowRelay::packedWhole(const std::string& table,
-                                         const std::vector<forwarding::StoreRow>& rows, uint64_t version) {
-  Packed& packed = packed_[table];
-  if (packed.bytes.empty() || packed.version != version) {
-    packed = {version, packRows(rows)};
+std::string RowRelay::plainAnswer(const Held& held, absl::Time now) const {
+  RelayAnswer answer = answerWithoutRows(held, now);
+  answer.rows = caches_.at(held.question.table)->newsAfter(held.question.after).rows;
+  return encodeRelayAnswer(answer);
+}
+
+std::string RowRelay::packedAnswer(const Held& held, absl::Time now) {
+  return encodePackedAnswer({answerWithoutRows(held, now), packedRowsFor(held.question)});
+}
+
+// All followers that know as much are told the same: it is looked up and packed once.
+const std::string& RowRelay::packedRowsFor(const RelayQuestion& question) {
+  const forwarding::RowCache& cache = *caches_.at(question.table);
+  std::deque<Packed>& kept = packed_[question.table];
+  std::erase_if(kept, [&cache](const Packed& packed) { return packed.version != cache.version(); });
+  const auto found = std::find_if(
+      kept.begin(), kept.end(), [&question](const Packed& packed) { return packed.after == question.after; });
+  if (found != kept.end()) {
+    return found->bytes;
+  }
+  if (kept.size() >= kPackedAtMost) {
+    kept.pop_front();
   }
-  return packed.bytes;
+  kept.push_back({question.after, cache.version(), packRows(cache.newsAfter(question.after).rows)});
+  return kept.back().bytes;
 }
 
 void RowRelay::tell(const std::string& table) {
--- a/src/gateway/row_relay.h
+++ b/src/gateway/row_relay.h
@@ -5,6 +5,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <cstdint>
+#include <deque>
 #include <list>
 #include <memory>
 #include <string>
@@ -52,9 +53,10 @@
   void answerWaitingForWhole();
   // Whether the answer is a large table as a whole, of which only so many go out at once.
   bool isLargeWhole(const Held& held) const;
-  std::string payloadFor(const Held& held, RelayAnswer answer);
-  const std::string& packedWhole(const std::string& table, const std::vector<forwarding::StoreRow>& rows,
-                                 uint64_t version);
+  RelayAnswer answerWithoutRows(const Held& held, absl::Time now) const;
+  std::string plainAnswer(const Held& held, absl::Time now) const;
+  std::string packedAnswer(const Held& held, absl::Time now);
+  const std::string& packedRowsFor(const RelayQuestion& question);
   bool hasNews(const RelayQuestion& question) const;
   void answer(Held& held);
   void refuse(const reactor::PlainServer::Respond& respond, int status) const;
@@ -66,12 +68,13 @@
   std::list<Held> held_;
   std::list<Held> waiting_for_whole_;
   WholeAnswers whole_answers_;
-  // The last whole table that was packed, by its name: all of a zone's followers get the same one.
+  // Rows packed for those who know all up to `after`, of the table as it is now.
   struct Packed {
+    uint64_t after = 0;
     uint64_t version = 0;
     std::string bytes;
   };
-  absl::flat_hash_map<std::string, Packed> packed_;
+  absl::flat_hash_map<std::string, std::deque<Packed>> packed_;  // by table
   bool answers_ = false;
 };
 
