Sight: which version decided a request, how old it was, and from whom a gateway took it

Nothing told a decision by an old configuration from one by a fresh one. Lines `refused`, `request` and `configuration` tell it now, a histogram and a counter show how near the bound decisions come, and gateways know the bound (`bounds.configuration_in_force`).

--- a/src/gateway/core.cc
+++ b/src/gateway/core.cc
@@ -89,8 +89,12 @@
   return *store_clock_ahead + (now - absl::UnixEpoch());
 }
 
+bool Core::configurationIsCurrent(absl::Time now) const {
+  return configurationAge(now) < settings.bounds.configuration_in_force;
+}
+
 bool Core::keysAreConfirmed(absl::Time now) const {
-  return now - in_force.confirmed < settings.bounds.key_revocation - kRevocationMargin;
+  return configurationAge(now) < settings.bounds.key_revocation - kRevocationMargin;
 }
 
 }  // namespace quincewick::gateway
--- a/src/gateway/core.h
+++ b/src/gateway/core.h
@@ -95,6 +95,10 @@
   void applyBounds(const GatewayBounds& bounds);
   // The store's clock now, as far as known.
   std::optional<absl::Duration> storeClock(absl::Time now) const;
+  // Since the configuration in force was last confirmed; infinite where none is known.
+  absl::Duration configurationAge(absl::Time now) const { return now - in_force.confirmed; }
+  // Whether every configuration is known that has to be in force now.
+  bool configurationIsCurrent(absl::Time now) const;
   // Whether a request under a key may be sent now.
   bool keysAreConfirmed(absl::Time now) const;
 };
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -4,7 +4,6 @@
 #include <absl/strings/str_format.h>
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 #include "forwarding/server_choice.h"
@@ -16,14 +15,9 @@
 using forwarding::AttemptEnd;
 using forwarding::RepeatKind;
 
-constexpr absl::Duration kRetryAfter = absl::Milliseconds(250);
 constexpr absl::Duration kLeastTimeToTry = absl::Milliseconds(15);
 constexpr uint32_t kLeastUrgent = 9;
-constexpr double kGoldenRatioPart = 0.6180339887498949;  // spreads a counter evenly over 0 to 1
-constexpr int kUnauthorized = 401;
-constexpr int kNotFound = 404;
 constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
 // Between looks whether a request that waits may be sent.
 constexpr absl::Duration kCrashVerdictPause = absl::Milliseconds(10);
 // What is found of an end is known within 0.4 s. Beyond that a request waits for the runs of other suspects,
@@ -55,6 +49,7 @@
   const auto self = shared_from_this();
   facts_ = core_.dialect->readRequest(head_);
   configuration_ = core_.in_force.configuration;
+  noteConfigurationAge();
   if (!admit()) {
     return;
   }
@@ -71,73 +66,6 @@
   askQuota();
 }
 
-bool Exchange::admit() {
-  if (core_.refuses_requests) {
-    refuse(kUnavailable, "stopping", kRetryAfter);
-    return false;
-  }
-  if (configuration_ == nullptr) {
-    refuse(kUnavailable, "no_configuration", kRetryAfter);
-    return false;
-  }
-  const bool knows_versions = core_.rollouts == nullptr || core_.rollouts->knowsRecords();
-  if (!core_.knows_servers || !knows_versions) {
-    refuse(kUnavailable, "servers_not_read_yet", kRetryAfter);
-    return false;
-  }
-  const std::string* const host = findField(head_.fields, "Host");
-  route_ = configuration_->findRoute(host == nullptr ? "" : *host, head_.target);
-  if (route_ == nullptr) {
-    refuse(kNotFound, "no_route", kRetryAfter);
-    return false;
-  }
-  if (!configuration_->needsKeys() || route_->is_public) {
-    return true;
-  }
-  if (!core_.keysAreConfirmed(began_)) {
-    refuse(kUnavailable, "keys_not_confirmed", kRetryAfter);
-    return false;
-  }
-  tenant_ = facts_.key ? configuration_->findTenant(*facts_.key) : nullptr;
-  if (tenant_ == nullptr) {
-    refuse(kUnauthorized, "unknown_key", kRetryAfter);
-    return false;
-  }
-  return true;
-}
-
-void Exchange::setDeadline() {
-  if (facts_.deadline) {
-    deadline_ = began_ + *facts_.deadline;
-  }
-  if (route_->timeout) {
-    deadline_ = std::min(deadline_, began_ + *route_->timeout);
-  }
-  if (deadline_ != absl::InfiniteFuture()) {
-    deadline_timer_ = core_.timers.schedule(deadline_, [this] {
-      const auto self = shared_from_this();
-      outOfTime();
-    });
-  }
-}
-
-void Exchange::chooseService() {
-  double sum = 0;
-  for (const forwarding::ServiceShare& share : route_->shares) {
-    sum += share.weight;
-  }
-  double place = 0;
-  std::modf(static_cast<double>(++core_.split_counter) * kGoldenRatioPart, &place);
-  double rest = (static_cast<double>(core_.split_counter) * kGoldenRatioPart - place) * sum;
-  for (const forwarding::ServiceShare& share : route_->shares) {
-    service_ = share.service;
-    rest -= share.weight;
-    if (rest < 0) {
-      break;
-    }
-  }
-}
-
 void Exchange::tryNext() {
   places_asked_ = 0;
   software_.reset();
@@ -435,6 +363,8 @@
       .with("status", status)
       .with("why", why)
       .with("service", service_.value())
+      .with("configuration", configurationVersion())
+      .with("configuration_age_ms", configuration_age_)
       .with("tried", static_cast<int64_t>(tried_.size()));
   complete(why);
 }
@@ -459,6 +389,8 @@
       .with("status", answer_.status)
       .with("server", server_ == nullptr ? "" : server_->entry.id)
       .with("tries", static_cast<int64_t>(tried_.size()))
+      .with("configuration", configurationVersion())
+      .with("configuration_age_ms", configuration_age_)
       .with("took_ms", now - began_);
   if (is_quota_decided_) {
     line.with("keeper", quota_keeper_.value()).with("quota_ms", quota_took_);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -44,7 +44,13 @@
   // What a server's answer is worth, by its head.
   enum class Verdict : uint8_t { kPassOn, kRefused, kFailed, kBroken };
 
+  // When a caller whose request was not run may come again.
+  static constexpr absl::Duration kRetryAfter = absl::Milliseconds(250);
+
   bool admit();
+  void noteConfigurationAge();
+  // Of the configuration that decides on the request; 0: none is known.
+  int64_t configurationVersion() const;
   void askQuota();
   void takeQuota(const quota::QuotaDecision& decision);
   void settleQuota();
@@ -100,6 +106,7 @@
   std::string body_;
   AnswerSink* sink_;
   std::shared_ptr<const forwarding::SiteConfiguration> configuration_;
+  absl::Duration configuration_age_;  // when the request came
   const forwarding::Route* route_ = nullptr;
   const forwarding::Tenant* tenant_ = nullptr;
   forwarding::RequestFacts facts_;
--- /dev/null
+++ b/src/gateway/exchange_admission.cc
@@ -0,0 +1,96 @@
+// What a request is admitted by: the configuration in force, its route and its key.
+#include <algorithm>
+#include <cmath>
+
+#include "gateway/exchange.h"
+
+namespace quincewick::gateway {
+namespace {
+
+constexpr double kGoldenRatioPart = 0.6180339887498949;  // spreads a counter evenly over 0 to 1
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+}  // namespace
+
+void Exchange::noteConfigurationAge() {
+  if (configuration_ == nullptr) {
+    return;
+  }
+  configuration_age_ = core_.configurationAge(began_);
+  core_.metrics.observeConfigurationAge(configuration_age_, core_.configurationIsCurrent(began_));
+}
+
+int64_t Exchange::configurationVersion() const {
+  return configuration_ == nullptr ? 0 : static_cast<int64_t>(configuration_->version().value());
+}
+
+bool Exchange::admit() {
+  if (core_.refuses_requests) {
+    refuse(kUnavailable, "stopping", kRetryAfter);
+    return false;
+  }
+  if (configuration_ == nullptr) {
+    refuse(kUnavailable, "no_configuration", kRetryAfter);
+    return false;
+  }
+  const bool knows_versions = core_.rollouts == nullptr || core_.rollouts->knowsRecords();
+  if (!core_.knows_servers || !knows_versions) {
+    refuse(kUnavailable, "servers_not_read_yet", kRetryAfter);
+    return false;
+  }
+  const std::string* const host = findField(head_.fields, "Host");
+  route_ = configuration_->findRoute(host == nullptr ? "" : *host, head_.target);
+  if (route_ == nullptr) {
+    refuse(kNotFound, "no_route", kRetryAfter);
+    return false;
+  }
+  if (!configuration_->needsKeys() || route_->is_public) {
+    return true;
+  }
+  if (!core_.keysAreConfirmed(began_)) {
+    refuse(kUnavailable, "keys_not_confirmed", kRetryAfter);
+    return false;
+  }
+  tenant_ = facts_.key ? configuration_->findTenant(*facts_.key) : nullptr;
+  if (tenant_ == nullptr) {
+    refuse(kUnauthorized, "unknown_key", kRetryAfter);
+    return false;
+  }
+  return true;
+}
+
+void Exchange::setDeadline() {
+  if (facts_.deadline) {
+    deadline_ = began_ + *facts_.deadline;
+  }
+  if (route_->timeout) {
+    deadline_ = std::min(deadline_, began_ + *route_->timeout);
+  }
+  if (deadline_ != absl::InfiniteFuture()) {
+    deadline_timer_ = core_.timers.schedule(deadline_, [this] {
+      const auto self = shared_from_this();
+      outOfTime();
+    });
+  }
+}
+
+void Exchange::chooseService() {
+  double sum = 0;
+  for (const forwarding::ServiceShare& share : route_->shares) {
+    sum += share.weight;
+  }
+  double place = 0;
+  std::modf(static_cast<double>(++core_.split_counter) * kGoldenRatioPart, &place);
+  double rest = (static_cast<double>(core_.split_counter) * kGoldenRatioPart - place) * sum;
+  for (const forwarding::ServiceShare& share : route_->shares) {
+    service_ = share.service;
+    rest -= share.weight;
+    if (rest < 0) {
+      break;
+    }
+  }
+}
+
+}  // namespace quincewick::gateway
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -91,6 +91,9 @@
       streams_cut_(counter(registry_, "quincewick_streams_cut_total", "Answers broken off midway.")),
       datagrams_refused_(counter(registry_, "quincewick_datagrams_refused_total",
                                  "Messages of peers that were forged or can't be read.")),
+      outdated_decisions_(
+          counter(registry_, "quincewick_outdated_decisions_total",
+                  "Requests decided by a configuration that was confirmed longer ago than its bound.")),
       server_ends_(counter(registry_, "quincewick_server_ends_total",
                            "Servers that ended while requests of this gateway were there.")),
       ends_untold_(counter(registry_, "quincewick_server_ends_untold_total",
@@ -101,6 +104,8 @@
       to_target_(&counters(registry_, "quincewick_rollout_requests_total",
                            "Requests by the side of a rollout that they went to.")
                       .Add({{"side", "target"}})),
+      configuration_age_(histogram(registry_, "quincewick_decision_configuration_age_seconds",
+                                   "Since the configuration was confirmed that a request was decided by.")),
       first_piece_(histogram(registry_, "quincewick_first_piece_seconds", "Until a stream's first piece.")),
       answer_(histogram(registry_, "quincewick_answer_seconds", "Until an answer was whole.")),
       store_call_(
@@ -110,6 +115,13 @@
   requests_.Add({{"kind", nameOf(kind)}, {"outcome", std::string(outcome)}}).Increment();
 }
 
+void GatewayMetrics::observeConfigurationAge(absl::Duration age, bool is_current) {
+  configuration_age_->Observe(absl::ToDoubleSeconds(age));
+  if (!is_current) {
+    outdated_decisions_->Increment();
+  }
+}
+
 void GatewayMetrics::countRefusal(int status, std::string_view why) {
   refusals_.Add({{"status", std::to_string(status)}, {"reason", std::string(why)}}).Increment();
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -24,6 +24,8 @@
 
   // A request came to its end. `kind`: nothing where no route was found.
   void countRequest(std::optional<forwarding::RepeatKind> kind, std::string_view outcome);
+  // How old the configuration was that a request was decided by, and whether it was past its bound.
+  void observeConfigurationAge(absl::Duration age, bool is_current);
   void countRefusal(int status, std::string_view why);
   void countAttempt(forwarding::AttemptEnd end);
   void countRetry() { retries_->Increment(); }
@@ -78,10 +80,12 @@
   prometheus::Counter* streams_resumed_;
   prometheus::Counter* streams_cut_;
   prometheus::Counter* datagrams_refused_;
+  prometheus::Counter* outdated_decisions_;
   prometheus::Counter* server_ends_;
   prometheus::Counter* ends_untold_;
   prometheus::Counter* to_base_;
   prometheus::Counter* to_target_;
+  prometheus::Histogram* configuration_age_;
   prometheus::Histogram* first_piece_;
   prometheus::Histogram* answer_;
   prometheus::Histogram* store_call_;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -46,6 +46,7 @@
   static const auto* const schema = new YamlSchema<GatewayBounds>(
       YamlSchema<GatewayBounds>()
           .add("key_revocation", &GatewayBounds::key_revocation, Presence::kOptional, time)
+          .add("configuration_in_force", &GatewayBounds::configuration_in_force, Presence::kOptional, time)
           .add("server_drain", &GatewayBounds::server_drain, Presence::kOptional, time)
           .add("stop_grace", &GatewayBounds::stop_grace, Presence::kOptional, time)
           .add("order_lease", &GatewayBounds::order_lease, Presence::kOptional, time)
--- a/src/gateway/site_follower.cc
+++ b/src/gateway/site_follower.cc
@@ -286,7 +286,7 @@
   const forwarding::StoreTables& tables = core_.dialect->tables();
   for (const StoreRow& row : news.rows) {
     if (row.key == tables.configuration_key) {
-      takeConfiguration(row);
+      takeConfiguration(row, from_store);
     } else if (row.key.starts_with(tables.weights_prefix) && !row.is_gone) {
       takeWeights(row, from_store);
     } else if (core_.rollouts != nullptr && row.key.starts_with(tables.rollout_prefix)) {
@@ -327,7 +327,7 @@
   }
 }
 
-void SiteFollower::takeConfiguration(const StoreRow& row) {
+void SiteFollower::takeConfiguration(const StoreRow& row, bool from_store) {
   ConfigurationInForce& in_force = core_.in_force;
   if (row.is_gone || row.version <= configuration_row_) {
     return;
@@ -345,10 +345,15 @@
     return;
   }
   configuration_row_ = row.version;
+  auto line = core_.log.event("configuration", now);
+  line.with("was_confirmed_ms_ago",
+            in_force.configuration == nullptr ? absl::ZeroDuration() : core_.configurationAge(now));
   in_force.configuration = std::make_shared<const forwarding::SiteConfiguration>(std::move(read.value()));
-  core_.log.event("configuration", now)
-      .with("version", static_cast<int64_t>(in_force.configuration->version().value()))
-      .with("routes", static_cast<int64_t>(in_force.configuration->routes().size()));
+  line.with("version", static_cast<int64_t>(in_force.configuration->version().value()))
+      .with("routes", static_cast<int64_t>(in_force.configuration->routes().size()))
+      .with("from", from_store      ? "store"
+                    : role_.follows ? role_.follows->value()
+                                    : "");
 }
 
 }  // namespace quincewick::gateway
--- a/src/gateway/site_follower.h
+++ b/src/gateway/site_follower.h
@@ -57,7 +57,7 @@
   void takeOperatorRows(const forwarding::TableNews& news, bool from_store);
   void takeWeights(const forwarding::StoreRow& row, bool from_store);
   void readWeightsRecordAgain();
-  void takeConfiguration(const forwarding::StoreRow& row);
+  void takeConfiguration(const forwarding::StoreRow& row, bool from_store);
 
   Core& core_;
   PeerDirectory& peers_;
--- a/tests/gateway/gateway_settings_test.cc
+++ b/tests/gateway/gateway_settings_test.cc
@@ -31,6 +31,9 @@
                                           {"{{listen.ready}}", "10.1.0.30:8789"},
                                           {"{{platform.address}}", "10.200.1.7:8784"},
                                           {"{{bounds.revokeMs}}", "5000"},
+                                          {"{{#bounds.configApplyMs}}", ""},
+                                          {"{{bounds.configApplyMs}}", "3500"},
+                                          {"{{/bounds.configApplyMs}}", ""},
                                           {"{{bounds.drainMs}}", "2000"},
                                           {"{{bounds.graceS}}", "8"},
                                           {"{{bounds.leaseMs}}", "3000"},
@@ -54,6 +57,7 @@
   CHECK(parsed.value->gateway_id == NodeId("front-a-1"));
   CHECK(parsed.value->listen.peers == Address{"10.1.0.30", 7340});
   CHECK(parsed.value->store == Address{"10.200.1.7", 8784});
+  CHECK(parsed.value->bounds.configuration_in_force == absl::Milliseconds(3500));
   CHECK(parsed.value->bounds.weights_in_force == absl::Milliseconds(7500));
   CHECK(parsed.value->bounds.retry_ratio == 0.25);
   CHECK(parsed.value->capacity == 10);
