--- /dev/null
+++ b/tests/gateway/configuration_age_test.cc
@@ -0,0 +1,45 @@
+// The incident: a gateway answered 404, which is final to a caller, to a request whose route had been
+// acknowledged longer ago than a configuration may take to be in force. It knew that its configuration was
+// older than that, and decided without asking. Proof: the first case here.
+#include <catch2/catch.hpp>
+
+#include "running_gateway.h"
+
+namespace quincewick::gateway {
+namespace {
+
+constexpr absl::Duration kBound = absl::Milliseconds(500);
+const HeaderFields kUnknownKey = {{"Authorization", "Bearer unknown"}};
+
+GatewaySettings settingsOf(const std::string& id, const Address& store, const StandInSite& site) {
+  GatewaySettings settings = RunningGateway::settings(id, store, site);
+  settings.bounds.configuration_in_force = kBound;
+  settings.bounds.key_revocation = absl::Hours(1);
+  return settings;
+}
+
+double configurationAge(const RunningGateway& gateway) {
+  const std::string metrics = gateway.metrics();
+  const std::string name = "\nquincewick_configuration_age_seconds ";
+  return std::stod(metrics.substr(metrics.find(name) + name.size()));
+}
+
+TEST_CASE_METHOD(Fixture, "a route or key that an outdated configuration lacks is not rejected for good") {
+  site.addServer("i-1", [](const Seen& /*seen*/) { return Script{signedAnswer("served")}; });
+  const RunningGateway gateway(settingsOf("a", site.secondStoreAddress(), site));
+  await([&gateway] { return has(gateway.ask("/none/", kKey), "HTTP/1.1 404"); });
+  await([&gateway] { return has(gateway.ask("/safe/a", kUnknownKey), "HTTP/1.1 401"); });
+  site.refuseSecond(true);
+  await([&gateway] { return configurationAge(gateway) > absl::ToDoubleSeconds(kBound); });
+  for (const std::string& answer : {gateway.ask("/none/", kKey), gateway.ask("/safe/a", kUnknownKey)}) {
+    CHECK(has(answer, "HTTP/1.1 503"));
+    CHECK(has(answer, "Retry-After"));
+  }
+  CHECK(gateway.ask("/safe/a", kKey).ends_with("served"));
+  site.refuseSecond(false);
+  await([&gateway] { return has(gateway.ask("/none/", kKey), "HTTP/1.1 404"); });
+  await([&gateway] { return has(gateway.ask("/safe/a", kUnknownKey), "HTTP/1.1 401"); });
+}
+
+}  // namespace
+}  // namespace quincewick::gateway
