What an outdated configuration doesn't know is rejected with 503, not for good

Callers saw 404, which ends their request, for a route that had been acknowledged longer ago than the bound. Cause: only keys asked how old the configuration is; routes and unknown keys were decided by one of any age. Past the bound such a request gets 503 with Retry-After now; known routes are served as before.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -48,6 +48,7 @@
   static constexpr absl::Duration kRetryAfter = absl::Milliseconds(250);
 
   bool admit();
+  void rejectUnknown(int status, std::string_view why);
   void noteConfigurationAge();
   // Of the configuration that decides on the request; 0: none is known.
   int64_t configurationVersion() const;
--- a/src/gateway/exchange_admission.cc
+++ b/src/gateway/exchange_admission.cc
@@ -26,6 +26,15 @@
   return configuration_ == nullptr ? 0 : static_cast<int64_t>(configuration_->version().value());
 }
 
+// An outdated configuration may lack what was added since: callers come back then.
+void Exchange::rejectUnknown(int status, std::string_view why) {
+  if (core_.configurationIsCurrent(began_)) {
+    refuse(status, why, kRetryAfter);
+  } else {
+    refuse(kUnavailable, "configuration_outdated", kRetryAfter);
+  }
+}
+
 bool Exchange::admit() {
   if (core_.refuses_requests) {
     refuse(kUnavailable, "stopping", kRetryAfter);
@@ -43,7 +52,7 @@
   const std::string* const host = findField(head_.fields, "Host");
   route_ = configuration_->findRoute(host == nullptr ? "" : *host, head_.target);
   if (route_ == nullptr) {
-    refuse(kNotFound, "no_route", kRetryAfter);
+    rejectUnknown(kNotFound, "no_route");
     return false;
   }
   if (!configuration_->needsKeys() || route_->is_public) {
@@ -55,7 +64,7 @@
   }
   tenant_ = facts_.key ? configuration_->findTenant(*facts_.key) : nullptr;
   if (tenant_ == nullptr) {
-    refuse(kUnauthorized, "unknown_key", kRetryAfter);
+    rejectUnknown(kUnauthorized, "unknown_key");
     return false;
   }
   return true;
