Each gateway confirms its configuration itself before the bound, whoever reads for its zone

Callers could be served, or refused, by a configuration older than the site promises while the readers of a zone failed one after the other: each is noticed after 1.5 s and more, and constants (2.8 s of age, 1.5 s a call, turns) added up without any knowledge of the bound. Now a gateway asks the store for the operator's rows once its own are two thirds of the bound old, and readers read and are left by the same bound.

--- /dev/null
+++ b/src/forwarding/confirmation_schedule.cc
@@ -0,0 +1,13 @@
+#include "forwarding/confirmation_schedule.h"
+
+namespace quincewick::forwarding {
+
+bool ConfirmationSchedule::isDue(absl::Duration bound, absl::Time confirmed,
+                                 absl::FunctionRef<bool()> hears_reader, absl::Time now) const {
+  if (now - confirmed < oldestTrusted(bound) || now - last_asked_ < questionLimit(bound)) {
+    return false;
+  }
+  return now - last_asked_ >= bound || hears_reader();
+}
+
+}  // namespace quincewick::forwarding
--- a/src/forwarding/reader_election.cc
+++ b/src/forwarding/reader_election.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <tuple>
 
+#include "forwarding/confirmation_schedule.h"
 #include "forwarding/turn_schedule.h"
 
 namespace quincewick::forwarding {
@@ -14,6 +15,8 @@
 // others slowly: where the first few get no answers, the store is probably down for all, and each further
 // gateway that asks costs calls and learns nothing new.
 constexpr TurnSchedule kTurns = {absl::Milliseconds(200), 3, absl::Milliseconds(500)};
+// Keys have a bound of their own, which this leaves time under.
+constexpr absl::Duration kOldestReading = absl::Milliseconds(2800);
 constexpr absl::Duration kDistrust = absl::Seconds(3);
 // A reader whose rows are too old is noted as such several times a second while that lasts.
 constexpr absl::Duration kOutdatedFor = absl::Milliseconds(300);
@@ -23,6 +26,10 @@
 
 }  // namespace
 
+absl::Duration ReaderElection::oldestConfiguration(absl::Duration bound) {
+  return std::min(kOldestReading, ConfirmationSchedule::oldestTrusted(bound));
+}
+
 bool ReaderElection::goesBefore(const ReaderCandidate& left, const ReaderCandidate& right) const {
   return std::tuple(right.capacity, left.id) < std::tuple(left.capacity, right.id);
 }
--- a/src/forwarding/reader_election.h
+++ b/src/forwarding/reader_election.h
@@ -41,6 +41,9 @@
   // reader, its first reading, and a request's way to its server.
   static absl::Duration oldestList(absl::Duration drain_bound) { return drain_bound / 2; }
 
+  // The same of the operator's rows. `bound`: within which a configuration has to be in force.
+  static absl::Duration oldestConfiguration(absl::Duration bound);
+
   // `live`: peers of the zone. `store_answers`: the own calls of the store succeed, as far as known.
   const ReaderRole& decide(const std::vector<ReaderCandidate>& live, bool store_answers, absl::Time now);
   // Whether the reader that is followed has no fresh rows: they are as of too long ago, and it has been
@@ -54,9 +57,6 @@
   // Whether a peer was heard to read well, as of the last decision.
   bool hearsReader() const { return hears_reader_; }
 
-  // A reader whose rows were confirmed longer ago than this is no reader.
-  static constexpr absl::Duration kOldestReading = absl::Milliseconds(2800);
-
  private:
   void follow(const NodeId& reader, absl::Time now);
   bool goesBefore(const ReaderCandidate& left, const ReaderCandidate& right) const;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -78,6 +78,8 @@
       attempts_(counters(registry_, "quincewick_attempts_total", "Attempts that gave no answer to pass on.")),
       prompt_tokens_(counters(registry_, "quincewick_prompt_tokens_total",
                               "Tokens of prompts by what was expected when the engine was chosen.")),
+      confirmations_(counters(registry_, "quincewick_configuration_confirmations_total",
+                              "Questions whether the configuration is the newest, past the zone's reader.")),
       rows_refused_(
           counters(registry_, "quincewick_rows_refused_total",
                    "Rows of the store that can't be used, by table; a row counts again for another reason.")),
@@ -122,6 +124,10 @@
   }
 }
 
+void GatewayMetrics::countConfirmation(bool is_answered) {
+  confirmations_.Add({{"answered", is_answered ? "true" : "false"}}).Increment();
+}
+
 void GatewayMetrics::countRefusal(int status, std::string_view why) {
   refusals_.Add({{"status", std::to_string(status)}, {"reason", std::string(why)}}).Increment();
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -26,6 +26,8 @@
   void countRequest(std::optional<forwarding::RepeatKind> kind, std::string_view outcome);
   // How old the configuration was that a request was decided by, and whether it was past its bound.
   void observeConfigurationAge(absl::Duration age, bool is_current);
+  // This gateway asked the store itself whether its configuration is the newest.
+  void countConfirmation(bool is_answered);
   void countRefusal(int status, std::string_view why);
   void countAttempt(forwarding::AttemptEnd end);
   void countRetry() { retries_->Increment(); }
@@ -74,6 +76,7 @@
   prometheus::Family<prometheus::Counter>& refusals_;
   prometheus::Family<prometheus::Counter>& attempts_;
   prometheus::Family<prometheus::Counter>& prompt_tokens_;
+  prometheus::Family<prometheus::Counter>& confirmations_;
   prometheus::Family<prometheus::Counter>& rows_refused_;
   prometheus::Family<prometheus::Histogram>& forecast_;
   prometheus::Counter* retries_;
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -391,6 +391,14 @@
   return near_peers_ > 0 && !hears_any;
 }
 
+bool PeerExchange::hearsReader(absl::Time now) const {
+  const auto& peers = directory_.peers();
+  return std::any_of(peers.begin(), peers.end(), [&](const auto& entry) {
+    const Peer& peer = entry.second;
+    return isFarReader(peer, now) || (isNear(peer) && peer.reads_well && isLive(peer, now));
+  });
+}
+
 void PeerExchange::forgetSilent(absl::Time now) {
   for (auto& [id, peer] : directory_.peers()) {
     if (peer.heard != absl::InfinitePast() && !isLive(peer, now)) {
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -52,6 +52,8 @@
   // Ids of peers heard of lately, in order.
   std::vector<NodeId> livePeers(absl::Time now) const;
   bool isLive(const Peer& peer, absl::Time now) const;
+  // Whether any peer was heard lately that reads the store and gets answers.
+  bool hearsReader(absl::Time now) const;
   // Whether there are near peers, and all of them are silent.
   bool hearsNobody(absl::Time now) const;
 
--- a/src/gateway/site_follower.cc
+++ b/src/gateway/site_follower.cc
@@ -1,5 +1,6 @@
 #include "gateway/site_follower.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -17,6 +18,7 @@
 // How long a reader holds a follower's question. Each reading is told at once, so this is how long nothing is
 // heard of a reader that gets no answers.
 constexpr absl::Duration kRelayWait = absl::Milliseconds(1000);
+constexpr absl::Duration kLongestWholeEvery = absl::Seconds(1);
 constexpr absl::Duration kRarelyChangedRelayWait = absl::Seconds(2);
 // Records of rollouts rarely change; while one runs, gateways must know how old their knowledge of it is.
 constexpr absl::Duration kRolloutsWait = absl::Seconds(20);
@@ -56,10 +58,12 @@
   return settings;
 }
 
+// While the store answers, the age of a reader's rows stays well below the age at which it is left.
 TableFollowerSettings operatorSettings(const Core& core) {
   TableFollowerSettings settings;
   settings.table = core.dialect->tables().configuration;
   settings.pace.wait = absl::Seconds(10);
+  settings.pace.whole_every = std::min(kLongestWholeEvery, core.settings.bounds.configuration_in_force / 3);
   return settings;
 }
 
@@ -91,12 +95,13 @@
       list_(core),
       refused_rows_(core, core.dialect->tables().configuration),
       weights_record_(core),
+      confirmer_(core, [this](const TableNews& news) { takeConfirmation(news); }),
       operator_rows_{core.dialect->tables().configuration, forwarding::RowCache(isSameVersion),
                      TableFollower(core, operatorSettings(core),
                                    [this](const TableNews& news) { takeFromStore(operator_rows_, news); }),
                      RelayFollower(
                          core, peers, core.dialect->tables().configuration, kRelayWait,
-                         [this](const TableNews& news) { takeNews(operator_rows_, news, false); },
+                         [this](const TableNews& news) { takeToldConfiguration(news); },
                          [this](const NodeId& reader) { noteFailed(reader); })},
       servers_{core.dialect->tables().servers,
                forwarding::RowCache([&core](const StoreRow& known, const StoreRow& written) {
@@ -142,7 +147,7 @@
   return role_.reads && storeAnswers() && !core_.is_stopping && operator_rows_.cache.isFilled() &&
          servers_.cache.isFilled() && weights_rows_.cache.isFilled() &&
          (core_.rollouts == nullptr || rollout_rows_.cache.isFilled()) &&
-         reactor::steadyNow() - operator_rows_.cache.confirmed() < forwarding::ReaderElection::kOldestReading;
+         reactor::steadyNow() - operator_rows_.cache.confirmed() < oldestConfiguration();
 }
 
 bool SiteFollower::storeAnswers() const {
@@ -154,6 +159,10 @@
   return forwarding::ReaderElection::oldestList(core_.settings.bounds.server_drain);
 }
 
+absl::Duration SiteFollower::oldestConfiguration() const {
+  return forwarding::ReaderElection::oldestConfiguration(core_.settings.bounds.configuration_in_force);
+}
+
 // Who the peers are, and so whether one of them reads the store, is asked of the store first: one call, where
 // reading all tables takes several.
 bool SiteFollower::knowsPeers() const {
@@ -168,15 +177,15 @@
     checkAge(now);
     takeRole(election_.decide(candidates(now), storeAnswers(), now));
     noteWhetherAway(now);
+    confirmer_.tick([this, now] { return role_.reads || exchange_.hearsReader(now); }, now);
   }
   core_.timers.schedule(now + (seeksReader() ? kTickWithoutRows : kTick), [this] { tick(); });
 }
 
 // A reader may answer and yet have no fresh rows: followers don't wait until it has noticed that itself.
 void SiteFollower::checkAge(absl::Time now) {
-  const bool is_outdated =
-      election_.followsOutdated(core_.in_force.confirmed, forwarding::ReaderElection::kOldestReading, now) ||
-      election_.followsOutdated(core_.servers_as_of, oldestList(), now);
+  const bool is_outdated = election_.followsOutdated(told_confirmed_, oldestConfiguration(), now) ||
+                           election_.followsOutdated(core_.servers_as_of, oldestList(), now);
   if (is_outdated) {
     election_.noteOutdated(*role_.follows, now);
   }
@@ -185,7 +194,7 @@
   }
   core_.log.event("reader_outdated", now)
       .with("peer", role_.follows->value())
-      .with("confirmed_ms_ago", now - core_.in_force.confirmed)
+      .with("confirmed_ms_ago", now - told_confirmed_)
       .with("list_is_old_ms", now - core_.servers_as_of);
 }
 
@@ -263,6 +272,26 @@
   exchange_.noteReading();
 }
 
+void SiteFollower::takeToldConfiguration(const TableNews& news) {
+  told_confirmed_ = std::max(told_confirmed_, news.confirmed);
+  takeNews(operator_rows_, news, false);
+}
+
+// A reader whose questions fail meanwhile reads again at once, for its followers.
+void SiteFollower::takeConfirmation(const TableNews& news) {
+  if (!role_.reads) {
+    takeNews(operator_rows_, news, false);
+    return;
+  }
+  takeFromStore(operator_rows_, news);
+  for (Table* const table : tables()) {
+    if (table->from_store.isDown()) {
+      table->from_store.stop();
+      table->from_store.start();
+    }
+  }
+}
+
 void SiteFollower::takeNews(Table& table, const TableNews& news, bool from_store) {
   const TableNews effect = table.cache.take(news);
   if (&table == &operator_rows_) {
--- a/src/gateway/site_follower.h
+++ b/src/gateway/site_follower.h
@@ -7,6 +7,7 @@
 
 #include "forwarding/reader_election.h"
 #include "forwarding/row_cache.h"
+#include "gateway/configuration_confirmer.h"
 #include "gateway/core.h"
 #include "gateway/peer_directory.h"
 #include "gateway/peer_exchange.h"
@@ -43,6 +44,7 @@
   bool knowsPeers() const;
   bool storeAnswers() const;
   absl::Duration oldestList() const;
+  absl::Duration oldestConfiguration() const;
   std::vector<Table*> tables();
   void takeRole(const forwarding::ReaderRole& role);
   std::vector<forwarding::ReaderCandidate> candidates(absl::Time now) const;
@@ -53,6 +55,8 @@
   void noteWhetherAway(absl::Time now);
 
   void takeFromStore(Table& table, const forwarding::TableNews& news);
+  void takeToldConfiguration(const forwarding::TableNews& news);
+  void takeConfirmation(const forwarding::TableNews& news);
   void takeNews(Table& table, const forwarding::TableNews& news, bool from_store);
   void takeOperatorRows(const forwarding::TableNews& news, bool from_store);
   void takeWeights(const forwarding::StoreRow& row, bool from_store);
@@ -70,9 +74,12 @@
   bool has_unread_row_ = false;      // a newer configuration can't be read: nothing confirms the old one
   bool has_read_rows_ = false;       // what is named from now on is news
   bool is_reader_outdated_ = false;  // the one that is followed, until there is a better one
+  // When the configuration was confirmed last as far as readers told, whatever this gateway found itself.
+  absl::Time told_confirmed_ = absl::InfinitePast();
   ServerList list_;
   RefusedRows refused_rows_;  // of the operator
   WeightsRecord weights_record_;
+  ConfigurationConfirmer confirmer_;
   Table operator_rows_;
   Table servers_;
   Table weights_rows_;
--- a/src/gateway/store_client.cc
+++ b/src/gateway/store_client.cc
@@ -5,7 +5,6 @@
 namespace quincewick::gateway {
 namespace {
 
-constexpr absl::Duration kCallLimit = absl::Milliseconds(1500);
 constexpr int kOk = 200;
 constexpr int kGone = 410;
 constexpr int kPreconditionFailed = 412;
@@ -51,8 +50,9 @@
                });
 }
 
-void StoreClient::read(std::string_view table, std::string_view from, uint32_t limit, Done done) {
-  call(core_.dialect->readRows(table, from, limit), kCallLimit, std::move(done));
+void StoreClient::read(std::string_view table, std::string_view from, uint32_t limit,
+                       absl::Duration time_limit, Done done) {
+  call(core_.dialect->readRows(table, from, limit), time_limit, std::move(done));
 }
 
 void StoreClient::follow(std::string_view table, uint64_t after, absl::Duration wait, Done done) {
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "forwarding/dialect.h"
@@ -30,7 +31,15 @@
 
   explicit StoreClient(Core& core) : core_(core), caller_(core.reactor, core.timers, core.settings.store) {}
 
-  void read(std::string_view table, std::string_view from, uint32_t limit, Done done);
+  // How long a call may take.
+  static constexpr absl::Duration kCallLimit = absl::Milliseconds(1500);
+
+  // `time_limit`: of this call.
+  void read(std::string_view table, std::string_view from, uint32_t limit, absl::Duration time_limit,
+            Done done);
+  void read(std::string_view table, std::string_view from, uint32_t limit, Done done) {
+    read(table, from, limit, kCallLimit, std::move(done));
+  }
   // Answers when a row changed after that version, or when the wait is over.
   void follow(std::string_view table, uint64_t after, absl::Duration wait, Done done);
   void write(const forwarding::StoreRow& row, uint64_t expected_version, Done done);
--- a/src/gateway/whole_table_reader.h
+++ b/src/gateway/whole_table_reader.h
@@ -26,12 +26,14 @@
 
   explicit WholeTableReader(Core& core) : store_(core) {}
 
-  void read(const std::string& table, Done done);
+  // `page_limit`: how long a page may take.
+  void read(const std::string& table, Done done, absl::Duration page_limit = StoreClient::kCallLimit);
   // What is under way is not told any more.
   void cancel() { ++turn_; }
 
  private:
-  void readPage(const std::string& name, const std::string& from, WholeTable table, Done done);
+  void readPage(const std::string& name, const std::string& from, absl::Duration limit, WholeTable table,
+                Done done);
 
   StoreClient store_;
   uint64_t turn_ = 0;  // rises with each reading and cancellation
--- a/tests/forwarding/configuration_in_force_test.cc
+++ b/tests/forwarding/configuration_in_force_test.cc
@@ -19,13 +19,17 @@
 constexpr size_t kGateways = 8;
 constexpr absl::Duration kConfigurationBound = absl::Seconds(3);
 
-Zone calmZone() {
-  Zone zone({"a", "b", "c", "d", "e", "f", "g", "h"});
+Zone calmZone(absl::Duration bound = kConfigurationBound) {
+  Zone zone({"a", "b", "c", "d", "e", "f", "g", "h"}, bound);
   zone.run(absl::Milliseconds(kCalmMs) + drawn(0, 3000));
   zone.oldest_configuration = absl::ZeroDuration();
   return zone;
 }
 
+absl::Duration drawnBound() {
+  return absl::Seconds(*rc::gen::element(2, 3, 5));
+}
+
 // In the order in which they take over.
 std::vector<size_t> firstInLine(size_t most) {
   std::vector<size_t> result(*rc::gen::inRange<size_t>(1, most + 1));
@@ -56,5 +60,34 @@
   }));
 }
 
+TEST_CASE("a configuration is in force in time after the store was away for all") {
+  CHECK(rc::check([] {
+    const absl::Duration bound = drawnBound();
+    Zone zone = calmZone(bound);
+    zone.setStoreAnswers(false);
+    zone.run(drawn(1000, 12000));
+    zone.setStoreAnswers(true);
+    zone.run(absl::Seconds(6));
+    RC_ASSERT(zone.oldest_configuration <= bound);
+  }));
+}
+
+TEST_CASE("a configuration is in force in time under other bounds, while readers fail in any way") {
+  CHECK(rc::check([] {
+    const absl::Duration bound = drawnBound();
+    Zone zone = calmZone(bound);
+    for (const size_t index : firstInLine(kGateways / 2)) {
+      if (*rc::gen::arbitrary<bool>()) {
+        zone.freeze(zone.gateways[index]);
+      } else {
+        zone.turnAway(zone.gateways[index]);
+      }
+      zone.run(drawn(0, 2500));
+    }
+    zone.run(absl::Seconds(6));
+    RC_ASSERT(zone.oldest_configuration <= bound);
+  }));
+}
+
 }  // namespace
 }  // namespace quincewick::forwarding
--- a/tests/forwarding/reader_zone.h
+++ b/tests/forwarding/reader_zone.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "forwarding/confirmation_schedule.h"
 #include "forwarding/lapsed_entries.h"
 #include "forwarding/reader_election.h"
 #include "forwarding/reading_pace.h"
@@ -30,8 +31,8 @@
 // Disturbed so lately, a gateway is not bound yet.
 inline constexpr absl::Duration kInTouchAfter = absl::Seconds(3);
 
-inline ReadingPaceSettings operatorPace() {
-  return {absl::Seconds(10), absl::ZeroDuration(), absl::Seconds(1)};
+inline ReadingPaceSettings operatorPace(absl::Duration configuration_bound) {
+  return {absl::Seconds(10), absl::ZeroDuration(), std::min(absl::Seconds(1), configuration_bound / 3)};
 }
 
 inline ReadingPaceSettings serverPace() {
@@ -55,7 +56,7 @@
   absl::Time disturbed = absl::InfinitePast();
   ReaderRole role;
   // As a reader.
-  ReadingPace operator_pace{operatorPace()};
+  ReadingPace operator_pace;
   ReadingPace server_pace{serverPace()};
   Asking operator_rows;
   Asking servers;
@@ -65,11 +66,19 @@
   absl::Time own_as_of = absl::InfinitePast();
   // As anyone.
   LapsedEntries lapsed;
+  absl::Duration configuration_bound;
+  ConfirmationSchedule schedule;
+  absl::Time question_ends = absl::InfiniteFuture();  // whether its configuration is the newest, unanswered
   absl::Time confirmed = absl::InfinitePast();
+  absl::Time told_confirmed = absl::InfinitePast();  // as readers told
   absl::Time as_of = absl::InfinitePast();
   absl::Time dropped = absl::InfiniteFuture();  // the server that leaves
 
-  explicit Gateway(const std::string& name) : id(name), election(NodeId(name), 10) {}
+  Gateway(const std::string& name, absl::Duration bound)
+      : id(name),
+        election(NodeId(name), 10),
+        operator_pace(operatorPace(bound)),
+        configuration_bound(bound) {}
 
   bool isFrozen() const { return frozen_since != absl::InfiniteFuture(); }
   bool acts() const { return is_alive && !isFrozen(); }
@@ -81,15 +90,16 @@
   bool readsWell(absl::Time now) const {
     const bool is_list_fresh = now - own_as_of <= ReaderElection::oldestList(kBound);
     return is_alive && role.reads && !is_down && is_list_fresh &&
-           now - own_confirmed < ReaderElection::kOldestReading;
+           now - own_confirmed < ReaderElection::oldestConfiguration(configuration_bound);
   }
 };
 
 class Zone {
  public:
-  explicit Zone(const std::vector<std::string>& names) {
+  explicit Zone(const std::vector<std::string>& names,
+                absl::Duration configuration_bound = absl::Seconds(5)) {
     for (const std::string& name : names) {
-      gateways.emplace_back(name);
+      gateways.emplace_back(name, configuration_bound);
     }
   }
 
@@ -114,7 +124,7 @@
   }
 
   void start(Gateway& gateway) {
-    gateway = Gateway(gateway.id.value());
+    gateway = Gateway(gateway.id.value(), gateway.configuration_bound);
     gateway.disturbed = now;
   }
   void stop(Gateway& gateway) {
@@ -126,6 +136,13 @@
     gateway.disturbed = now;
   }
 
+  // The store answers nobody any more, or everybody again.
+  void setStoreAnswers(bool answers) {
+    for (Gateway& gateway : gateways) {
+      gateway.store_answers = answers;
+      gateway.disturbed = now;
+    }
+  }
   void freeze(Gateway& gateway) {
     gateway.said_to_read = gateway.readsWell(now);
     gateway.frozen_since = now;
@@ -238,9 +255,8 @@
       }
       return;
     }
-    if (source->own_confirmed > gateway.confirmed) {
-      gateway.confirmed = source->own_confirmed;
-    }
+    gateway.confirmed = std::max(gateway.confirmed, source->own_confirmed);
+    gateway.told_confirmed = std::max(gateway.told_confirmed, source->own_confirmed);
     if (source->own_as_of > gateway.as_of) {
       gateway.as_of = source->own_as_of;
       gateway.lapsed.noteReading(now);
@@ -257,8 +273,10 @@
 
   void tick(Gateway& gateway) {
     const absl::Duration oldest_list = ReaderElection::oldestList(kBound);
+    const absl::Duration oldest_configuration =
+        ReaderElection::oldestConfiguration(gateway.configuration_bound);
     const bool is_outdated =
-        gateway.election.followsOutdated(gateway.confirmed, ReaderElection::kOldestReading, now) ||
+        gateway.election.followsOutdated(gateway.told_confirmed, oldest_configuration, now) ||
         gateway.election.followsOutdated(gateway.as_of, oldest_list, now);
     if (is_outdated) {
       gateway.election.noteOutdated(*gateway.role.follows, now);
@@ -286,6 +304,38 @@
     } else if (!gateway.role.reads) {
       gateway.is_down = false;
     }
+    confirm(gateway);
+  }
+
+  // Asks the store itself whether its configuration is the newest, where that is due.
+  void confirm(Gateway& gateway) const {
+    if (now >= gateway.question_ends) {
+      gateway.question_ends = absl::InfiniteFuture();
+    }
+    const absl::Duration bound = gateway.configuration_bound;
+    const auto hears_reader = [&gateway] { return gateway.role.reads || gateway.election.hearsReader(); };
+    const bool is_asking = gateway.question_ends != absl::InfiniteFuture();
+    if (is_asking || gateway.confirmed == absl::InfinitePast() ||
+        !gateway.schedule.isDue(bound, gateway.confirmed, hears_reader, now)) {
+      return;
+    }
+    gateway.schedule.noteAsked(now);
+    if (gateway.store_answers) {
+      takeConfirmation(gateway);
+    } else {
+      gateway.question_ends = now + ConfirmationSchedule::questionLimit(bound);
+    }
+  }
+
+  void takeConfirmation(Gateway& gateway) const {
+    gateway.confirmed = now;
+    if (gateway.role.reads) {
+      gateway.own_confirmed = now;
+    }
+    if (gateway.role.reads && gateway.is_down) {
+      gateway.operator_rows = {now, absl::InfiniteFuture()};
+      gateway.servers = {now, absl::InfiniteFuture()};
+    }
   }
 
   std::minstd_rand random_;
--- /dev/null
+++ b/tests/gateway/configuration_confirmer_test.cc
@@ -0,0 +1,71 @@
+#include "gateway/configuration_confirmer.h"
+
+#include <catch2/catch.hpp>
+#include <optional>
+
+#include "running_gateway.h"
+
+namespace quincewick::gateway {
+namespace {
+
+using forwarding::TableNews;
+
+// A gateway's core with a configuration that was confirmed so long ago, on a reactor that the test turns.
+struct OutdatedCore : Fixture {
+  Core core{RunningGateway::settings("a", site.secondStoreAddress(), site),
+            platform_dialect::makePlatformDialect(), -1};
+  std::optional<TableNews> news;
+  ConfigurationConfirmer confirmer{core, [this](const TableNews& told) { news = told; }};
+  const absl::Time begin = reactor::steadyNow();
+
+  OutdatedCore() {
+    core.in_force.configuration = std::make_shared<const forwarding::SiteConfiguration>();
+    core.in_force.confirmed = begin - core.settings.bounds.configuration_in_force;
+  }
+
+  void tick() {
+    confirmer.tick([] { return false; }, reactor::steadyNow());
+  }
+
+  void runUntil(const std::string& metric) {
+    while (!has(core.metrics.print({}), metric)) {
+      core.reactor.restart();
+      core.reactor.run_one_for(std::chrono::milliseconds(20));
+    }
+  }
+};
+
+TEST_CASE_METHOD(OutdatedCore,
+                 "an outdated configuration is asked for, and the answer is as old as the question") {
+  tick();
+  runUntil("quincewick_configuration_confirmations_total{answered=\"true\"} 1");
+  REQUIRE(news);
+  CHECK(news->is_whole);
+  REQUIRE(news->rows.size() == 1);
+  CHECK(news->rows[0].key == core.dialect->tables().configuration_key);
+  CHECK(news->confirmed >= begin);
+  CHECK(news->confirmed <= reactor::steadyNow());
+}
+
+TEST_CASE_METHOD(OutdatedCore,
+                 "a question that the store refuses confirms nothing, and isn't asked again at once") {
+  site.refuseSecond(true);
+  tick();
+  runUntil("quincewick_configuration_confirmations_total{answered=\"false\"} 1");
+  CHECK_FALSE(news);
+  const size_t calls = site.secondCalls().size();
+  tick();
+  core.reactor.restart();
+  core.reactor.poll();
+  CHECK(site.secondCalls().size() == calls);
+}
+
+TEST_CASE_METHOD(OutdatedCore, "a gateway without a configuration leaves the first one to its reader") {
+  core.in_force.configuration = nullptr;
+  tick();
+  core.reactor.poll();
+  CHECK(site.secondCalls().empty());
+}
+
+}  // namespace
+}  // namespace quincewick::gateway
