--- a/tests/gateway/staged_rollout_test.cc
+++ b/tests/gateway/staged_rollout_test.cc
@@ -55,6 +55,30 @@
   CHECK(askedOf(site, "old") > 0);
 }
 
+// A request for the version that is tried already goes on with it; what was seen of that version still
+// counts. Here it comes with each reading of the store, more often than a verdict takes.
+TEST_CASE_METHOD(Fixture, "bad answers still count where the operator asks for the same version again") {
+  constexpr size_t kFarTooMany = 1000;
+  site.addServer("old", [](const Seen& /*seen*/) { return Script{signedAnswer("")}; });
+  site.addServer(
+      "new",
+      [](const Seen& /*seen*/) {
+        return Script{answerOf(500, {{"Quincewick-Response-Signature", "s"}}, "")};
+      },
+      "[]", "v2");
+  GatewaySettings settings = movingVersions(site);
+  settings.bounds.configuration_in_force = absl::Milliseconds(600);
+  const RunningGateway gateway(settings);
+  await([this] { return site.hasRows("gateway-rollouts"); });
+  await([&] {
+    site.setRow("op", "rollout/pool", kRequest);
+    ask(gateway, 20);
+    const bool is_over = has(site.row("status", "rollout/pool"), "rolled_back");
+    return is_over || askedOf(site, "new") >= kFarTooMany;
+  });
+  CHECK(askedOf(site, "new") < kFarTooMany);
+}
+
 TEST_CASE_METHOD(Fixture, "a request that can't be read, or is of another service, changes nothing") {
   site.addServer("old", [](const Seen& /*seen*/) { return Script{signedAnswer("")}; });
   site.addServer(
