A rollout that is asked for again keeps its accounts and its verdict

The operator who repeated a request saw a bad version get its share anew: the accounts of gateways and the decider's verdict went by the row of the request, which was another one, though the rollout went on. They go by the rollout now (base, target, beginning).

--- a/src/gateway/rollout_director.cc
+++ b/src/gateway/rollout_director.cc
@@ -101,13 +101,13 @@
 
 RolloutDirector::Judged& RolloutDirector::judgedOf(const ServiceName& service, const State& state) {
   Judged& judged = judged_[service];
-  const uint64_t request_row = state.gate.known()->record.request_row;
-  if (judged.request_row != request_row) {
+  const RolloutRecord& record = state.gate.known()->record;
+  if (!record.isSameRollout(judged.record)) {
     const bool is_write_under_way = judged.is_write_under_way;
     judged = {};
-    judged.request_row = request_row;
     judged.is_write_under_way = is_write_under_way;
   }
+  judged.record = record;
   return judged;
 }
 
--- a/src/gateway/rollout_director.h
+++ b/src/gateway/rollout_director.h
@@ -36,7 +36,7 @@
   };
   // What this gateway knows as the decider of one service's rollout; all of it comes again from accounts.
   struct Judged {
-    uint64_t request_row = 0;  // of the operator
+    staged_rollout::RolloutRecord record;  // as it was judged last
     staged_rollout::VersionVerdict verdict;
     absl::btree_map<NodeId, Told> told;
     bool is_write_under_way = false;
--- a/src/gateway/rollout_exchange.cc
+++ b/src/gateway/rollout_exchange.cc
@@ -140,14 +140,13 @@
   noteChange(before ? &*before : nullptr, state, "notice");
 }
 
-// Counts are of one rollout: those of an earlier one say nothing of its target.
 void RolloutExchange::noteChange(const KnownRecord* before, ServiceState& state, std::string_view by) {
   const KnownRecord& known = *state.gate.known();
   if (before != nullptr && before->row == known.row) {
     return;
   }
-  if (state.account_of != known.record.request_row) {
-    state.account_of = known.record.request_row;
+  state.account_of = known.record.request_row;
+  if (before == nullptr || !known.record.isSameRollout(before->record)) {
     state.account = {};
   }
   core_.log.event("rollout", reactor::steadyNow())
--- a/src/staged_rollout/rollout_record.h
+++ b/src/staged_rollout/rollout_record.h
@@ -49,6 +49,12 @@
            stage == RolloutStage::kFinishing;
   }
 
+  // Whether both are of one rollout. A request that comes again for the running target has another row, and
+  // what was seen of the target before still counts.
+  bool isSameRollout(const RolloutRecord& other) const {
+    return base == other.base && target == other.target && began == other.began;
+  }
+
   friend bool operator==(const RolloutRecord&, const RolloutRecord&) = default;
 };
 
