--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -251,6 +251,7 @@
   request.gateway = processes_.place(talk_->gateway()).id;
   request.sent = reactor::steadyNow();
   const bool asks_new_route = traffic_.has_new_route && request.kind == RequestKind::kRepeatable;
+  request.is_on_added_route = asks_new_route;
   const std::string target = absl::StrCat(asks_new_route ? "/new/" : pathOf(request.kind), request.attempt);
   const std::string body = "about " + request.attempt;
   const HeaderFields fields = {{"Host", "h"},
--- a/tests/soak/history.cc
+++ b/tests/soak/history.cc
@@ -11,6 +11,7 @@
 
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
+constexpr int kNotFound = 404;
 
 using ArrivalsByAttempt = absl::flat_hash_map<std::string, std::vector<const Arrival*>>;
 
@@ -289,6 +290,50 @@
   return result;
 }
 
+// A server's own answer is signed.
+bool isRejectedAsUnknown(const Request& request) {
+  return request.status == kNotFound && request.signature.empty();
+}
+
+PromiseResult checkLastingRoutes(const History& history) {
+  PromiseResult result{"a route that every configuration has is always known", 0, {}};
+  for (const Request& request : history.requests) {
+    result.checks += request.is_on_added_route ? 0 : 1;
+    if (!request.is_on_added_route && isRejectedAsUnknown(request)) {
+      addViolation(result, absl::StrCat("404 from ", request.gateway), request.attempt);
+    }
+  }
+  return result;
+}
+
+// Whether the added route has been there for so long when the request was sent, and until it ended.
+bool isRouteInForce(const History& history, const Request& request, absl::Duration bound) {
+  bool is_in_force = false;
+  for (const RouteChange& change : history.route_changes) {
+    if (change.at <= request.sent - bound) {
+      is_in_force = change.is_there;
+    } else if (change.at <= request.ended) {
+      is_in_force = false;
+    }
+  }
+  return is_in_force;
+}
+
+PromiseResult checkAddedRoutes(const History& history, const Bounds& bounds) {
+  PromiseResult result{"an added route is known in time", 0, {}};
+  for (const Request& request : history.requests) {
+    if (!request.is_on_added_route || !isRouteInForce(history, request, bounds.configuration_in_force) ||
+        isDisturbed(history, request.gateway, request.sent - bounds.in_touch_after, request.ended, true)) {
+      continue;
+    }
+    ++result.checks;
+    if (isRejectedAsUnknown(request)) {
+      addViolation(result, absl::StrCat("404 from ", request.gateway), request.attempt);
+    }
+  }
+  return result;
+}
+
 PromiseResult checkRecovery(const History& history, const Bounds& bounds) {
   PromiseResult result{"it serves again soon after the last fault", 1, {}};
   if (history.recovery > bounds.recovery) {
@@ -306,10 +351,12 @@
       checkOwnAnswers(history, arrivals), checkStreams(history),
       checkServices(history, arrivals),   checkPlannedStops(history, bounds, arrivals),
       checkRepeats(history, bounds),      checkProcesses(history, bounds),
+      checkLastingRoutes(history),
   };
   if (timed) {
     results.push_back(checkLeaving(history, bounds));
     results.push_back(checkKeys(history, bounds, arrivals));
+    results.push_back(checkAddedRoutes(history, bounds));
     results.push_back(checkRecovery(history, bounds));
   }
   return results;
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -25,7 +25,8 @@
   std::string attempt;
   RequestKind kind = RequestKind::kRepeatable;
   std::string gateway;
-  std::string service;  // of its route
+  std::string service;             // of its route
+  bool is_on_added_route = false;  // which isn't in every configuration
   std::string key;
   absl::Time sent;
   absl::Time ended = absl::InfiniteFuture();
@@ -64,6 +65,12 @@
   absl::Time at;
 };
 
+// The store acknowledged a configuration that has the added route, or hasn't any more.
+struct RouteChange {
+  absl::Time at;
+  bool is_there = false;
+};
+
 struct Disturbance {
   std::string gateway;  // empty: all of them
   absl::Time begin;
@@ -89,6 +96,7 @@
   std::vector<Arrival> arrivals;
   std::vector<Leaving> leavings;
   std::vector<KeyRemoval> key_removals;
+  std::vector<RouteChange> route_changes;  // in order
   std::vector<Disturbance> disturbances;
   std::vector<OwnEnd> own_ends;
   std::vector<ProcessSize> sizes;
@@ -99,6 +107,7 @@
 struct Bounds {
   absl::Duration server_drain = absl::Seconds(2);
   absl::Duration key_revocation = absl::Seconds(5);
+  absl::Duration configuration_in_force = absl::Seconds(3);
   absl::Duration stop_grace = absl::Seconds(8);
   absl::Duration in_touch_after = absl::Seconds(3);  // of the last disturbance
   absl::Duration recovery = absl::Seconds(12);
--- a/tests/soak/history_test.cc
+++ b/tests/soak/history_test.cc
@@ -76,8 +76,8 @@
 
 TEST_CASE_METHOD(Sound, "a sound history keeps all promises") {
   CHECK(broken().empty());
-  CHECK(checkPromises(history, Bounds(), true).size() == 11);
-  CHECK(checkPromises(history, Bounds(), false).size() == 8);
+  CHECK(checkPromises(history, Bounds(), true).size() == 13);
+  CHECK(checkPromises(history, Bounds(), false).size() == 9);
 }
 
 TEST_CASE_METHOD(Sound, "a second run of what may run once is found") {
@@ -144,6 +144,27 @@
   CHECK(breaks("requests run at their route's service alone"));
 }
 
+TEST_CASE_METHOD(Sound, "a route that every configuration has and a gateway doesn't know is found") {
+  once().status = 404;
+  once().signature = "";
+  history.arrivals.erase(history.arrivals.begin() + 1);
+  CHECK(breaks("a route that every configuration has is always known"));
+}
+
+TEST_CASE_METHOD(Sound, "an added route that isn't known in time is found") {
+  once().status = 404;
+  once().signature = "";
+  once().is_on_added_route = true;
+  history.arrivals.erase(history.arrivals.begin() + 1);
+  const absl::Duration bound = Bounds().configuration_in_force;
+  history.route_changes = {{once().sent - bound, true}};
+  CHECK(breaks("an added route is known in time"));
+  history.route_changes.push_back({once().sent, false});
+  CHECK(broken().empty());
+  history.route_changes = {{once().sent - bound + absl::Milliseconds(1), true}};
+  CHECK(broken().empty());
+}
+
 TEST_CASE_METHOD(Sound, "a request that a planned stop cuts is found, but not in other trouble") {
   history.disturbances.push_back({"g-1", kStart - absl::Seconds(1), kStart + absl::Seconds(7), true});
   CHECK(broken().empty());
--- a/tests/soak/processes.cc
+++ b/tests/soak/processes.cc
@@ -54,6 +54,7 @@
        << printAddress(place.metrics) << "\"}\nstore: \"" << printAddress(place.store) << "\"\n"
        << "site_is_new: " << (is_new ? "true" : "false") << "\n"
        << "bounds: {key_revocation: " << absl::FormatDuration(bounds_.key_revocation)
+       << ", configuration_in_force: " << absl::FormatDuration(bounds_.configuration_in_force)
        << ", server_drain: " << absl::FormatDuration(bounds_.server_drain)
        << ", stop_grace: " << absl::FormatDuration(bounds_.stop_grace)
        << ", retry_ratio: " << bounds_.retry_ratio << ", retry_constant: " << bounds_.retry_constant << "}\n";
--- a/tests/soak/run.cc
+++ b/tests/soak/run.cc
@@ -262,6 +262,7 @@
       case FaultKind::kRouteChanges:
         traffic_.has_new_route = !traffic_.has_new_route;
         putConfiguration();
+        history_.route_changes.push_back({reactor::steadyNow(), traffic_.has_new_route});
         return;
       case FaultKind::kKeyRemoved:
         removeKey(fault.target);
