--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -29,7 +29,7 @@
   absl::Duration key_revocation =
       absl::Seconds(5);  // after it no request runs under a key that was taken away
   absl::Duration configuration_in_force =
-      absl::Seconds(5);                            // after it nothing is decided by an older configuration
+      absl::Seconds(5);                            // within it an acknowledged configuration is in force
   absl::Duration server_drain = absl::Seconds(2);  // after it nothing new is sent to a server that leaves
   absl::Duration stop_grace = absl::Seconds(8);    // from the signal to stop until the process is killed
   absl::Duration order_lease = absl::Seconds(3);
