--- a/tests/gateway/staged_rollout_test.cc
+++ b/tests/gateway/staged_rollout_test.cc
@@ -28,8 +28,8 @@
   }
 }
 
-TEST_CASE_METHOD(Fixture,
-                 "a bad version gets nothing before it is asked for, little then, and nothing afterwards") {
+// A server of the version that is there, and one of a version whose answers are all failures.
+void addBadVersion(StandInSite& site) {
   site.addServer("old", [](const Seen& /*seen*/) { return Script{signedAnswer("")}; });
   site.addServer(
       "new",
@@ -37,6 +37,11 @@
         return Script{answerOf(500, {{"Quincewick-Response-Signature", "s"}}, "")};
       },
       "[]", "v2");
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "a bad version gets nothing before it is asked for, little then, and nothing afterwards") {
+  addBadVersion(site);
   const RunningGateway gateway(movingVersions(site));
   await([this] { return site.hasRows("gateway-rollouts"); });
   ask(gateway, 100);
@@ -59,13 +64,7 @@
 // counts. Here it comes with each reading of the store, more often than a verdict takes.
 TEST_CASE_METHOD(Fixture, "bad answers still count where the operator asks for the same version again") {
   constexpr size_t kFarTooMany = 1000;
-  site.addServer("old", [](const Seen& /*seen*/) { return Script{signedAnswer("")}; });
-  site.addServer(
-      "new",
-      [](const Seen& /*seen*/) {
-        return Script{answerOf(500, {{"Quincewick-Response-Signature", "s"}}, "")};
-      },
-      "[]", "v2");
+  addBadVersion(site);
   GatewaySettings settings = movingVersions(site);
   settings.bounds.configuration_in_force = absl::Milliseconds(600);
   const RunningGateway gateway(settings);
