--- a/tests/gateway/configuration_confirmer_test.cc
+++ b/tests/gateway/configuration_confirmer_test.cc
@@ -19,6 +19,7 @@
   const absl::Time begin = reactor::steadyNow();
 
   OutdatedCore() {
+    core.settings.bounds.configuration_in_force = absl::Minutes(3);  // a question has a third of it
     core.in_force.configuration = std::make_shared<const forwarding::SiteConfiguration>();
     core.in_force.confirmed = begin - core.settings.bounds.configuration_in_force;
   }
