One piece for restarting a table's following, one for telling all peers

Stopping and starting a TableFollower stood twice, sending a message to every peer twice: restart() and sendToAll() serve both.

--- a/src/gateway/crash_exchange.cc
+++ b/src/gateway/crash_exchange.cc
@@ -226,10 +226,7 @@
 }
 
 void CrashExchange::tellAll(const CrashMessage& message) {
-  const std::string bytes = encodeCrashMessage(message);
-  for (const auto& [id, peer] : directory_.peers()) {
-    peers_.sendTo(id, peer::PeerModule::kCrashes, bytes);
-  }
+  peers_.sendToAll(peer::PeerModule::kCrashes, encodeCrashMessage(message));
 }
 
 void CrashExchange::beat() {
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -391,6 +391,15 @@
   return near_peers_ > 0 && !hears_any;
 }
 
+void PeerExchange::sendToAll(peer::PeerModule module, const std::string& payload) {
+  if (directory_.authenticator() == nullptr) {
+    return;
+  }
+  for (const auto& [id, peer] : directory_.peers()) {
+    send(id, peer, module, payload);
+  }
+}
+
 bool PeerExchange::hearsReader(absl::Time now) const {
   const auto& peers = directory_.peers();
   return std::any_of(peers.begin(), peers.end(), [&](const auto& entry) {
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -41,6 +41,8 @@
   void setTaker(peer::PeerModule module, Taker taker) { takers_[module] = std::move(taker); }
   // Sends such a message; lost like any datagram, also where the peer isn't known.
   void sendTo(const NodeId& id, peer::PeerModule module, const std::string& payload);
+  // The same to every peer that is known.
+  void sendToAll(peer::PeerModule module, const std::string& payload);
   // Becoming the zone's reader is told to all, at once.
   void noteReading();
   // This gateway holds the lease for orders: all peers hear of it soon.
--- a/src/gateway/rollout_director.cc
+++ b/src/gateway/rollout_director.cc
@@ -263,10 +263,7 @@
 
 void RolloutDirector::tellAll(const RolloutNotice& notice) {
   rollouts_.takeNotice(core_.settings.gateway_id, notice);
-  const std::string bytes = encodeRolloutMessage({notice, std::nullopt});
-  for (const auto& [id, peer] : directory_.peers()) {
-    peers_.sendTo(id, peer::PeerModule::kStagedRollouts, bytes);
-  }
+  peers_.sendToAll(peer::PeerModule::kStagedRollouts, encodeRolloutMessage({notice, std::nullopt}));
 }
 
 void RolloutDirector::tellInTurn(const RolloutNotice& notice) {
--- a/src/gateway/site_follower.cc
+++ b/src/gateway/site_follower.cc
@@ -18,13 +18,14 @@
 // How long a reader holds a follower's question. Each reading is told at once, so this is how long nothing is
 // heard of a reader that gets no answers.
 constexpr absl::Duration kRelayWait = absl::Milliseconds(1000);
-constexpr absl::Duration kLongestWholeEvery = absl::Seconds(1);
 constexpr absl::Duration kRarelyChangedRelayWait = absl::Seconds(2);
 // Records of rollouts rarely change; while one runs, gateways must know how old their knowledge of it is.
 constexpr absl::Duration kRolloutsWait = absl::Seconds(20);
 constexpr absl::Duration kRunningRolloutsWait = absl::Seconds(1);
 // A reader of a build that has no rollouts passes on everything else.
 constexpr absl::Duration kRolloutsAskedAgain = absl::Seconds(1);
+// Between a reader's whole readings of the operator's rows, at most.
+constexpr absl::Duration kLongestWholeEvery = absl::Seconds(1);
 // Readers number what they found late themselves, a little ahead of the store: who changes to another one
 // asks for so many versions more, for a change too many does no harm.
 constexpr uint64_t kVersionsApart = 16;
@@ -286,8 +287,7 @@
   takeFromStore(operator_rows_, news);
   for (Table* const table : tables()) {
     if (table->from_store.isDown()) {
-      table->from_store.stop();
-      table->from_store.start();
+      table->from_store.restart();
     }
   }
 }
@@ -351,8 +351,7 @@
 // store perhaps never answers.
 void SiteFollower::readWeightsRecordAgain() {
   if (role_.reads) {
-    weights_rows_.from_store.stop();
-    weights_rows_.from_store.start();
+    weights_rows_.from_store.restart();
   }
 }
 
--- a/src/gateway/table_follower.h
+++ b/src/gateway/table_follower.h
@@ -31,6 +31,11 @@
 
   // Follows from now on, with a whole reading first; does nothing while it follows.
   void start();
+  // Begins anew, with a whole reading at once.
+  void restart() {
+    stop();
+    start();
+  }
   // Stops; answers under way are not taken any more.
   void stop();
   // From the next question on: how long the store holds one that it has no changes for.
