Log and count the rates that servers name in their answers

The dialect decodes the field once, a life of a server holds what it named, also while its entry lapses, and no decision asks it yet.

--- /dev/null
+++ b/src/forwarding/back_pressure.h
@@ -0,0 +1,30 @@
+// What a server asks of its callers in its answers, and so when it may be sent a request. Pure.
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <optional>
+
+namespace quincewick::forwarding {
+
+class BackPressure {
+ public:
+  // An answer of the server came: the rate that it named there, in requests a second from all gateways
+  // together; nothing: it named none. Returns whether that is news.
+  bool noteRateLimit(std::optional<double> rate);
+  // Holds until an answer names none.
+  std::optional<double> rateLimit() const { return rate_limit_; }
+  // The time in which the server takes one request; zero where it named no rate.
+  absl::Duration timePerRequest() const;
+  // The keeper of the server's rate had none left.
+  void noteRateUsedUp(absl::Duration retry_after, absl::Time now);
+
+  // From when on the server may be chosen, as far as its own word goes.
+  absl::Time freeAt() const { return rate_used_up_until_; }
+
+ private:
+  std::optional<double> rate_limit_;
+  absl::Time rate_used_up_until_ = absl::InfinitePast();
+};
+
+}  // namespace quincewick::forwarding
--- a/src/forwarding/request_facts.h
+++ b/src/forwarding/request_facts.h
@@ -39,6 +39,8 @@
   std::optional<std::string> server_id;
   std::optional<WeightsVersion> weights_version;
   std::optional<absl::Duration> idle_limit;  // how long the server keeps an idle connection
+  std::optional<double> rate_limit;  // requests a second that the server takes from all gateways together
+  std::string unreadable_field;      // the name of one whose value can't be read; empty: none
 };
 
 // What this project tells a server along with a request.
--- a/src/forwarding/server_directory.cc
+++ b/src/forwarding/server_directory.cc
@@ -115,6 +115,7 @@
   server->slot = takeSlot();
   server->identity_hash = hashOfLife(server->entry);
   server->home_hash = hashOfId(server->entry.id);
+  restoreBackPressure(*server);
   by_slot_[static_cast<size_t>(server->slot)] = server;
   by_service_[server->entry.service].push_back(server);
   by_hash_.emplace(server->identity_hash, server);
@@ -147,6 +148,7 @@
   }
   const ServerPointer server = found->second;
   server->is_listed = false;
+  keepBackPressure(*server);
   servers_.erase(found);
   by_hash_.erase(server->identity_hash);
   std::erase(by_service_[server->entry.service], server);
@@ -154,6 +156,22 @@
   freed_.push_back(server->slot);
 }
 
+void ServerDirectory::keepBackPressure(const Server& server) {
+  if (kept_pressure_.insert_or_assign(server.identity_hash, server.back_pressure).second) {
+    kept_pressure_order_.push_back(server.identity_hash);
+  }
+  if (kept_pressure_order_.size() > kStartsAtMost) {
+    kept_pressure_.erase(kept_pressure_order_.front());
+    kept_pressure_order_.pop_front();
+  }
+}
+
+void ServerDirectory::restoreBackPressure(Server& server) {
+  if (const auto kept = kept_pressure_.find(server.identity_hash); kept != kept_pressure_.end()) {
+    server.back_pressure = kept->second;
+  }
+}
+
 std::vector<std::string> ServerDirectory::missingFrom(const std::vector<std::string>& ids) const {
   const absl::flat_hash_set<std::string> listed(ids.begin(), ids.end());
   std::vector<std::string> missing;
--- a/src/forwarding/server_directory.h
+++ b/src/forwarding/server_directory.h
@@ -17,6 +17,7 @@
 #include <string>
 #include <vector>
 
+#include "forwarding/back_pressure.h"
 #include "forwarding/engine_capability.h"
 #include "forwarding/server_entry.h"
 #include "prefix/trunk_index.h"
@@ -50,6 +51,8 @@
   double latency_seconds = 0;                       // of plain requests, smoothed; 0: not known
 
   ToldCapability capability;  // by the keeper of its books
+  // Of this life, also while its entry comes and goes.
+  std::shared_ptr<BackPressure> back_pressure = std::make_shared<BackPressure>();
 
   // What its books told is in hand there, and how much of it was this node's then.
   struct BookedLoad {
@@ -141,6 +144,8 @@
   void add(ServerEntry entry);
   bool isOutdated(const ServerEntry& entry) const;
   void rememberStart(const ServerEntry& entry);
+  void keepBackPressure(const Server& server);
+  void restoreBackPressure(Server& server);
   void replaceLoad(std::vector<PeerLoad>& last, const LoadShare& share, const std::vector<PeerLoad>& loads,
                    ServerLoad Server::*sum);
   void addLoad(const std::vector<PeerLoad>& loads, bool add, ServerLoad Server::*sum);
@@ -149,6 +154,10 @@
   // The latest start of each id, also of those that went; of so many ids at most, the first ones given up.
   absl::flat_hash_map<std::string, absl::Time> last_starts_;
   std::deque<std::string> last_starts_order_;
+  // What servers that went had asked, by their identity hashes: an entry may lapse and come back with the
+  // store. Of so many at most, the first ones given up.
+  absl::flat_hash_map<uint64_t, std::shared_ptr<BackPressure>> kept_pressure_;
+  std::deque<uint64_t> kept_pressure_order_;
   absl::flat_hash_map<ServiceName, std::vector<ServerPointer>> by_service_;
   absl::flat_hash_map<uint64_t, ServerPointer> by_hash_;
   std::vector<ServerPointer> by_slot_;
--- a/src/gateway/back_end_link.cc
+++ b/src/gateway/back_end_link.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/back_pressure_notes.h"
+
 namespace quincewick::gateway {
 namespace {
 
@@ -139,7 +141,9 @@
 // Whether the answer is to this attempt; its head has been told then.
 bool BackEndLink::takeHead() {
   const forwarding::AnswerFacts facts = pool_.core_.dialect->readAnswer(reader_.head());
-  if (!facts.attempt_id.empty() && facts.attempt_id != request_.attempt_id) {
+  const bool is_awaited = facts.attempt_id.empty() || facts.attempt_id == request_.attempt_id;
+  noteBackPressure(pool_.core_, *server_, facts, is_awaited, reactor::steadyNow());
+  if (!is_awaited) {
     reader_.takeBody();
     return false;
   }
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -83,6 +83,8 @@
       rows_refused_(
           counters(registry_, "quincewick_rows_refused_total",
                    "Rows of the store that can't be used, by table; a row counts again for another reason.")),
+      back_pressure_(counters(registry_, "quincewick_back_pressure_total",
+                              "Answers in which a server's demands on its callers changed.")),
       forecast_(prometheus::BuildHistogram()
                     .Name("quincewick_first_piece_forecast_error_seconds")
                     .Help("How far first pieces came from their forecasts, by route.")
@@ -146,6 +148,10 @@
   rows_refused_.Add({{"table", std::string(table)}}).Increment();
 }
 
+void GatewayMetrics::countBackPressure(std::string_view what) {
+  back_pressure_.Add({{"what", std::string(what)}}).Increment();
+}
+
 void GatewayMetrics::countPromptTokens(uint64_t kept, uint64_t moved, uint64_t read) {
   prompt_tokens_.Add({{"how", "kept"}}).Increment(static_cast<double>(kept));
   prompt_tokens_.Add({{"how", "moved"}}).Increment(static_cast<double>(moved));
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -38,6 +38,8 @@
   void countRolloutRequest(staged_rollout::Side side) {
     (side == staged_rollout::Side::kTarget ? to_target_ : to_base_)->Increment();
   }
+  // A server asked something of its callers in an answer, or no longer does.
+  void countBackPressure(std::string_view what);
   void countServerEnd() { server_ends_->Increment(); }
   // An end of a server that too many others crowd out is not told to peers.
   void countUntoldEnd() { ends_untold_->Increment(); }
@@ -78,6 +80,7 @@
   prometheus::Family<prometheus::Counter>& prompt_tokens_;
   prometheus::Family<prometheus::Counter>& confirmations_;
   prometheus::Family<prometheus::Counter>& rows_refused_;
+  prometheus::Family<prometheus::Counter>& back_pressure_;
   prometheus::Family<prometheus::Histogram>& forecast_;
   prometheus::Counter* retries_;
   prometheus::Counter* streams_resumed_;
--- a/tests/platform_dialect/platform_dialect_test.cc
+++ b/tests/platform_dialect/platform_dialect_test.cc
@@ -178,6 +178,24 @@
   CHECK(facts.idle_limit == absl::Seconds(5));
 }
 
+TEST_CASE("the rate that a server names in an answer, and what is none") {
+  const auto read = [](const char* value) {
+    HttpHead head;
+    head.status = 200;
+    head.fields = {{"server-limit", value}};
+    return dialect().readAnswer(head);
+  };
+  CHECK(read("1.1").rate_limit == 1.1);
+  CHECK(read("0").rate_limit == 0.0);
+  CHECK(read("12").unreadable_field.empty());
+  for (const char* malformed : {"", "many", "-1", "nan", "inf", "1,2", "1 a second"}) {
+    CAPTURE(malformed);
+    CHECK_FALSE(read(malformed).rate_limit);
+    CHECK(read(malformed).unreadable_field == "server-limit");
+  }
+  CHECK_FALSE(dialect().readAnswer(HttpHead()).rate_limit);
+}
+
 TEST_CASE("rows read back as they were written") {
   forwarding::StoreRow row;
   row.table = "t";
