Limits over all gateways are not only tenants'

SharedQuotas (was TenantQuotas) and QuotaExchange serve any limit that is named; bytes of messages are as before (the name stands where the tenant's did).

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -52,6 +52,7 @@
   void noteConfigurationAge();
   // Of the configuration that decides on the request; 0: none is known.
   int64_t configurationVersion() const;
+  quota::LimitName limitName() const;
   void askQuota();
   void takeQuota(const quota::QuotaDecision& decision);
   void settleQuota();
--- a/src/gateway/exchange_quota.cc
+++ b/src/gateway/exchange_quota.cc
@@ -10,6 +10,10 @@
 
 }  // namespace
 
+quota::LimitName Exchange::limitName() const {
+  return quota::LimitName(tenant_->id.value());
+}
+
 // Nothing is sent to any server before the tenant's limit allows it.
 void Exchange::askQuota() {
   if (tenant_ == nullptr || !tenant_->limit) {
@@ -21,7 +25,7 @@
       facts_.declared_tokens ? static_cast<double>(*facts_.declared_tokens) : limit.tokens_if_undeclared;
   quota_cost_ = limit.unit == quota::LimitUnit::kTokens ? tokens : 1;
   const uint64_t question =
-      core_.quotas->ask(tenant_->id, quota_cost_, [this](const quota::QuotaDecision& decision) {
+      core_.quotas->ask(limitName(), quota_cost_, [this](const quota::QuotaDecision& decision) {
         const auto self = shared_from_this();
         takeQuota(decision);
       });
@@ -51,7 +55,7 @@
   }
   const double cost = std::exchange(quota_cost_, 0);
   if (is_quota_decided_ && cost > 0 && ledger_.execution() == Execution::kNotRun) {
-    core_.quotas->giveBack(tenant_->id, cost, quota_keeper_);
+    core_.quotas->giveBack(limitName(), cost, quota_keeper_);
   }
 }
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -18,6 +18,17 @@
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 
+quota::LimitTolerance toleranceOf(const GatewayBounds& bounds) {
+  return {bounds.limit_window, bounds.limit_overshoot, bounds.limit_slack};
+}
+
+const quota::RateLimit* limitOfTenant(const Core& core, const quota::LimitName& name) {
+  const auto& configuration = core.in_force.configuration;
+  const forwarding::Tenant* const tenant =
+      configuration == nullptr ? nullptr : configuration->findTenantNamed(TenantId(name.value()));
+  return tenant == nullptr || !tenant->limit ? nullptr : &*tenant->limit;
+}
+
 }  // namespace
 
 Gateway::Gateway(GatewaySettings settings, std::unique_ptr<forwarding::Dialect> dialect, int log_descriptor)
@@ -25,7 +36,8 @@
       pool_(core_),
       peer_directory_(core_),
       peers_(core_, peer_directory_),
-      quotas_(core_, peer_directory_, peers_),
+      quotas_(core_, peer_directory_, peers_, peer::PeerModule::kLimits, toleranceOf(core_.settings.bounds),
+              [this](const quota::LimitName& name) { return limitOfTenant(core_, name); }),
       occupancy_(core_, peer_directory_, peers_),
       crash_exchange_(core_, peer_directory_, peers_),
       crashes_(core_, crash_exchange_),
@@ -160,7 +172,7 @@
   core_.log.event("reload", reactor::steadyNow()).with("done", settings ? "true" : "false");
   if (settings) {
     core_.applyBounds(settings->bounds);
-    quotas_.applyBounds();
+    quotas_.setTolerance(toleranceOf(settings->bounds));
   }
 }
 
--- a/src/gateway/quota_exchange.cc
+++ b/src/gateway/quota_exchange.cc
@@ -9,33 +9,23 @@
 // How soon a gateway that came counts among the keepers, and how soon this one notices that it hears none.
 constexpr absl::Duration kBeatInterval = absl::Milliseconds(250);
 
-quota::LimitTolerance toleranceOf(const GatewayBounds& bounds) {
-  return {bounds.limit_window, bounds.limit_overshoot, bounds.limit_slack};
-}
-
 }  // namespace
 
-QuotaExchange::QuotaExchange(Core& core, PeerDirectory& directory, PeerExchange& peers)
+QuotaExchange::QuotaExchange(Core& core, PeerDirectory& directory, PeerExchange& peers,
+                             peer::PeerModule module, const quota::LimitTolerance& tolerance,
+                             quota::SharedQuotas::LimitOf limit_of)
     : core_(core),
       directory_(directory),
       peers_(peers),
-      quotas_(core.settings.gateway_id, toleranceOf(core.settings.bounds), [this](const TenantId& tenant) {
-        const auto& configuration = core_.in_force.configuration;
-        const forwarding::Tenant* const found =
-            configuration == nullptr ? nullptr : configuration->findTenantNamed(tenant);
-        return found == nullptr || !found->limit ? nullptr : &*found->limit;
-      }) {}
+      module_(module),
+      quotas_(core.settings.gateway_id, tolerance, std::move(limit_of)) {}
 
 void QuotaExchange::start() {
-  peers_.setTaker(peer::PeerModule::kLimits,
+  peers_.setTaker(module_,
                   [this](const NodeId& from, std::string_view payload) { return take(from, payload); });
   beat();
 }
 
-void QuotaExchange::applyBounds() {
-  quotas_.setTolerance(toleranceOf(core_.settings.bounds));
-}
-
 void QuotaExchange::beat() {
   const absl::Time now = reactor::steadyNow();
   quotas_.setMembers(directory_.keeperMembers());
@@ -43,9 +33,9 @@
   core_.timers.schedule(now + kBeatInterval, [this] { beat(); });
 }
 
-uint64_t QuotaExchange::ask(const TenantId& tenant, double cost, Decided decided) {
+uint64_t QuotaExchange::ask(const quota::LimitName& name, double cost, Decided decided) {
   quota::QuotaActions actions;
-  const uint64_t number = quotas_.ask(tenant, cost, reactor::steadyNow(), actions);
+  const uint64_t number = quotas_.ask(name, cost, reactor::steadyNow(), actions);
   waiting_[number] = std::move(decided);
   carryOut(actions);
   return number;
@@ -56,9 +46,9 @@
   waiting_.erase(number);
 }
 
-void QuotaExchange::giveBack(const TenantId& tenant, double cost, const NodeId& keeper) {
+void QuotaExchange::giveBack(const quota::LimitName& name, double cost, const NodeId& keeper) {
   quota::QuotaActions actions;
-  quotas_.giveBack(tenant, cost, keeper, actions);
+  quotas_.giveBack(name, cost, keeper, actions);
   carryOut(actions);
 }
 
@@ -72,7 +62,7 @@
 
 void QuotaExchange::carryOut(const quota::QuotaActions& actions) {
   for (const quota::QuotaActions::Outgoing& outgoing : actions.messages) {
-    peers_.sendTo(outgoing.to, peer::PeerModule::kLimits, encodeQuotaMessage(outgoing.message));
+    peers_.sendTo(outgoing.to, module_, encodeQuotaMessage(outgoing.message));
   }
   scheduleTick();
   for (const quota::QuotaDecision& decision : actions.decisions) {
--- a/src/gateway/quota_exchange.h
+++ b/src/gateway/quota_exchange.h
@@ -1,4 +1,5 @@
-// Asks other gateways whether requests of limited tenants may start, and answers them, by datagrams.
+// Asks other gateways whether requests under a shared limit may start, and answers them, by datagrams: one of
+// these for each kind of limit.
 #pragma once
 
 #include <absl/container/flat_hash_map.h>
@@ -10,23 +11,25 @@
 #include "gateway/core.h"
 #include "gateway/peer_directory.h"
 #include "gateway/peer_exchange.h"
-#include "quota/tenant_quotas.h"
+#include "quota/shared_quotas.h"
 
 namespace quincewick::gateway {
 
 class QuotaExchange {
  public:
-  QuotaExchange(Core& core, PeerDirectory& directory, PeerExchange& peers);
+  // `module`: the messages of this kind of limit.
+  QuotaExchange(Core& core, PeerDirectory& directory, PeerExchange& peers, peer::PeerModule module,
+                const quota::LimitTolerance& tolerance, quota::SharedQuotas::LimitOf limit_of);
 
   void start();
 
   // Calls `decided` once, perhaps before this returns. Returns the number by which to `forget` it.
   using Decided = std::function<void(const quota::QuotaDecision& decision)>;
-  uint64_t ask(const TenantId& tenant, double cost, Decided decided);
+  uint64_t ask(const quota::LimitName& name, double cost, Decided decided);
   void forget(uint64_t number);
   // A request that was granted never ran.
-  void giveBack(const TenantId& tenant, double cost, const NodeId& keeper);
-  void applyBounds();
+  void giveBack(const quota::LimitName& name, double cost, const NodeId& keeper);
+  void setTolerance(const quota::LimitTolerance& tolerance) { quotas_.setTolerance(tolerance); }
 
  private:
   Result<void> take(const NodeId& from, std::string_view payload);
@@ -37,7 +40,8 @@
   Core& core_;
   PeerDirectory& directory_;
   PeerExchange& peers_;
-  quota::TenantQuotas quotas_;
+  peer::PeerModule module_;
+  quota::SharedQuotas quotas_;
   absl::flat_hash_map<uint64_t, Decided> waiting_;
   reactor::TimerQueue::Key timer_;
   absl::Time timer_at_ = absl::InfiniteFuture();
--- a/src/quota/quota_account.h
+++ b/src/quota/quota_account.h
@@ -1,4 +1,4 @@
-// What is left of one tenant's limit, as its keeper books it. Pure; `now` never goes back.
+// What is left of one limit, as its keeper books it. Pure; `now` never goes back.
 //
 // A bucket that fills at the limit's rate. Half of the tolerance is room in the bucket; the other half covers
 // what keepers that follow one another give out besides each other. The first in rank begins with a full
--- a/src/quota/quota_messages.cc
+++ b/src/quota/quota_messages.cc
@@ -16,14 +16,14 @@
 template <class Archive>
 void serialize(Archive& archive, QuotaMessage& message) {
   auto kind = static_cast<uint8_t>(message.kind);
-  std::string tenant = message.tenant.value();
+  std::string name = message.name.value();
   auto retry = static_cast<uint32_t>(
       std::clamp<int64_t>(absl::ToInt64Milliseconds(message.retry_after), 0, kLongestRetryMilliseconds));
   archive(kind, message.number);
-  archiveText(archive, tenant, kMaximumName);
+  archiveText(archive, name, kMaximumName);
   archive(message.cost, message.is_first, retry);
   message.kind = static_cast<QuotaMessageKind>(kind);
-  message.tenant = TenantId(std::move(tenant));
+  message.name = LimitName(std::move(name));
   message.retry_after = absl::Milliseconds(retry);
 }
 
--- a/src/quota/quota_messages.h
+++ b/src/quota/quota_messages.h
@@ -1,4 +1,4 @@
-// What gateways tell each other about tenants' limits. One datagram each, encoded by cereal.
+// What gateways tell each other about limits. One datagram each, encoded by cereal.
 #pragma once
 
 #include <absl/time/time.h>
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "quota/rate_limit.h"
 #include "types/error.h"
 #include "types/identifiers.h"
 
@@ -23,7 +24,7 @@
 struct QuotaMessage {
   QuotaMessageKind kind = QuotaMessageKind::kAsk;
   uint64_t number = 0;  // of the asker; its answer bears the same
-  TenantId tenant;
+  LimitName name;
   double cost = 0;       // in the limit's unit, as the asker's configuration has it; 0: are you there?
   bool is_first = true;  // of a question: no other gateway was asked for the same request
   absl::Duration retry_after;
--- a/src/quota/rate_limit.h
+++ b/src/quota/rate_limit.h
@@ -1,12 +1,17 @@
-// What an operator allows a tenant, over all gateways together.
+// A limit that holds over all gateways together: of a tenant, or of a server.
 #pragma once
 
 #include <absl/time/time.h>
 
 #include <cstdint>
 
+#include "types/strong_id.h"
+
 namespace quincewick::quota {
 
+// Whose limit it is.
+using LimitName = StrongString<struct LimitNameTag>;
+
 enum class LimitUnit : uint8_t { kRequests, kTokens };
 
 struct RateLimit {
--- a/src/quota/tenant_quotas.cc
+++ b/src/quota/shared_quotas.cc
@@ -1,4 +1,4 @@
-#include "quota/tenant_quotas.h"
+#include "quota/shared_quotas.h"
 
 #include <algorithm>
 #include <cmath>
@@ -17,7 +17,7 @@
 
 }  // namespace
 
-void TenantQuotas::noteBeat(bool is_alone, absl::Time now) {
+void SharedQuotas::noteBeat(bool is_alone, absl::Time now) {
   const bool was_away = is_alone || now - last_beat_ > kLongestPause;  // at its start, too
   if (was_away) {
     was_away_until_ = now + tolerance_.window;
@@ -26,56 +26,56 @@
   last_beat_ = now;
 }
 
-uint64_t TenantQuotas::ask(const TenantId& tenant, double cost, absl::Time now, QuotaActions& actions) {
+uint64_t SharedQuotas::ask(const LimitName& name, double cost, absl::Time now, QuotaActions& actions) {
   const uint64_t number = ++last_number_;
-  askNext(number, questions_[number] = {tenant, cost, false, {}, now}, now, actions);
+  askNext(number, questions_[number] = {name, cost, false, {}, now}, now, actions);
   return number;
 }
 
-void TenantQuotas::askNext(uint64_t number, Question& question, absl::Time now, QuotaActions& actions) {
-  const TenantId tenant = question.tenant;
+void SharedQuotas::askNext(uint64_t number, Question& question, absl::Time now, QuotaActions& actions) {
+  const LimitName name = question.name;
   const double cost = question.cost;
   if (!is_alone_ && question.asked.size() < kAskedAtMost) {
-    for (const NodeId& candidate : ranks_.candidates(tenant.value())) {
+    for (const NodeId& candidate : ranks_.candidates(name.value())) {
       if (std::find(question.asked.begin(), question.asked.end(), candidate) != question.asked.end()) {
         continue;
       }
       if (candidate == self_) {
         questions_.erase(number);
-        actions.decisions.push_back({number, decideAsKeeper(tenant, cost, now, actions), self_});
+        actions.decisions.push_back({number, decideAsKeeper(name, cost, now, actions), self_});
         return;
       }
       const bool is_first = question.asked.empty();
       question.asked.push_back(candidate);
       question.give_up = now + kAnswerTime;
-      actions.messages.push_back({candidate, {QuotaMessageKind::kAsk, number, tenant, cost, is_first, {}}});
+      actions.messages.push_back({candidate, {QuotaMessageKind::kAsk, number, name, cost, is_first, {}}});
       return;
     }
   }
   questions_.erase(number);
-  actions.decisions.push_back({number, decideByOwnShare(tenant, cost, now), NodeId()});
+  actions.decisions.push_back({number, decideByOwnShare(name, cost, now), NodeId()});
 }
 
-QuotaVerdict TenantQuotas::decideAsKeeper(const TenantId& tenant, double cost, absl::Time now,
+QuotaVerdict SharedQuotas::decideAsKeeper(const LimitName& name, double cost, absl::Time now,
                                           QuotaActions& actions) {
-  const RateLimit* const limit = limit_of_(tenant);
+  const RateLimit* const limit = limit_of_(name);
   if (limit == nullptr) {
     return {true, absl::ZeroDuration()};
   }
-  const bool is_keeper = isKeeper(tenant);
-  const std::vector<NodeId> before = ranks_.before(tenant.value(), self_);
-  probe(before, tenant, now, actions);
+  const bool is_keeper = isKeeper(name);
+  const std::vector<NodeId> before = ranks_.before(name.value(), self_);
+  probe(before, name, now, actions);
   // Where some can't reach the keeper and others not the next one either, several stand in at the same time:
   // by its rank each has half of what the one before it has, so that together they keep to one's part.
   const double share = std::exp2(-static_cast<double>(before.size()));
   const KeeperRights rights = {is_keeper ? 1 : tolerance_.overshoot * kStandInPart * share,
                                is_keeper && now >= was_away_until_, before.empty(), is_keeper ? 1 : share};
   forgetIdleAccounts(now);
-  return kept_[tenant].take(cost, *limit, tolerance_, rights, now);
+  return kept_[name].take(cost, *limit, tolerance_, rights, now);
 }
 
-QuotaVerdict TenantQuotas::decideByOwnShare(const TenantId& tenant, double cost, absl::Time now) {
-  const RateLimit* const limit = limit_of_(tenant);
+QuotaVerdict SharedQuotas::decideByOwnShare(const LimitName& name, double cost, absl::Time now) {
+  const RateLimit* const limit = limit_of_(name);
   if (limit == nullptr) {
     return {true, absl::ZeroDuration()};
   }
@@ -85,16 +85,16 @@
   own.burst *= share;
   LimitTolerance tolerance = tolerance_;
   tolerance.slack *= share;
-  return own_shares_[tenant].take(cost, own, tolerance, KeeperRights::full(), now);
+  return own_shares_[name].take(cost, own, tolerance, KeeperRights::full(), now);
 }
 
-bool TenantQuotas::isKeeper(const TenantId& tenant) {
-  const std::vector<NodeId> candidates = ranks_.candidates(tenant.value());
+bool SharedQuotas::isKeeper(const LimitName& name) {
+  const std::vector<NodeId> candidates = ranks_.candidates(name.value());
   return candidates.empty() || candidates.front() == self_;
 }
 
 // Asks nodes that rank before this one whether they are there.
-void TenantQuotas::probe(const std::vector<NodeId>& nodes, const TenantId& tenant, absl::Time now,
+void SharedQuotas::probe(const std::vector<NodeId>& nodes, const LimitName& name, absl::Time now,
                          QuotaActions& actions) {
   for (const NodeId& node : nodes) {
     absl::Time& last = probed_.try_emplace(node, absl::InfinitePast()).first->second;
@@ -103,23 +103,22 @@
     }
     last = now;
     const uint64_t number = ++last_number_;
-    questions_[number] = {tenant, 0, true, {node}, now + kAnswerTime};
-    actions.messages.push_back({node, {QuotaMessageKind::kAsk, number, tenant, 0, true, {}}});
+    questions_[number] = {name, 0, true, {node}, now + kAnswerTime};
+    actions.messages.push_back({node, {QuotaMessageKind::kAsk, number, name, 0, true, {}}});
   }
 }
 
-void TenantQuotas::giveBack(const TenantId& tenant, double cost, const NodeId& keeper,
-                            QuotaActions& actions) {
+void SharedQuotas::giveBack(const LimitName& name, double cost, const NodeId& keeper, QuotaActions& actions) {
   if (keeper == self_) {
-    if (const auto account = kept_.find(tenant); account != kept_.end()) {
+    if (const auto account = kept_.find(name); account != kept_.end()) {
       account->second.putBack(cost);
     }
   } else if (!keeper.value().empty()) {
-    actions.messages.push_back({keeper, {QuotaMessageKind::kGiveBack, 0, tenant, cost, true, {}}});
+    actions.messages.push_back({keeper, {QuotaMessageKind::kGiveBack, 0, name, cost, true, {}}});
   }
 }
 
-void TenantQuotas::onMessage(const NodeId& from, const QuotaMessage& message, absl::Time now,
+void SharedQuotas::onMessage(const NodeId& from, const QuotaMessage& message, absl::Time now,
                              QuotaActions& actions) {
   ranks_.noteHeard(from);
   switch (message.kind) {
@@ -127,7 +126,7 @@
       answer(from, message, now, actions);
       return;
     case QuotaMessageKind::kGiveBack:
-      giveBack(message.tenant, message.cost, self_, actions);
+      giveBack(message.name, message.cost, self_, actions);
       return;
     case QuotaMessageKind::kGrant:
     case QuotaMessageKind::kDeny:
@@ -137,30 +136,30 @@
   }
 }
 
-void TenantQuotas::answer(const NodeId& from, const QuotaMessage& question, absl::Time now,
+void SharedQuotas::answer(const NodeId& from, const QuotaMessage& question, absl::Time now,
                           QuotaActions& actions) {
-  QuotaMessage reply = {QuotaMessageKind::kGrant, question.number, question.tenant, 0, true, {}};
+  QuotaMessage reply = {QuotaMessageKind::kGrant, question.number, question.name, 0, true, {}};
   const bool is_probe = question.cost <= 0;
-  if (!is_probe && question.is_first && !isKeeper(question.tenant)) {
+  if (!is_probe && question.is_first && !isKeeper(question.name)) {
     reply.kind = QuotaMessageKind::kElsewhere;
   } else if (!is_probe) {
-    const QuotaVerdict verdict = decideAsKeeper(question.tenant, question.cost, now, actions);
+    const QuotaVerdict verdict = decideAsKeeper(question.name, question.cost, now, actions);
     reply.kind = verdict.is_granted ? QuotaMessageKind::kGrant : QuotaMessageKind::kDeny;
     reply.retry_after = verdict.retry_after;
   }
   actions.messages.push_back({from, reply});
 }
 
-void TenantQuotas::takeAnswer(const NodeId& from, const QuotaMessage& message, absl::Time now,
+void SharedQuotas::takeAnswer(const NodeId& from, const QuotaMessage& message, absl::Time now,
                               QuotaActions& actions) {
   const auto found = questions_.find(message.number);
   const bool is_awaited = found != questions_.end() && found->second.asked.back() == from;
   if (!is_awaited) {
-    return;  // it came too late: what it granted counts as used, which costs the tenant a little
+    return;  // it came too late: what it granted counts as used, which costs its holder a little
   }
   Question& question = found->second;
   if (message.kind == QuotaMessageKind::kElsewhere) {
-    for (const NodeId& node : ranks_.before(question.tenant.value(), from)) {
+    for (const NodeId& node : ranks_.before(question.name.value(), from)) {
       ranks_.noteHeard(node);  // by `from`
     }
     askNext(message.number, question, now, actions);
@@ -174,7 +173,7 @@
   }
 }
 
-void TenantQuotas::onTick(absl::Time now, QuotaActions& actions) {
+void SharedQuotas::onTick(absl::Time now, QuotaActions& actions) {
   std::vector<uint64_t> late;
   for (const auto& [number, question] : questions_) {
     if (question.give_up <= now) {
@@ -192,7 +191,7 @@
   }
 }
 
-absl::Time TenantQuotas::nextWakeup() const {
+absl::Time SharedQuotas::nextWakeup() const {
   absl::Time next = absl::InfiniteFuture();
   for (const auto& [number, question] : questions_) {
     next = std::min(next, question.give_up);
@@ -201,7 +200,7 @@
 }
 
 // Those out of use for a window hold nothing that a new account would not.
-void TenantQuotas::forgetIdleAccounts(absl::Time now) {
+void SharedQuotas::forgetIdleAccounts(absl::Time now) {
   if (kept_.size() < kAccountsAtMost) {
     return;
   }
--- a/src/quota/tenant_quotas.h
+++ b/src/quota/shared_quotas.h
@@ -1,7 +1,7 @@
-// Tenants' limits over all gateways: one of these in each gateway, which asks, and keeps the books of some
-// tenants. Pure: events and the time in, messages and decisions out; `now` never goes back.
+// Limits over all gateways: one of these in each gateway, which asks, and keeps the books of some of them.
+// Pure: events and the time in, messages and decisions out; `now` never goes back.
 //
-// Each request of a limited tenant asks the tenant's keeper before it is sent anywhere. Where the keeper
+// Each request under a limit asks the limit's keeper before it is sent anywhere. Where the keeper
 // doesn't answer, the next in rank is asked. A gateway that is asked though another one, which it can reach,
 // ranks before it says so, and decides on a small part of the limit only where the asker can't reach that
 // one: so the limit isn't given out twice while gateways see different ones. Whoever decides in place of a
@@ -38,12 +38,12 @@
   std::vector<QuotaDecision> decisions;
 };
 
-class TenantQuotas {
+class SharedQuotas {
  public:
-  // The tenant's limit by the configuration in force; null: none.
-  using LimitOf = std::function<const RateLimit*(const TenantId& tenant)>;
+  // The limit of that name; null: there is none.
+  using LimitOf = std::function<const RateLimit*(const LimitName& name)>;
 
-  TenantQuotas(NodeId self, LimitTolerance tolerance, LimitOf limit_of)
+  SharedQuotas(NodeId self, LimitTolerance tolerance, LimitOf limit_of)
       : self_(std::move(self)), tolerance_(tolerance), limit_of_(std::move(limit_of)) {}
 
   void setTolerance(const LimitTolerance& tolerance) { tolerance_ = tolerance; }
@@ -54,13 +54,13 @@
   // After such a time, or one in which this process stood still, another has kept this gateway's books.
   void noteBeat(bool is_alone, absl::Time now);
 
-  // May a request of the tenant start? Exactly one decision with the returned number follows, at once or
+  // May a request under the limit start? Exactly one decision with the returned number follows, at once or
   // within three times kAnswerTime.
-  uint64_t ask(const TenantId& tenant, double cost, absl::Time now, QuotaActions& actions);
+  uint64_t ask(const LimitName& name, double cost, absl::Time now, QuotaActions& actions);
   // Nobody waits for the decision any more: it doesn't follow.
   void forget(uint64_t number) { questions_.erase(number); }
   // What the keeper granted never ran.
-  void giveBack(const TenantId& tenant, double cost, const NodeId& keeper, QuotaActions& actions);
+  void giveBack(const LimitName& name, double cost, const NodeId& keeper, QuotaActions& actions);
 
   void onMessage(const NodeId& from, const QuotaMessage& message, absl::Time now, QuotaActions& actions);
   // Questions whose time is over go to the next in rank.
@@ -74,7 +74,7 @@
 
  private:
   struct Question {
-    TenantId tenant;
+    LimitName name;
     double cost = 0;
     bool is_probe = false;  // asked only to see whether the keeper is there
     std::vector<NodeId> asked;
@@ -82,12 +82,12 @@
   };
 
   void askNext(uint64_t number, Question& question, absl::Time now, QuotaActions& actions);
-  QuotaVerdict decideAsKeeper(const TenantId& tenant, double cost, absl::Time now, QuotaActions& actions);
-  QuotaVerdict decideByOwnShare(const TenantId& tenant, double cost, absl::Time now);
-  bool isKeeper(const TenantId& tenant);
+  QuotaVerdict decideAsKeeper(const LimitName& name, double cost, absl::Time now, QuotaActions& actions);
+  QuotaVerdict decideByOwnShare(const LimitName& name, double cost, absl::Time now);
+  bool isKeeper(const LimitName& name);
   void answer(const NodeId& from, const QuotaMessage& question, absl::Time now, QuotaActions& actions);
   void takeAnswer(const NodeId& from, const QuotaMessage& message, absl::Time now, QuotaActions& actions);
-  void probe(const std::vector<NodeId>& nodes, const TenantId& tenant, absl::Time now, QuotaActions& actions);
+  void probe(const std::vector<NodeId>& nodes, const LimitName& name, absl::Time now, QuotaActions& actions);
   void forgetIdleAccounts(absl::Time now);
 
   NodeId self_;
@@ -95,8 +95,8 @@
   LimitOf limit_of_;
   routing::KeeperRanks ranks_;
   absl::btree_map<uint64_t, Question> questions_;  // without an answer, by rising numbers
-  absl::btree_map<TenantId, QuotaAccount> kept_;
-  absl::btree_map<TenantId, QuotaAccount> own_shares_;
+  absl::btree_map<LimitName, QuotaAccount> kept_;
+  absl::btree_map<LimitName, QuotaAccount> own_shares_;
   absl::btree_map<NodeId, absl::Time> probed_;
   uint64_t last_number_ = 0;
   bool is_alone_ = false;
--- a/src/routing/keeper_ranks.h
+++ b/src/routing/keeper_ranks.h
@@ -2,7 +2,7 @@
 // Pure.
 //
 // All rank the gateways alike, by rendezvous hashing in which a larger machine weighs more. The first one
-// that isn't suspected to be down keeps the books: views may differ for a while, see quota::TenantQuotas.
+// that isn't suspected to be down keeps the books: views may differ for a while, see quota::SharedQuotas.
 #pragma once
 
 #include <absl/container/btree_map.h>
--- a/tests/quota/quota_messages_test.cc
+++ b/tests/quota/quota_messages_test.cc
@@ -6,7 +6,7 @@
 namespace quincewick::quota {
 namespace {
 
-const QuotaMessage kDenial{QuotaMessageKind::kDeny, 7, TenantId("t"), 9190.5, false,
+const QuotaMessage kDenial{QuotaMessageKind::kDeny, 7, LimitName("t"), 9190.5, false,
                            absl::Milliseconds(1234)};
 
 TEST_CASE("a message about a limit reads back as it was written, and no part of it passes for one") {
@@ -15,7 +15,7 @@
   REQUIRE(read.has_value());
   CHECK(read.value().kind == kDenial.kind);
   CHECK(read.value().number == 7);
-  CHECK(read.value().tenant == kDenial.tenant);
+  CHECK(read.value().name == kDenial.name);
   CHECK(read.value().cost == 9190.5);
   CHECK_FALSE(read.value().is_first);
   CHECK(read.value().retry_after == kDenial.retry_after);
