Log and count what servers say of their leaving and their rest

Sight for the incident of leaving servers and rest: both fields are decoded once, kept with the life and told (server_leaving, server_rest, quincewick_back_pressure_total); no decision asks them yet.

--- a/src/forwarding/back_pressure.h
+++ b/src/forwarding/back_pressure.h
@@ -19,12 +19,29 @@
   // The keeper of the server's rate had none left.
   void noteRateUsedUp(absl::Duration retry_after, absl::Time now);
 
+  // An answer said that the server leaves, which no life takes back. Returns whether that is news.
+  bool noteLeaving();
+  bool isLeaving() const { return is_leaving_; }
+
+  // The server turned a request away and wants none from this gateway for so long. Returns whether its rest
+  // lasts longer now.
+  bool noteRest(absl::Duration rest, absl::Time now);
+  bool rests(absl::Time now) const { return now < rests_until_; }
+  // A request goes there: the first one after a rest goes alone for a moment.
+  void noteSent(absl::Time now);
+  // An answer came that asks for no rest.
+  void noteAnswered(absl::Time now);
+
   // From when on the server may be chosen, as far as its own word goes.
-  absl::Time freeAt() const { return rate_used_up_until_; }
+  absl::Time freeAt() const;
 
  private:
   std::optional<double> rate_limit_;
   absl::Time rate_used_up_until_ = absl::InfinitePast();
+  bool is_leaving_ = false;
+  absl::Time rests_until_ = absl::InfinitePast();
+  bool is_half_open_ = false;  // it rested, and no answer has come since
+  absl::Time trial_until_ = absl::InfinitePast();
 };
 
 }  // namespace quincewick::forwarding
--- a/src/forwarding/request_facts.h
+++ b/src/forwarding/request_facts.h
@@ -39,8 +39,10 @@
   std::optional<std::string> server_id;
   std::optional<WeightsVersion> weights_version;
   std::optional<absl::Duration> idle_limit;  // how long the server keeps an idle connection
-  std::optional<double> rate_limit;  // requests a second that the server takes from all gateways together
-  std::string unreadable_field;      // the name of one whose value can't be read; empty: none
+  std::optional<double> rate_limit;    // requests a second that the server takes from all gateways together
+  bool is_leaving = false;             // the server says that it leaves
+  std::optional<absl::Duration> rest;  // it turned the request away and wants none from here for so long
+  std::vector<std::string> unreadable_fields;  // names of those whose values can't be read
 };
 
 // What this project tells a server along with a request.
--- a/src/forwarding/server_directory.cc
+++ b/src/forwarding/server_directory.cc
@@ -62,6 +62,14 @@
   return std::nullopt;
 }
 
+bool Server::isLeaving() const {
+  return !is_listed || entry.is_draining;
+}
+
+bool Server::mayReceive(absl::Time /*now*/) const {
+  return !isLeaving();
+}
+
 bool Server::takesWork(absl::Time now) const {
   return !isLeaving() && is_readable && now >= ejected_until && now >= loading_until &&
          now >= back_pressure->freeAt();
--- a/src/forwarding/server_directory.h
+++ b/src/forwarding/server_directory.h
@@ -71,7 +71,9 @@
   // The version of the model's weights that it has, as far as known.
   std::optional<WeightsVersion> versionOf(const ModelName& model) const;
   // It leaves or has left: nothing new may reach it.
-  bool isLeaving() const { return !is_listed || entry.is_draining; }
+  bool isLeaving() const;
+  // Whether a request that was chosen for it may still be sent there.
+  bool mayReceive(absl::Time now) const;
   bool takesWork(absl::Time now) const;
 };
 
--- a/src/gateway/back_pressure_notes.cc
+++ b/src/gateway/back_pressure_notes.cc
@@ -25,23 +25,46 @@
   }
 }
 
+void noteLeaving(Core& core, const forwarding::Server& server, absl::Time now) {
+  if (server.back_pressure->noteLeaving()) {
+    core.metrics.countBackPressure("leaving");
+    core.log.event("server_leaving", now).with("server", server.entry.id);
+  }
+}
+
+void noteRest(Core& core, const forwarding::Server& server, absl::Duration rest, absl::Time now) {
+  if (server.back_pressure->noteRest(rest, now)) {
+    core.metrics.countBackPressure("rest");
+    core.log.event("server_rest", now)
+        .with("server", server.entry.id)
+        .with("service", server.entry.service.value())
+        .with("asked_ms", rest);
+  }
+}
+
 }  // namespace
 
 void noteBackPressure(Core& core, const forwarding::Server& server, const forwarding::AnswerFacts& facts,
                       bool is_awaited, absl::Time now) {
-  if (!facts.unreadable_field.empty()) {
+  for (const std::string& field : facts.unreadable_fields) {
     core.metrics.countBackPressure("unreadable");
-    core.log.event("answer_field_refused", now)
-        .with("server", server.entry.id)
-        .with("field", facts.unreadable_field);
-    return;
+    core.log.event("answer_field_refused", now).with("server", server.entry.id).with("field", field);
   }
   if (!isOfServer(server, facts)) {
     return;
   }
-  if (facts.rate_limit || is_awaited) {
+  const bool ends_limit = is_awaited && facts.unreadable_fields.empty();
+  if (facts.rate_limit || ends_limit) {
     noteRateLimit(core, server, facts.rate_limit, now);
   }
+  if (facts.is_leaving) {
+    noteLeaving(core, server, now);
+  }
+  if (facts.rest) {
+    noteRest(core, server, *facts.rest, now);
+  } else if (is_awaited) {
+    server.back_pressure->noteAnswered(now);
+  }
 }
 
 }  // namespace quincewick::gateway
--- a/tests/platform_dialect/platform_dialect_test.cc
+++ b/tests/platform_dialect/platform_dialect_test.cc
@@ -187,15 +187,37 @@
   };
   CHECK(read("1.1").rate_limit == 1.1);
   CHECK(read("0").rate_limit == 0.0);
-  CHECK(read("12").unreadable_field.empty());
+  CHECK(read("12").unreadable_fields.empty());
   for (const char* malformed : {"", "many", "-1", "nan", "inf", "1,2", "1 a second"}) {
     CAPTURE(malformed);
     CHECK_FALSE(read(malformed).rate_limit);
-    CHECK(read(malformed).unreadable_field == "server-limit");
+    CHECK(read(malformed).unreadable_fields == std::vector<std::string>{"server-limit"});
   }
   CHECK_FALSE(dialect().readAnswer(HttpHead()).rate_limit);
 }
 
+TEST_CASE("whether a server says that it leaves, and for how long it wants no request") {
+  const auto read = [](int status, const char* name, const char* value) {
+    HttpHead head;
+    head.status = status;
+    head.fields = {{name, value}};
+    return dialect().readAnswer(head);
+  };
+  CHECK(read(200, "server-leaving", "1").is_leaving);
+  CHECK_FALSE(read(200, "server-leaving", "0").is_leaving);
+  CHECK(read(200, "server-leaving", "0").unreadable_fields.empty());
+  CHECK_FALSE(read(200, "server-leaving", "soon").is_leaving);
+  CHECK(read(200, "server-leaving", "soon").unreadable_fields.size() == 1);
+  CHECK(read(503, "retry-after", "3").rest == absl::Seconds(3));
+  CHECK(read(503, "retry-after", "0.25").rest == absl::Milliseconds(250));
+  CHECK_FALSE(read(429, "retry-after", "3").rest);
+  for (const char* malformed : {"", "-1", "inf", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+    CAPTURE(malformed);
+    CHECK_FALSE(read(503, "retry-after", malformed).rest);
+    CHECK(read(503, "retry-after", malformed).unreadable_fields.size() == 1);
+  }
+}
+
 TEST_CASE("rows read back as they were written") {
   forwarding::StoreRow row;
   row.table = "t";
