A server that says in an answer that it leaves gets nothing new

Cause: only the platform's list told of leaving, and the store was away; the word in the answers was dropped. Why it works: every choice and every send asks isLeaving(), which now knows the server's own word; the word belongs to the life, so neither an older list nor an entry that comes back takes it away. A server that said so and is missing from the list isn't awaited, nor loaded with new weights.

--- a/src/forwarding/server_directory.cc
+++ b/src/forwarding/server_directory.cc
@@ -63,7 +63,7 @@
 }
 
 bool Server::isLeaving() const {
-  return !is_listed || entry.is_draining;
+  return !is_listed || entry.is_draining || back_pressure->isLeaving();
 }
 
 bool Server::mayReceive(absl::Time /*now*/) const {
--- a/src/gateway/order_giver.cc
+++ b/src/gateway/order_giver.cc
@@ -76,7 +76,7 @@
   std::vector<forwarding::RolloutEngine> engines;
   for (const auto& [id, server] : core_.directory.all()) {
     const auto version = server->versionOf(model);
-    if (version && !server->entry.is_draining) {
+    if (version && !server->isLeaving()) {
       forwarding::RolloutEngine engine;
       engine.id = id;
       engine.version = *version;
--- a/src/gateway/server_list.cc
+++ b/src/gateway/server_list.cc
@@ -92,7 +92,7 @@
   if (server == nullptr) {
     return;
   }
-  if (!server->entry.is_draining && lapsed_.mayComeBack(now)) {
+  if (!server->isLeaving() && lapsed_.mayComeBack(now)) {
     core_.log.event("server_awaited", now).with("server", server_id);
     lapsed_.await(server_id);
   } else {
--- a/tests/forwarding/server_directory_test.cc
+++ b/tests/forwarding/server_directory_test.cc
@@ -189,5 +189,25 @@
   CHECK(firstFree(directory.ofService(kService), kNow) == kNow + absl::Milliseconds(300));
 }
 
+// While the store is away, an entry lapses and comes back as it was.
+TEST_CASE("a server that said that it leaves never comes back, whatever its entry says, but as a later life") {
+  ServerDirectory directory;
+  ServerEntry first = entry("a");
+  first.started = kNow;
+  directory.upsert(first);
+  CHECK(directory.find("a")->back_pressure->noteLeaving());
+  CHECK_FALSE(directory.find("a")->back_pressure->noteLeaving());
+  directory.upsert(first);
+  CHECK_FALSE(directory.find("a")->takesWork(kNow));
+  directory.remove("a");
+  directory.upsert(first);
+  CHECK_FALSE(directory.find("a")->takesWork(kNow));
+  CHECK_FALSE(directory.find("a")->mayReceive(kNow));
+  ServerEntry second = first;
+  second.started = kNow + absl::Seconds(1);
+  directory.upsert(second);
+  CHECK(directory.find("a")->takesWork(kNow));
+}
+
 }  // namespace
 }  // namespace quincewick::forwarding
