Reports leave most of a rate that an engine named to requests

The same cause elsewhere: an engine that loads was asked for its report seven times a second whatever rate it had named, besides the requests that its rate lets through. Answers to reports and orders are read for what the engine says, and reports take a quarter of its rate at most, one a second at least.

--- a/src/gateway/order_giver.cc
+++ b/src/gateway/order_giver.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "forwarding/turn_schedule.h"
+#include "gateway/back_pressure_notes.h"
 
 namespace quincewick::gateway {
 namespace {
@@ -12,6 +13,8 @@
 constexpr absl::Duration kTick = absl::Milliseconds(100);
 constexpr absl::Duration kCallLimit = absl::Milliseconds(500);
 constexpr absl::Duration kReportPause = absl::Milliseconds(150);
+constexpr absl::Duration kLongestReportPause = absl::Seconds(1);  // else a load's end is noticed too late
+constexpr int kReportsOfRate = 4;                                 // requests for each report
 // Between the turns of gateways to take the lease: the first few follow quickly, for a giver that went. Where
 // they don't get it, the store is down or another holds it, and each further one that asks costs a call.
 constexpr absl::Duration kTurnStep = absl::Milliseconds(400);
@@ -143,15 +146,23 @@
       [this, server_id](const Result<reactor::HttpReply>& reply) { takeReport(server_id, reply); });
 }
 
+void OrderGiver::noteReply(const Load& load, const Result<reactor::HttpReply>& reply) {
+  if (reply.has_value()) {
+    noteBackPressure(core_, *load.server, core_.dialect->readAnswer(reply.value().head), true,
+                     reactor::steadyNow());
+  }
+}
+
 void OrderGiver::takeReport(const std::string& server_id, const Result<reactor::HttpReply>& reply) {
   Load& load = loads_.at(server_id);
+  noteReply(load, reply);
   const absl::Time now = reactor::steadyNow();
   const bool is_given_up = now - load.began > kLoadLimit || !load.server->is_listed;
   if (is_given_up) {
     finish(server_id, false);
     return;
   }
-  if (reply.has_error() || reply.value().status != kOk) {
+  if (reply.has_error() || reply.value().head.status != kOk) {
     if (++load.failures >= kFailuresAtMost) {
       forwarding::ServerDirectory::noteConnectFailure(*load.server, now);
       finish(server_id, false);
@@ -228,8 +239,9 @@
 
 void OrderGiver::takeOrderAnswer(const std::string& server_id, const Result<reactor::HttpReply>& reply) {
   Load& load = loads_.at(server_id);
+  noteReply(load, reply);
   const absl::Time now = reactor::steadyNow();
-  const int status = reply.has_value() ? reply.value().status : 0;
+  const int status = reply.has_value() ? reply.value().head.status : 0;
   core_.log.event("order_answered", now).with("server", server_id).with("status", status);
   if (status == kOk) {
     forwarding::ServerDirectory::noteVersion(*load.server, load.model, load.target);
@@ -253,8 +265,12 @@
   askAgain(server_id, kReportPause);
 }
 
+// Reports count among what an engine takes: of a rate that it named they use up a quarter at most.
 void OrderGiver::askAgain(const std::string& server_id, absl::Duration after) {
-  core_.timers.schedule(reactor::steadyNow() + after, [this, server_id] {
+  const forwarding::BackPressure& pressure = *loads_.at(server_id).server->back_pressure;
+  const absl::Duration paced =
+      std::max(after, std::min(kReportsOfRate * pressure.timePerRequest(), kLongestReportPause));
+  core_.timers.schedule(reactor::steadyNow() + paced, [this, server_id] {
     if (loads_.contains(server_id)) {
       askReport(server_id);
     }
--- a/src/gateway/order_giver.h
+++ b/src/gateway/order_giver.h
@@ -46,6 +46,8 @@
   void begin(const std::string& server_id, const ModelName& model, absl::Time now);
   void close(const forwarding::ServerDirectory::ServerPointer& server, const ModelName& model,
              absl::Duration closed_for);
+  // What the engine says of itself in an answer to a call.
+  void noteReply(const Load& load, const Result<reactor::HttpReply>& reply);
   void askReport(const std::string& server_id);
   void takeReport(const std::string& server_id, const Result<reactor::HttpReply>& reply);
   // Whether the report is of the life that the load is for; if it is of a later one, the directory learns of
--- a/src/gateway/relay_follower.cc
+++ b/src/gateway/relay_follower.cc
@@ -54,7 +54,7 @@
 }
 
 void RelayFollower::takeAnswer(const Result<reactor::HttpReply>& reply, Sequence sequence, absl::Time asked) {
-  if (reply.has_error() || reply.value().status != kOk) {
+  if (reply.has_error() || reply.value().head.status != kOk) {
     giveUp();
     return;
   }
--- a/src/gateway/store_client.cc
+++ b/src/gateway/store_client.cc
@@ -13,7 +13,7 @@
   if (reply.has_error()) {
     return reply.error().execution == Execution::kNotRun ? StoreStatus::kNotDone : StoreStatus::kUnknown;
   }
-  switch (reply.value().status) {
+  switch (reply.value().head.status) {
     case kOk:
       return StoreStatus::kDone;
     case kPreconditionFailed:
--- a/src/reactor/http_caller.cc
+++ b/src/reactor/http_caller.cc
@@ -70,7 +70,7 @@
   const ReadStatus status = reader_->take(bytes);
   if (status == ReadStatus::kDone) {
     const bool keep = reader_->keepsAlive() && reader_->unreadBytes() == 0;
-    finish(HttpReply{reader_->head().status, reader_->takeBody()}, keep);
+    finish(HttpReply{reader_->head(), reader_->takeBody()}, keep);
   } else if (status != ReadStatus::kNeedsMore) {
     finish(fail(ErrorCode::kOutcomeUnknown, "an answer that is none", Execution::kUnknown), false);
   }
@@ -82,7 +82,7 @@
     return;
   }
   if (kind == EndKind::kOrderly && reader_ != nullptr && reader_->takeEnd() == ReadStatus::kDone) {
-    finish(HttpReply{reader_->head().status, reader_->takeBody()}, false);
+    finish(HttpReply{reader_->head(), reader_->takeBody()}, false);
     return;
   }
   finish(fail(ErrorCode::kOutcomeUnknown, "the connection ended", Execution::kUnknown), false);
--- a/src/reactor/http_caller.h
+++ b/src/reactor/http_caller.h
@@ -17,7 +17,7 @@
 namespace quincewick::reactor {
 
 struct HttpReply {
-  int status = 0;
+  HttpHead head;
   std::string body;
 };
 
--- /dev/null
+++ b/tests/gateway/order_back_pressure_test.cc
@@ -0,0 +1,55 @@
+// Orders for new weights and engines that ask something of their callers: a gateway asked each engine for its
+// report seven times a second while it loaded, whatever rate the engine had named.
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <chrono>
+
+#include "running_gateway.h"
+
+namespace quincewick::gateway {
+namespace {
+
+constexpr const char* kEngineConfiguration = R"({"version":3,"routes":[
+  {"name":"stream","host":"h","pathPrefix":"/stream/","kind":"streaming","timeoutMs":5000,"service":"pool"}],
+ "services":[{"name":"pool","maxConnections":100,"engine":{"slots":4,"kvCapacity":1000,"models":[{"name":"m"}]}}],
+ "limits":{"maxHeaderBytes":2000,"maxBodyBytes":5000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+
+// A site with one engine that is always busy with an order, and adds `said` to its answers.
+struct EngineSite {
+  StandInSite site;
+
+  explicit EngineSite(const HeaderFields& said) {
+    site.setRow("op", "config", kEngineConfiguration);
+    site.addServer(
+        "i-1",
+        [said](const Seen& /*seen*/) {
+          return Script{answerOf(
+              200, said,
+              R"({"stage":"colocated","models":[{"name":"m","version":1}],"busy":true,"sequence":0})")};
+        },
+        R"([{"name":"m","version":1}])");
+  }
+  size_t calls(const std::string& target) const {
+    const std::vector<Seen> all = site.seen();
+    return static_cast<size_t>(std::count_if(
+        all.begin(), all.end(), [&](const Seen& seen) { return seen.head.target.starts_with(target); }));
+  }
+  // New weights are named: the gateway begins to ask the engine.
+  void nameWeights() { site.setRow("op", "version/m", R"({"model":"m","version":2})"); }
+};
+
+TEST_CASE("reports leave most of a rate that an engine named to requests") {
+  EngineSite engines(HeaderFields{{"Server-Limit", "2"}});
+  const RunningGateway gateway(RunningGateway::settings("a", engines.site.storeAddress(), engines.site));
+  engines.nameWeights();
+  await([&] { return engines.calls("/v1/report") >= 1; });
+  const auto begin = std::chrono::steady_clock::now();
+  const size_t before = engines.calls("/v1/report");
+  await([&] { return engines.calls("/v1/report") >= before + 3; });
+  const std::chrono::duration<double> took = std::chrono::steady_clock::now() - begin;
+  const double reports = static_cast<double>(engines.calls("/v1/report") - before);
+  CHECK(reports <= took.count() + 1);
+}
+
+}  // namespace
+}  // namespace quincewick::gateway
