--- a/src/forwarding/back_pressure.h
+++ b/src/forwarding/back_pressure.h
@@ -27,6 +27,7 @@
   // lasts longer now.
   bool noteRest(absl::Duration rest, absl::Time now);
   bool rests(absl::Time now) const { return now < rests_until_; }
+  absl::Time restsUntil() const { return rests_until_; }
   // A request goes there: the first one after a rest goes alone for a moment.
   void noteSent(absl::Time now);
   // An answer came that asks for no rest.
--- a/src/gateway/order_giver.cc
+++ b/src/gateway/order_giver.cc
@@ -157,7 +157,7 @@
   Load& load = loads_.at(server_id);
   noteReply(load, reply);
   const absl::Time now = reactor::steadyNow();
-  const bool is_given_up = now - load.began > kLoadLimit || !load.server->is_listed;
+  const bool is_given_up = now - load.began > kLoadLimit || load.server->isLeaving();
   if (is_given_up) {
     finish(server_id, false);
     return;
@@ -265,13 +265,23 @@
   askAgain(server_id, kReportPause);
 }
 
-// Reports count among what an engine takes: of a rate that it named they use up a quarter at most.
+// Reports count among what an engine takes: of a rate that it named they use up a quarter at most, and a rest
+// that it asked for holds for them, too.
 void OrderGiver::askAgain(const std::string& server_id, absl::Duration after) {
-  const forwarding::BackPressure& pressure = *loads_.at(server_id).server->back_pressure;
+  const Load& load = loads_.at(server_id);
+  const forwarding::BackPressure& pressure = *load.server->back_pressure;
   const absl::Duration paced =
       std::max(after, std::min(kReportsOfRate * pressure.timePerRequest(), kLongestReportPause));
-  core_.timers.schedule(reactor::steadyNow() + paced, [this, server_id] {
-    if (loads_.contains(server_id)) {
+  const absl::Time rested = std::min(pressure.restsUntil(), load.began + kLoadLimit);
+  const absl::Time at = std::max(reactor::steadyNow() + paced, rested);
+  core_.timers.schedule(at, [this, server_id] {
+    const auto found = loads_.find(server_id);
+    if (found == loads_.end()) {
+      return;
+    }
+    if (found->second.server->back_pressure->rests(reactor::steadyNow())) {
+      finish(server_id, false);
+    } else {
       askReport(server_id);
     }
   });
--- a/tests/gateway/order_back_pressure_test.cc
+++ b/tests/gateway/order_back_pressure_test.cc
@@ -51,5 +51,17 @@
   CHECK(reports <= took.count() + 1);
 }
 
+TEST_CASE("an engine that says in a report that it leaves gets no order and no further report") {
+  EngineSite engines(HeaderFields{{"Server-Leaving", "1"}});
+  const RunningGateway gateway(RunningGateway::settings("a", engines.site.storeAddress(), engines.site));
+  engines.nameWeights();
+  await([&] { return has(gateway.metrics(), R"(quincewick_back_pressure_total{what="leaving"} 1)"); });
+  const size_t before = engines.calls("/v1/report");
+  // Longer than the pause between reports, and between tries to load an engine.
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));
+  CHECK(engines.calls("/v1/report") == before);
+  CHECK(engines.calls("/v1/order") == 0);
+}
+
 }  // namespace
 }  // namespace quincewick::gateway
