--- a/tests/soak/back_ends.cc
+++ b/tests/soak/back_ends.cc
@@ -65,6 +65,7 @@
     Arrival arrival;
     arrival.attempt = attempt_;
     arrival.back_end = back_end_.id_;
+    arrival.start = back_end_.started_;
     arrival.service = back_end_.service_;
     arrival.gateway = back_end_.gateways_[gateway_];
     arrival.key_owner = fieldOf(head, "Quincewick-Tenant");
@@ -75,6 +76,10 @@
       answer(421, {{"Quincewick-Not-Executed", "1"}, {"Quincewick-Instance-Id", back_end_.id_}}, "");
       return;
     }
+    if (back_end_.speech_.rest) {
+      answer(503, {{"Quincewick-Not-Executed", "1"}}, "");
+      return;
+    }
     if (back_end_.misbehaviour_.refuses && back_end_.misbehavesNow()) {
       answer(503, {{"Quincewick-Not-Executed", "1"}}, "");
       return;
@@ -111,9 +116,7 @@
     note().signature = signature;
     note().body = body;
     if (misbehaviour.cuts_answers && back_end_.misbehavesNow()) {
-      connection_->send(printAnswerHead(
-          200, "OK",
-          {{kAttempt, attempt_}, {kSignature, signature}, {"Content-Length", absl::StrCat(body.size())}}));
+      sendHead(200, {{kSignature, signature}, {"Content-Length", absl::StrCat(body.size())}});
       connection_->send(body.substr(0, body.size() / 2));
       endInTheMiddle();
       return;
@@ -125,11 +128,9 @@
     const std::string signature = absl::StrCat(back_end_.id_, ".", attempt_, ".", arrival_);
     note().signature = signature;
     note().status = 200;
-    connection_->send(printAnswerHead(200, "OK",
-                                      {{kAttempt, attempt_},
-                                       {kSignature, signature},
-                                       {"Transfer-Encoding", "chunked"},
-                                       {"Content-Type", "text/event-stream"}}));
+    sendHead(
+        200,
+        {{kSignature, signature}, {"Transfer-Encoding", "chunked"}, {"Content-Type", "text/event-stream"}});
     sendEvent(first);
   }
 
@@ -151,13 +152,42 @@
   }
 
   void answer(int status, HeaderFields fields, const std::string& body) {
-    fields.push_back({kAttempt, attempt_});
     fields.push_back({"Content-Length", absl::StrCat(body.size())});
-    connection_->send(printAnswerHead(status, reasonOf(status), fields));
+    sendHead(status, std::move(fields));
     connection_->send(body);
     done();
   }
 
+  void sendHead(int status, HeaderFields fields) {
+    fields.push_back({kAttempt, attempt_});
+    speak(fields);
+    note().head_sent = reactor::steadyNow();
+    connection_->send(printAnswerHead(status, reasonOf(status), fields));
+  }
+
+  // Adds what the back end says of itself, and notes what of it can be read.
+  void speak(HeaderFields& fields) {
+    const Speech& speech = back_end_.speech_;
+    if (speech.is_ill) {
+      fields.push_back({"Server-Limit", "-3"});
+      fields.push_back({"Server-Leaving", "perhaps"});
+      fields.push_back({"Retry-After", "tomorrow"});
+      return;
+    }
+    if (speech.leaves) {
+      fields.push_back({"Server-Leaving", "1"});
+    }
+    if (speech.rate) {
+      fields.push_back({"Server-Limit", absl::StrCat(*speech.rate)});
+    }
+    if (speech.rest) {
+      fields.push_back({"Retry-After", absl::StrCat(absl::ToDoubleSeconds(*speech.rest))});
+    }
+    note().said_leaving = speech.leaves;
+    note().named_rate = speech.rate;
+    note().asked_rest = speech.rest;
+  }
+
   void done() {
     is_busy_ = false;
     reader_.next();
--- a/tests/soak/back_ends.h
+++ b/tests/soak/back_ends.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -28,6 +29,14 @@
   bool cuts_answers = false;
 };
 
+// What a back end says of itself in its answers.
+struct Speech {
+  bool leaves = false;
+  std::optional<double> rate;
+  std::optional<absl::Duration> rest;  // it turns everything away, and asks for it
+  bool is_ill = false;                 // in place of all these, what can't be read
+};
+
 // One start of a server.
 class BackEnd {
  public:
@@ -44,6 +53,7 @@
   // Its start, by the time of day.
   absl::Time started() const { return started_; }
   Misbehaviour& misbehaviour() { return misbehaviour_; }
+  Speech& speech() { return speech_; }
   // Where that gateway reaches it.
   Address addressFor(size_t gateway) const;
   std::vector<uint16_t> ports() const;
@@ -67,6 +77,7 @@
   std::vector<std::string> gateways_;
   std::mt19937_64 random_;
   Misbehaviour misbehaviour_;
+  Speech speech_;
   std::vector<std::unique_ptr<reactor::Listener>> listeners_;
   std::vector<std::shared_ptr<Talk>> talks_;
 };
--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -51,7 +51,7 @@
   asked.caller->call({"GET", "/ready", {{"Host", "h"}}, ""}, kPollInterval,
                      [this, gateway](const Result<reactor::HttpReply>& reply) {
                        Gateway& answered = gateways_[gateway];
-                       const bool is_ready = reply.has_value() && reply.value().status == kOk;
+                       const bool is_ready = reply.has_value() && reply.value().head.status == kOk;
                        answered.misses = is_ready ? 0 : answered.misses + 1;
                        answered.is_in = is_ready || (answered.is_in && answered.misses < kMissesAtMost);
                      });
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -4,6 +4,7 @@
 #include <absl/time/time.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,7 @@
 struct Arrival {
   std::string attempt;
   std::string back_end;
+  absl::Time start;  // of the back end
   std::string service;
   std::string gateway;
   std::string key_owner;  // the tenant that the gateway named
@@ -51,6 +53,11 @@
   int status = 0;
   std::string signature;
   std::string body;
+  // What the answer's head said of the back end, and when it was sent.
+  absl::Time head_sent = absl::InfiniteFuture();
+  bool said_leaving = false;
+  std::optional<double> named_rate;
+  std::optional<absl::Duration> asked_rest;
 };
 
 // The store acknowledged that the back end leaves, or its entry is gone.
@@ -104,6 +111,10 @@
   absl::Duration recovery = absl::InfiniteDuration();  // after the last fault
 };
 
+// A gateway may reach a back end at another one's port: that of the reader of its zone, whose rows it takes.
+// Who sent is told by the caller's request.
+void attributeArrivals(History& history);
+
 struct Bounds {
   absl::Duration server_drain = absl::Seconds(2);
   absl::Duration key_revocation = absl::Seconds(5);
@@ -114,6 +125,11 @@
   double retry_ratio = 0.2;
   double retry_constant = 54;
   absl::Duration retry_window = absl::Seconds(10);
+  absl::Duration back_pressure_heard = absl::Milliseconds(500);  // what a back end said counts from then on
+  absl::Duration rate_window = absl::Seconds(4);
+  double rate_overshoot = 1.5;
+  double rate_constant = 5;
+  size_t requests_in_a_rest = 2;
   uint64_t memory_bytes = uint64_t{64} << 20;
   uint64_t descriptors = 1024;
 };
--- a/tests/soak/history_test.cc
+++ b/tests/soak/history_test.cc
@@ -76,7 +76,7 @@
 
 TEST_CASE_METHOD(Sound, "a sound history keeps all promises") {
   CHECK(broken().empty());
-  CHECK(checkPromises(history, Bounds(), true).size() == 13);
+  CHECK(checkPromises(history, Bounds(), true).size() == 16);
   CHECK(checkPromises(history, Bounds(), false).size() == 9);
 }
 
@@ -196,6 +196,73 @@
   CHECK(broken().empty());
 }
 
+TEST_CASE_METHOD(
+    Sound, "an arrival at a back end that said that it leaves is found, but not from a disturbed gateway") {
+  history.arrivals[0].said_leaving = true;
+  history.arrivals[0].head_sent = kStart;
+  Arrival late = history.arrivals[0];
+  late.said_leaving = false;
+  late.at = kStart + absl::Milliseconds(2100);
+  history.arrivals.push_back(late);
+  CHECK(broken() == std::vector<std::string>{"nothing new comes to a back end that said that it leaves"});
+  history.arrivals.back().start += absl::Seconds(1);
+  CHECK(broken().empty());
+  history.arrivals.back().start -= absl::Seconds(1);
+  history.disturbances.push_back({"g-1", kStart + absl::Seconds(1), kStart + absl::Seconds(1), false});
+  CHECK(broken().empty());
+}
+
+TEST_CASE_METHOD(Sound, "an arrival is of the gateway that its caller asked, whosever port it came to") {
+  history.arrivals[0].gateway = "g-2";
+  attributeArrivals(history);
+  CHECK(history.arrivals[0].gateway == "g-1");
+}
+
+TEST_CASE_METHOD(Sound, "more than two arrivals in a rest from the gateway that was asked are found") {
+  history.arrivals[0].asked_rest = absl::Seconds(3);
+  history.arrivals[0].head_sent = kStart;
+  for (int count = 0; count < 3; ++count) {
+    CHECK(broken().empty());
+    Arrival arrival = history.arrivals[1];
+    arrival.at = kStart + absl::Milliseconds(600 + count);
+    arrival.attempt = "further";
+    arrival.ran = false;
+    history.arrivals.push_back(arrival);
+  }
+  CHECK(broken() == std::vector<std::string>{"a back end at rest is left alone"});
+  for (size_t index = 4; index < history.arrivals.size(); ++index) {
+    history.arrivals[index].gateway = "g-2";
+  }
+  CHECK(broken().empty());
+}
+
+TEST_CASE_METHOD(Sound,
+                 "more arrivals than a rate allows are found, summed over the gateways that were told") {
+  const auto add = [this](const char* gateway, absl::Duration at, std::optional<double> rate) {
+    Arrival arrival = history.arrivals[1];
+    arrival.gateway = gateway;
+    arrival.at = kStart + at;
+    arrival.head_sent = arrival.at;
+    arrival.attempt = "further";
+    arrival.ran = false;
+    arrival.named_rate = rate;
+    history.arrivals.push_back(arrival);
+  };
+  add("g-1", absl::ZeroDuration(), 1);
+  add("g-2", absl::ZeroDuration(), 1);
+  for (int count = 0; count < 11; ++count) {
+    add(count % 2 == 0 ? "g-1" : "g-2", absl::Milliseconds(3100 + count), 1);
+    add("g-3", absl::Milliseconds(3100 + count), 1);  // told just now
+  }
+  CHECK(broken().empty());
+  add("g-1", absl::Milliseconds(3300), 1);
+  CHECK(broken() ==
+        std::vector<std::string>{"a back end that named a rate gets no more from gateways that it told"});
+  // It named none any more before the last one came.
+  add("g-3", absl::Milliseconds(3200), std::nullopt);
+  CHECK(broken().empty());
+}
+
 TEST_CASE_METHOD(Sound, "a run under a key that was taken away is found, from any gateway") {
   history.key_removals.push_back({"key", kStart - absl::Seconds(6)});
   history.disturbances.push_back({"g-1", kStart, kStart, false});
--- a/tests/soak/run.cc
+++ b/tests/soak/run.cc
@@ -65,6 +65,7 @@
     makeSite();
     whenReady(reactor::steadyNow() + kReadyAtMost);
     reactor_.run();
+    attributeArrivals(history_);
     return std::move(history_);
   }
 
@@ -369,11 +370,46 @@
         putServer(*back_end, "draining", kEarlierStart);
         putAgain(*back_end, fault.lasts);
         return;
+      case FaultKind::kBackEndNamesRate:
+      case FaultKind::kBackEndRests:
+      case FaultKind::kBackEndSpeaksIll:
+        speak(*back_end, fault);
+        return;
+      case FaultKind::kBackEndSaysLeaving:
+        leaveInAnswers(*back_end);
+        return;
       default:
         misbehave(*back_end, fault);
     }
   }
 
+  void speak(BackEnd& back_end, const Fault& fault) {
+    static constexpr std::array kRates = {0.0, 0.5, 1.1, 4.0, 12.0};
+    const auto set = [&back_end, fault](bool on) {
+      Speech& speech = back_end.speech();
+      if (fault.kind == FaultKind::kBackEndNamesRate) {
+        speech.rate = on ? std::optional(kRates.at(fault.target % kRates.size())) : std::nullopt;
+      } else if (fault.kind == FaultKind::kBackEndRests) {
+        speech.rest = on ? std::optional(fault.lasts / 2) : std::nullopt;
+      } else {
+        speech.is_ill = on;
+      }
+    };
+    set(true);
+    later(fault.lasts, [set] { set(false); });
+  }
+
+  // Its entry says that it is ready until it is gone, as while the store takes no writes.
+  void leaveInAnswers(BackEnd& back_end) {
+    addBackEnd(back_end.service(), {});
+    std::erase(serving_, &back_end);
+    back_end.speech().leaves = true;
+    later(kServesOn, [this, &back_end] {
+      store_->remove("servers", back_end.id());
+      back_end.crash();
+    });
+  }
+
   void misbehave(BackEnd& back_end, const Fault& fault) {
     const auto set = [&back_end, kind = fault.kind](bool on) {
       Misbehaviour& misbehaviour = back_end.misbehaviour();
--- a/tests/soak/schedule.cc
+++ b/tests/soak/schedule.cc
@@ -13,16 +13,17 @@
 namespace {
 
 constexpr std::array kNames = {
-    "stop",          "kill",          "freeze",     "reload",      "kill-many",     "store-refuses",
-    "store-silent",  "store-down",    "store-slow", "store-loses", "store-forgets", "back-end-leaves",
-    "back-end-goes", "back-end-dies", "refuses",    "fails",       "answers-lost",  "answers-cut",
-    "reset",         "silent",        "route",      "key",         "restarts",      "row-spoiled",
-    "row-old",
+    "stop",          "kill",          "freeze",     "reload",       "kill-many",     "store-refuses",
+    "store-silent",  "store-down",    "store-slow", "store-loses",  "store-forgets", "back-end-leaves",
+    "back-end-goes", "back-end-dies", "refuses",    "fails",        "answers-lost",  "answers-cut",
+    "reset",         "silent",        "route",      "key",          "restarts",      "row-spoiled",
+    "row-old",       "names-rate",    "rests",      "says-leaving", "speaks-ill",
 };
 constexpr size_t kKinds = kNames.size();
-static_assert(static_cast<size_t>(FaultKind::kRowOutdated) + 1 == kKinds);
+static_assert(static_cast<size_t>(FaultKind::kBackEndSpeaksIll) + 1 == kKinds);
 // Kinds that came later are drawn apart, so that what a seed drew before it draws still.
 constexpr size_t kFirstKinds = static_cast<size_t>(FaultKind::kKeyRemoved) + 1;
+constexpr size_t kSecondKinds = static_cast<size_t>(FaultKind::kRowOutdated) + 1;
 
 // A fault begins about so often; some come twice or three times in a row, half a second to two apart.
 constexpr absl::Duration kMeanPause = absl::Milliseconds(400);
@@ -31,10 +32,11 @@
 constexpr absl::Duration kLongestFault = absl::Seconds(6);
 constexpr int kLongestSeries = 3;
 constexpr uint32_t kTargets = 60;
+constexpr uint64_t kThirdDraw = 0x5bd1e995;  // tells its generator from the others of a seed
 
-// Faults of the kinds that came later, each alone.
-void drawLaterKinds(uint64_t seed, absl::Duration last, absl::Duration longest, Schedule& schedule) {
-  std::mt19937_64 random(~seed);
+// Faults of the kinds from `first_kind` to before `end_kind`, each alone, by a generator of their own.
+void drawLaterKinds(std::mt19937_64 random, size_t first_kind, size_t end_kind, absl::Duration last,
+                    absl::Duration longest, Schedule& schedule) {
   const auto drawn = [&random](absl::Duration least, absl::Duration most) {
     const auto span = static_cast<uint64_t>(absl::ToInt64Milliseconds(most - least)) + 1;
     return least + absl::Milliseconds(static_cast<int64_t>(random() % span));
@@ -43,7 +45,7 @@
        at += drawn(absl::ZeroDuration(), kMeanPauseOfLater * 2)) {
     Fault fault;
     fault.at = at;
-    fault.kind = static_cast<FaultKind>(kFirstKinds + random() % (kKinds - kFirstKinds));
+    fault.kind = static_cast<FaultKind>(first_kind + random() % (end_kind - first_kind));
     fault.target = static_cast<uint32_t>(random() % kTargets);
     fault.lasts = drawn(kShortestFault, longest);
     schedule.push_back(fault);
@@ -77,7 +79,9 @@
       fault.target = random() % 2 == 0 ? fault.target : static_cast<uint32_t>(random() % kTargets);
     }
   }
-  drawLaterKinds(seed, last, std::min(kLongestFault, length - last), schedule);
+  const absl::Duration longest = std::min(kLongestFault, length - last);
+  drawLaterKinds(std::mt19937_64(~seed), kFirstKinds, kSecondKinds, last, longest, schedule);
+  drawLaterKinds(std::mt19937_64(seed ^ kThirdDraw), kSecondKinds, kKinds, last, longest, schedule);
   std::stable_sort(schedule.begin(), schedule.end(),
                    [](const Fault& one, const Fault& other) { return one.at < other.at; });
   return schedule;
--- a/tests/soak/schedule_test.cc
+++ b/tests/soak/schedule_test.cc
@@ -29,7 +29,7 @@
       kinds.insert(fault.kind);
     }
   }
-  CHECK(kinds.size() == static_cast<size_t>(FaultKind::kRowOutdated) + 1);
+  CHECK(kinds.size() == static_cast<size_t>(FaultKind::kBackEndSpeaksIll) + 1);
 }
 
 TEST_CASE("a line that is no fault is refused, and told") {
