--- a/src/forwarding/back_pressure.h
+++ b/src/forwarding/back_pressure.h
@@ -19,7 +19,7 @@
   // The keeper of the server's rate had none left.
   void noteRateUsedUp(absl::Duration retry_after, absl::Time now);
 
-  // An answer said that the server leaves, which no life takes back. Returns whether that is news.
+  // An answer said that the server leaves; that holds for the rest of its life. Returns whether it is news.
   bool noteLeaving();
   bool isLeaving() const { return is_leaving_; }
 
