--- a/src/gateway/back_end_link.cc
+++ b/src/gateway/back_end_link.cc
@@ -56,7 +56,7 @@
         if (!connected) {
           self->noteUnconnected(result);
         }
-        // It may have left, or asked for rest, while the connection was made, for up to a quarter of a second.
+        // It may have left, or asked for rest, while the connection was made.
         if (!connected || !self->server_->mayReceive(reactor::steadyNow())) {
           AttemptListener* const listener = self->listener_;
           self->drop();
