Log what a lease was taken from, and whether the store went back

From the lines of two holders it could not be told whether both had read one record, nor whether the store had lost the row. Lines of leases and orders now have the row's version and the record that was followed; an answer whose newest version fell or whose era rose is logged and counted. A lease row that can't be read leaves a line. Nothing decides by any of this.

--- a/src/forwarding/order_lease.h
+++ b/src/forwarding/order_lease.h
@@ -62,6 +62,8 @@
   // Whether an order may be given now.
   bool mayOrder(absl::Time now) const;
   Epoch fence() const { return record_.fence; }
+  // The row's, as the last write was answered.
+  uint64_t version() const { return version_; }
   // An engine knows a higher fence: this holder is not the last one.
   void onFenced() { held_ = false; }
 
--- /dev/null
+++ b/src/forwarding/store_history.cc
@@ -0,0 +1,35 @@
+#include "forwarding/store_history.h"
+
+namespace quincewick::forwarding {
+
+StoreFinding StoreHistory::note(const StoreSign& sign) {
+  if (sign.era && era_ && *sign.era < *era_) {
+    return StoreFinding::kOutdated;
+  }
+  if (sign.era && sign.era != era_) {
+    const bool is_first = !era_;
+    era_ = sign.era;
+    beginAnew(sign);
+    return is_first ? StoreFinding::kGoesOn : StoreFinding::kWentBack;
+  }
+  if (sign.began < unbroken_since_) {
+    return StoreFinding::kGoesOn;  // it may have been given before the store went back
+  }
+  if (sign.version < version_ && sign.began >= version_known_) {
+    beginAnew(sign);
+    return StoreFinding::kWentBack;
+  }
+  if (sign.version > version_) {
+    version_ = sign.version;
+    version_known_ = sign.ended;
+  }
+  return StoreFinding::kGoesOn;
+}
+
+void StoreHistory::beginAnew(const StoreSign& sign) {
+  version_ = sign.version;
+  version_known_ = sign.ended;
+  unbroken_since_ = sign.ended;
+}
+
+}  // namespace quincewick::forwarding
--- a/src/gateway/core.h
+++ b/src/gateway/core.h
@@ -15,6 +15,7 @@
 #include "forwarding/retry_budget.h"
 #include "forwarding/server_directory.h"
 #include "forwarding/site_configuration.h"
+#include "forwarding/store_history.h"
 #include "forwarding/weights_register.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_settings.h"
@@ -71,6 +72,7 @@
   std::vector<NewCapability> new_capabilities;
   // Stores of kept cache that can't be reached, by name.
   absl::flat_hash_set<uint64_t> dead_cache_stores;
+  forwarding::StoreHistory store_history;
   // The store's clock less this node's, as its last answer told; nothing before the first one.
   std::optional<absl::Duration> store_clock_ahead;
   QuotaExchange* quotas = nullptr;         // set by the gateway before it takes callers
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -97,6 +97,8 @@
       streams_cut_(counter(registry_, "quincewick_streams_cut_total", "Answers broken off midway.")),
       datagrams_refused_(counter(registry_, "quincewick_datagrams_refused_total",
                                  "Messages of peers that were forged or can't be read.")),
+      store_went_back_(counter(registry_, "quincewick_store_went_back_total",
+                               "Times that an answer showed that the store lost what it had acknowledged.")),
       outdated_decisions_(
           counter(registry_, "quincewick_outdated_decisions_total",
                   "Requests decided by a configuration that was confirmed longer ago than its bound.")),
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -34,6 +34,7 @@
   void countResumed() { streams_resumed_->Increment(); }
   void countCut() { streams_cut_->Increment(); }
   void countRefusedDatagram() { datagrams_refused_->Increment(); }
+  void countStoreWentBack() { store_went_back_->Increment(); }
   // A request goes to a side of a rollout, or to the only version there is.
   void countRolloutRequest(staged_rollout::Side side) {
     (side == staged_rollout::Side::kTarget ? to_target_ : to_base_)->Increment();
@@ -89,6 +90,7 @@
   prometheus::Counter* streams_resumed_;
   prometheus::Counter* streams_cut_;
   prometheus::Counter* datagrams_refused_;
+  prometheus::Counter* store_went_back_;
   prometheus::Counter* outdated_decisions_;
   prometheus::Counter* server_ends_;
   prometheus::Counter* ends_untold_;
--- a/src/gateway/lease_keeper.cc
+++ b/src/gateway/lease_keeper.cc
@@ -17,7 +17,8 @@
       store_(core),
       row_(std::move(row)),
       renewed_(std::move(renewed)),
-      lease_(core.settings.gateway_id, core.settings.bounds.order_lease) {}
+      lease_(core.settings.gateway_id, core.settings.bounds.order_lease),
+      refused_rows_(core, kTable) {}
 
 void LeaseKeeper::pursue(bool is_needed, absl::Duration turn, absl::Time holder_heard, absl::Time now) {
   if (!is_needed) {
@@ -45,6 +46,10 @@
     }
     const bool is_there = !answer.rows.empty() && answer.rows.front().key == row_;
     const auto record = is_there ? forwarding::parseLeaseRecord(answer.rows.front().value) : std::nullopt;
+    if (is_there && !record) {
+      refused_rows_.note(row_, "no holder, fence and end of a lease");
+    }
+    found_ = record;
     const uint64_t version = is_there ? answer.rows.front().version : 0;
     const auto next = lease_.onRead(record, version, {answer.clock, now, reactor::steadyNow()});
     if (next) {
@@ -72,26 +77,43 @@
   row.table = kTable;
   row.key = row_;
   row.value = forwarding::printLeaseRecord(write.record);
-  store_.write(
-      row, write.expected_version, [this, began](StoreStatus status, const forwarding::StoreRows& answer) {
-        call_under_way_ = false;
-        const absl::Time now = reactor::steadyNow();
-        const bool was_held = lease_.holds(now);
-        if (status == StoreStatus::kDone) {
-          lease_.onWritten(answer.version, {answer.clock, began, now});
-          renewed_();
-          if (!was_held) {
-            core_.log.event("lease_taken", now)
-                .with("row", row_)
-                .with("fence", static_cast<int64_t>(lease_.fence().value()));
-          }
-          return;
-        }
-        lease_.onNotWritten();
-        if (was_held) {
-          core_.log.event("lease_lost", now).with("row", row_).with("why", static_cast<int64_t>(status));
-        }
-      });
+  store_.write(row, write.expected_version,
+               [this, began](StoreStatus status, const forwarding::StoreRows& answer) {
+                 call_under_way_ = false;
+                 const absl::Time now = reactor::steadyNow();
+                 const bool was_held = lease_.holds(now);
+                 if (status == StoreStatus::kDone) {
+                   lease_.onWritten(answer.version, {answer.clock, began, now});
+                   renewed_();
+                   if (!was_held) {
+                     logTaken(answer.clock, now);
+                   }
+                   return;
+                 }
+                 lease_.onNotWritten();
+                 if (was_held) {
+                   core_.log.event("lease_lost", now)
+                       .with("row", row_)
+                       .with("why", static_cast<int64_t>(status))
+                       .with("fence", static_cast<int64_t>(lease_.fence().value()))
+                       .with("row_version", static_cast<int64_t>(lease_.version()))
+                       .with("store_version", static_cast<int64_t>(answer.version));
+                 }
+               });
+}
+
+void LeaseKeeper::logTaken(absl::Duration store_clock, absl::Time now) {
+  auto line = core_.log.event("lease_taken", now);
+  line.with("row", row_)
+      .with("fence", static_cast<int64_t>(lease_.fence().value()))
+      .with("row_version", static_cast<int64_t>(lease_.version()))
+      .with("store_ms", absl::ToInt64Milliseconds(store_clock))
+      .with("era", static_cast<int64_t>(core_.store_history.era().value_or(0)));
+  if (found_) {
+    line.with("from", found_->holder.value())
+        .with("from_fence", static_cast<int64_t>(found_->fence.value()))
+        .with("from_until_ms", absl::ToInt64Milliseconds(found_->until));
+  }
 }
 
 }  // namespace quincewick::gateway
--- a/src/gateway/lease_keeper.h
+++ b/src/gateway/lease_keeper.h
@@ -4,10 +4,12 @@
 #include <absl/time/time.h>
 
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "forwarding/order_lease.h"
 #include "gateway/core.h"
+#include "gateway/refused_rows.h"
 #include "gateway/store_client.h"
 
 namespace quincewick::gateway {
@@ -24,6 +26,8 @@
   // Whether the holder may act: not near the lease's end.
   bool mayAct(absl::Time now) const { return lease_.mayOrder(now); }
   Epoch fence() const { return lease_.fence(); }
+  // The row's version, as the last write was answered.
+  uint64_t rowVersion() const { return lease_.version(); }
   // A higher fence was seen: this holder is not the last one.
   void onFenced() { lease_.onFenced(); }
 
@@ -31,12 +35,15 @@
   void take(absl::Time now);
   void renew(absl::Time now);
   void write(const forwarding::LeaseWrite& write);
+  void logTaken(absl::Duration store_clock, absl::Time now);
 
   Core& core_;
   StoreClient store_;
   std::string row_;
   std::function<void()> renewed_;
   forwarding::OrderLease lease_;
+  RefusedRows refused_rows_;
+  std::optional<forwarding::LeaseRecord> found_;  // by the last reading
   bool call_under_way_ = false;
   absl::Time next_renewal_ = absl::InfinitePast();
   absl::Time next_pursuit_ = absl::InfinitePast();
--- a/src/gateway/order_giver.cc
+++ b/src/gateway/order_giver.cc
@@ -225,13 +225,15 @@
   }
   load.target = core_.weights.newest(load.model);
   load.ordered = now;
+  load.fence = lease_.fence();
   core_.log.event("order", now)
       .with("server", server_id)
       .with("version", static_cast<int64_t>(load.target.value()))
-      .with("fence", static_cast<int64_t>(lease_.fence().value()))
+      .with("fence", static_cast<int64_t>(load.fence.value()))
+      .with("row_version", static_cast<int64_t>(lease_.rowVersion()))
       .with("orders_taken", static_cast<int64_t>(orders_taken));
   load.caller->call(core_.dialect->loadWeights({load.model, load.target}, core_.settings.gateway_id.value(),
-                                               lease_.fence(), orders_taken, server_id),
+                                               load.fence, orders_taken, server_id),
                     kCallLimit, [this, server_id](const Result<reactor::HttpReply>& reply) {
                       takeOrderAnswer(server_id, reply);
                     });
@@ -242,7 +244,10 @@
   noteReply(load, reply);
   const absl::Time now = reactor::steadyNow();
   const int status = reply.has_value() ? reply.value().head.status : 0;
-  core_.log.event("order_answered", now).with("server", server_id).with("status", status);
+  core_.log.event("order_answered", now)
+      .with("server", server_id)
+      .with("status", status)
+      .with("fence", static_cast<int64_t>(load.fence.value()));
   if (status == kOk) {
     forwarding::ServerDirectory::noteVersion(*load.server, load.model, load.target);
     finish(server_id, true);
--- a/src/gateway/order_giver.h
+++ b/src/gateway/order_giver.h
@@ -34,6 +34,7 @@
     WeightsVersion target;
     absl::Time began;
     absl::Time ordered = absl::InfinitePast();  // the last order that may have been accepted
+    Epoch fence;                                // of the last order
     std::unique_ptr<reactor::HttpCaller> caller;
     uint32_t failures = 0;
   };
--- a/src/gateway/store_client.cc
+++ b/src/gateway/store_client.cc
@@ -41,6 +41,7 @@
                    auto read = core_.dialect->readRowsAnswer(reply.value().body);
                    if (read.has_value()) {
                      rows = std::move(read.value());
+                     noteSign(reply.value().head, rows.version, began);
                      core_.store_clock_ahead = rows.clock - (reactor::steadyNow() - absl::UnixEpoch());
                    } else {
                      status = StoreStatus::kUnknown;
@@ -50,6 +51,24 @@
                });
 }
 
+void StoreClient::noteSign(const HttpHead& head, uint64_t version, absl::Time began) {
+  const absl::Time now = reactor::steadyNow();
+  const auto era = core_.dialect->readStoreEra(head);
+  if (era.has_error()) {
+    core_.log.event("store_era_refused", now).with("why", era.error().message);
+  }
+  const forwarding::StoreHistory before = core_.store_history;
+  const std::optional<uint64_t> told = era.has_value() ? era.value() : std::nullopt;
+  const forwarding::StoreFinding finding = core_.store_history.note({version, told, began, now});
+  if (finding == forwarding::StoreFinding::kWentBack) {
+    core_.metrics.countStoreWentBack();
+    core_.log.event("store_went_back", now)
+        .with("version", static_cast<int64_t>(version))
+        .with("was", static_cast<int64_t>(before.version()))
+        .with("era", static_cast<int64_t>(told.value_or(0)));
+  }
+}
+
 void StoreClient::read(std::string_view table, std::string_view from, uint32_t limit,
                        absl::Duration time_limit, Done done) {
   call(core_.dialect->readRows(table, from, limit), time_limit, std::move(done));
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -48,6 +48,8 @@
 
  private:
   void call(HttpCall call, absl::Duration time_limit, Done done);
+  // What an answer that was asked for at `began` tells of the store itself.
+  void noteSign(const HttpHead& head, uint64_t version, absl::Time began);
 
   Core& core_;
   reactor::HttpCaller caller_;
--- /dev/null
+++ b/tests/forwarding/store_history_test.cc
@@ -0,0 +1,54 @@
+#include "forwarding/store_history.h"
+
+#include <catch2/catch.hpp>
+
+namespace quincewick::forwarding {
+namespace {
+
+absl::Time at(int64_t milliseconds) {
+  return absl::UnixEpoch() + absl::Milliseconds(milliseconds);
+}
+
+StoreSign sign(uint64_t version, int64_t began, int64_t ended, std::optional<uint64_t> era = std::nullopt) {
+  return {version, era, at(began), at(ended)};
+}
+
+TEST_CASE("a store whose newest version falls went back") {
+  StoreHistory history;
+  CHECK(history.note(sign(10, 0, 5)) == StoreFinding::kGoesOn);
+  CHECK(history.note(sign(12, 10, 15)) == StoreFinding::kGoesOn);
+  CHECK(history.unbrokenSince() == absl::InfinitePast());
+  CHECK(history.note(sign(7, 20, 25)) == StoreFinding::kWentBack);
+  CHECK(history.unbrokenSince() == at(25));
+  CHECK(history.note(sign(8, 30, 35)) == StoreFinding::kGoesOn);
+}
+
+TEST_CASE("answers that overtake one another show nothing") {
+  StoreHistory history;
+  CHECK(history.note(sign(12, 10, 15)) == StoreFinding::kGoesOn);
+  CHECK(history.note(sign(11, 9, 20)) == StoreFinding::kGoesOn);
+  CHECK(history.note(sign(11, 14, 21)) == StoreFinding::kGoesOn);
+}
+
+TEST_CASE("an answer asked for before the store went back doesn't count after it") {
+  StoreHistory history;
+  history.note(sign(20, 0, 5));
+  CHECK(history.note(sign(7, 10, 15)) == StoreFinding::kWentBack);
+  CHECK(history.note(sign(21, 8, 30)) == StoreFinding::kGoesOn);
+  CHECK(history.note(sign(8, 40, 45)) == StoreFinding::kGoesOn);
+}
+
+TEST_CASE("a later era begins anew, an earlier one is over") {
+  StoreHistory history;
+  CHECK(history.note(sign(10, 0, 5, 3)) == StoreFinding::kGoesOn);
+  CHECK(history.unbrokenSince() == at(5));
+  CHECK(history.note(sign(30, 10, 15, 4)) == StoreFinding::kWentBack);
+  CHECK(history.era() == 4);
+  CHECK(history.unbrokenSince() == at(15));
+  CHECK(history.note(sign(40, 12, 20, 3)) == StoreFinding::kOutdated);
+  CHECK(history.version() == 30);
+  CHECK(history.unbrokenSince() == at(15));
+}
+
+}  // namespace
+}  // namespace quincewick::forwarding
