Fences rise by the store's era and clock, and a lease ends with the store's era

Two gateways gave orders to the same engines under one fence (the reported case), or a lower fence followed a higher one. Cause: the fence was the row's plus one, and the row's version the proof that nobody else holds the lease: both hold only while the store keeps what it acknowledged. Class: what the store acknowledged is taken for a proof for ever. - A fence is the store's era, its clock and bits of the holder's id: a taker that finds what another had found gets another number, and a higher one, though nobody remembers (docs/design/order_lease.md). - A record tells the era that it was taken in. Where it isn't the store's, or is missing, the first order waits for whoever may have been forgotten. A holder stops with the first answer that shows that the store went back; answers of an era that is over are void. - Without an era: a newest version that falls, or a peer heard to give orders after the record's end, is taken for the same. - An end that no holder can have, and a record that can't be read, make the next holder wait, not the site stand still.

--- a/src/forwarding/store_history.cc
+++ b/src/forwarding/store_history.cc
@@ -30,6 +30,7 @@
   version_ = sign.version;
   version_known_ = sign.ended;
   unbroken_since_ = sign.ended;
+  ++generation_;
 }
 
 }  // namespace quincewick::forwarding
--- a/src/forwarding/store_history.h
+++ b/src/forwarding/store_history.h
@@ -33,6 +33,8 @@
 
   std::optional<uint64_t> era() const { return era_; }
   uint64_t version() const { return version_; }
+  // Rises each time that what was acknowledged before may be lost, and with the first era.
+  uint64_t generation() const { return generation_; }
   // Nothing that was acknowledged after this moment is known to be lost. With an era: when it was first seen;
   // without one InfinitePast until the store was seen to go back.
   absl::Time unbrokenSince() const { return unbroken_since_; }
@@ -44,6 +46,7 @@
   uint64_t version_ = 0;  // the highest of any answer since `unbroken_since_`
   absl::Time version_known_ = absl::InfinitePast();
   absl::Time unbroken_since_ = absl::InfinitePast();
+  uint64_t generation_ = 0;
 };
 
 }  // namespace quincewick::forwarding
--- a/src/gateway/lease_keeper.cc
+++ b/src/gateway/lease_keeper.cc
@@ -17,7 +17,7 @@
       store_(core),
       row_(std::move(row)),
       renewed_(std::move(renewed)),
-      lease_(core.settings.gateway_id, core.settings.bounds.order_lease),
+      lease_(core.settings.gateway_id, core.settings.bounds.order_lease, core.store_history),
       refused_rows_(core, kTable) {}
 
 void LeaseKeeper::pursue(bool is_needed, absl::Duration turn, absl::Time holder_heard, absl::Time now) {
@@ -30,34 +30,36 @@
     renew(now);
   } else if (now >= std::max(std::max(needed_since_, holder_heard) + turn, next_pursuit_)) {
     next_pursuit_ = now + kPursuitPause;
-    take(now);
+    take(holder_heard, now);
   }
 }
 
-void LeaseKeeper::take(absl::Time now) {
+void LeaseKeeper::take(absl::Time holder_heard, absl::Time now) {
   if (std::exchange(call_under_way_, true)) {
     return;
   }
-  store_.read(kTable, row_, 1, [this, now](StoreStatus status, const forwarding::StoreRows& answer) {
-    call_under_way_ = false;
-    if (status != StoreStatus::kDone) {
-      needed_since_ = reactor::steadyNow();
-      return;
-    }
-    const bool is_there = !answer.rows.empty() && answer.rows.front().key == row_;
-    const auto record = is_there ? forwarding::parseLeaseRecord(answer.rows.front().value) : std::nullopt;
-    if (is_there && !record) {
-      refused_rows_.note(row_, "no holder, fence and end of a lease");
-    }
-    found_ = record;
-    const uint64_t version = is_there ? answer.rows.front().version : 0;
-    const auto next = lease_.onRead(record, version, {answer.clock, now, reactor::steadyNow()});
-    if (next) {
-      write(*next);
-    } else {
-      needed_since_ = reactor::steadyNow();  // another holds it
-    }
-  });
+  store_.read(
+      kTable, row_, 1, [this, holder_heard, now](StoreStatus status, const forwarding::StoreRows& answer) {
+        call_under_way_ = false;
+        if (status != StoreStatus::kDone) {
+          needed_since_ = reactor::steadyNow();
+          return;
+        }
+        const bool is_there = !answer.rows.empty() && answer.rows.front().key == row_;
+        const auto record = is_there ? forwarding::parseLeaseRecord(answer.rows.front().value) : std::nullopt;
+        if (is_there && !record) {
+          refused_rows_.note(row_, "no holder, fence and end of a lease");
+        }
+        found_ = record;
+        const uint64_t version = is_there ? answer.rows.front().version : 0;
+        const auto next =
+            lease_.onRead(record, version, {answer.clock, now, reactor::steadyNow()}, holder_heard);
+        if (next) {
+          write(*next);
+        } else {
+          needed_since_ = reactor::steadyNow();  // another holds it
+        }
+      });
 }
 
 void LeaseKeeper::renew(absl::Time now) {
--- a/src/gateway/lease_keeper.h
+++ b/src/gateway/lease_keeper.h
@@ -25,6 +25,8 @@
   bool holds(absl::Time now) const { return lease_.holds(now); }
   // Whether the holder may act: not near the lease's end.
   bool mayAct(absl::Time now) const { return lease_.mayOrder(now); }
+  // The lease ends then unless it is renewed.
+  absl::Time validUntil() const { return lease_.validUntil(); }
   Epoch fence() const { return lease_.fence(); }
   // The row's version, as the last write was answered.
   uint64_t rowVersion() const { return lease_.version(); }
@@ -32,7 +34,7 @@
   void onFenced() { lease_.onFenced(); }
 
  private:
-  void take(absl::Time now);
+  void take(absl::Time holder_heard, absl::Time now);
   void renew(absl::Time now);
   void write(const forwarding::LeaseWrite& write);
   void logTaken(absl::Duration store_clock, absl::Time now);
--- a/src/gateway/order_giver.cc
+++ b/src/gateway/order_giver.cc
@@ -34,7 +34,9 @@
 }  // namespace
 
 OrderGiver::OrderGiver(Core& core, PeerExchange& peers)
-    : core_(core), peers_(peers), lease_(core, kLeaseRow, [this] { peers_.announceOrders(); }) {}
+    : core_(core),
+      peers_(peers),
+      lease_(core, kLeaseRow, [this] { peers_.announceOrders(lease_.validUntil()); }) {}
 
 void OrderGiver::tick() {
   const absl::Time now = reactor::steadyNow();
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -109,11 +109,11 @@
   return std::max(kSilence, kDigestInterval * rounds * static_cast<double>(ticks_a_round));
 }
 
-void PeerExchange::announceOrders() {
+void PeerExchange::announceOrders(absl::Time until) {
   if (directory_.authenticator() == nullptr) {
     return;
   }
-  gives_orders_until_ = reactor::steadyNow() + core_.settings.bounds.order_lease;
+  gives_orders_until_ = until;
   for (auto& [id, peer] : directory_.peers()) {
     tell(id, peer);
   }
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -45,8 +45,8 @@
   void sendToAll(peer::PeerModule module, const std::string& payload);
   // Becoming the zone's reader is told to all, at once.
   void noteReading();
-  // This gateway holds the lease for orders: all peers hear of it soon.
-  void announceOrders();
+  // This gateway holds the lease for orders until then: all peers hear of it soon.
+  void announceOrders(absl::Time until);
   // When a peer last told that it gives orders.
   absl::Time ordersHeard() const { return orders_heard_; }
   // Tells all peers about an engine soon: it was closed, or has a version now.
--- a/src/gateway/store_client.cc
+++ b/src/gateway/store_client.cc
@@ -39,9 +39,10 @@
                  forwarding::StoreRows rows;
                  if (status == StoreStatus::kDone || status == StoreStatus::kConflict) {
                    auto read = core_.dialect->readRowsAnswer(reply.value().body);
-                   if (read.has_value()) {
+                   const bool counts =
+                       read.has_value() && noteSign(reply.value().head, read.value().version, began);
+                   if (counts) {
                      rows = std::move(read.value());
-                     noteSign(reply.value().head, rows.version, began);
                      core_.store_clock_ahead = rows.clock - (reactor::steadyNow() - absl::UnixEpoch());
                    } else {
                      status = StoreStatus::kUnknown;
@@ -51,7 +52,7 @@
                });
 }
 
-void StoreClient::noteSign(const HttpHead& head, uint64_t version, absl::Time began) {
+bool StoreClient::noteSign(const HttpHead& head, uint64_t version, absl::Time began) {
   const absl::Time now = reactor::steadyNow();
   const auto era = core_.dialect->readStoreEra(head);
   if (era.has_error()) {
@@ -67,6 +68,7 @@
         .with("was", static_cast<int64_t>(before.version()))
         .with("era", static_cast<int64_t>(told.value_or(0)));
   }
+  return finding != forwarding::StoreFinding::kOutdated;
 }
 
 void StoreClient::read(std::string_view table, std::string_view from, uint32_t limit,
