A gateway that starts again keeps its distance to the holder before its earlier life

Orders of two holders could lie less than a lease apart where a holder ended before its first order: its next life read its own record, which counted as one without a holder before. An earlier life's record now counts from its take, which its fence tells: the first order comes two leases less the margin after it, as by any other record.

--- a/src/forwarding/order_lease.cc
+++ b/src/forwarding/order_lease.cc
@@ -32,6 +32,12 @@
   return XXH3_64bits(holder.value().data(), holder.value().size()) & kHolderMask;
 }
 
+// The store's clock when the lease was taken under this fence, or at most so much later.
+absl::Duration clockOf(Epoch fence) {
+  const uint64_t units = (fence.value() >> kHolderBits) & kClockMask;
+  return static_cast<int64_t>(units + 1) * kFenceUnit;
+}
+
 }  // namespace
 
 std::string printLeaseRecord(const LeaseRecord& record) {
@@ -123,7 +129,8 @@
   if (isOfThisProcess(record)) {
     return first_order_;
   }
-  return moment.ended;
+  // An earlier life's, which may have been waiting for the holder before it.
+  return moment.ended + std::min(clockOf(record.fence) + longest - moment.store_clock, longest);
 }
 
 bool OrderLease::isOfThisProcess(const LeaseRecord& record) const {
--- a/tests/forwarding/order_lease_test.cc
+++ b/tests/forwarding/order_lease_test.cc
@@ -220,17 +220,21 @@
   }));
 }
 
-// A step of a site whose store now and then goes back. One that tells no era keeps its clock.
+// A step of a site whose store now and then goes back, and whose gateways start again. A store that tells no
+// era keeps its clock.
 void drawStepOverRestores(Site& site, size_t gateways, bool tells_era) {
-  switch (*rc::gen::weightedElement<int>({{16, 0}, {2, 1}, {1, 2}})) {
+  switch (*rc::gen::weightedElement<int>({{16, 0}, {2, 1}, {1, 2}, {1, 3}})) {
     case 0:
       drawStep(site, gateways);
       break;
     case 1:
       site.store().keepCopy();
       break;
-    default:
+    case 2:
       site.restore(*rc::gen::inRange<size_t>(0, 40), tells_era && *rc::gen::inRange(0, 4) == 0);
+      break;
+    default:
+      site.start(*rc::gen::inRange<size_t>(0, gateways));
   }
 }
 
@@ -349,6 +353,22 @@
   CHECK(unwarned.mayOrder(now));
 }
 
+// Guards against orders within a lease of the last holder's, by a gateway that starts again while its earlier
+// life was waiting for that one.
+TEST_CASE("a gateway that starts again keeps its distance to the holder before its earlier life") {
+  const absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+  const StoreHistory history;
+  const LeaseRecord other{NodeId("other"), Epoch(4), absl::Seconds(100)};
+  OrderLease earlier(NodeId("self"), kLength, history);
+  const auto taken = earlier.onRead(other, 7, {other.until + absl::Milliseconds(200), now, now});
+  REQUIRE(taken.has_value());
+  OrderLease later(NodeId("self"), kLength, history);
+  const StoreMoment moment{other.until + absl::Milliseconds(900), now, now};
+  REQUIRE(later.onRead(taken->record, 8, moment).has_value());
+  later.onWritten(9, moment);
+  CHECK_FALSE(later.mayOrder(now + absl::Milliseconds(1100)));
+}
+
 TEST_CASE("a free lease is taken and used at once, another's only after its end") {
   const StoreHistory history;
   OrderLease first(NodeId("a"), kLength, history);
