A wrong era costs one answer, and versions show nothing where an era is told

A lower era in a call that began after the last change is a change of its own now. And where an era is told, a falling version shows nothing: a feed may name the version of its last row, and leases would end for it.

--- a/src/forwarding/store_history.cc
+++ b/src/forwarding/store_history.cc
@@ -3,19 +3,20 @@
 namespace quincewick::forwarding {
 
 StoreFinding StoreHistory::note(const StoreSign& sign) {
-  if (sign.era && era_ && *sign.era < *era_) {
-    return StoreFinding::kOutdated;
-  }
+  const bool may_be_earlier = sign.began < unbroken_since_;  // than the moment at which the store went back
   if (sign.era && sign.era != era_) {
     const bool is_first = !era_;
+    if (!is_first && may_be_earlier && *sign.era < *era_) {
+      return StoreFinding::kOutdated;
+    }
     era_ = sign.era;
     beginAnew(sign);
     return is_first ? StoreFinding::kGoesOn : StoreFinding::kWentBack;
   }
-  if (sign.began < unbroken_since_) {
-    return StoreFinding::kGoesOn;  // it may have been given before the store went back
+  if (may_be_earlier) {
+    return StoreFinding::kGoesOn;
   }
-  if (sign.version < version_ && sign.began >= version_known_) {
+  if (!era_ && sign.version < version_ && sign.began >= version_known_) {
     beginAnew(sign);
     return StoreFinding::kWentBack;
   }
--- a/tests/forwarding/store_history_test.cc
+++ b/tests/forwarding/store_history_test.cc
@@ -50,5 +50,25 @@
   CHECK(history.unbrokenSince() == at(15));
 }
 
+// Guards against a gateway that takes no answer any more after one that named a wrong era.
+TEST_CASE("an era that is lower in a later call is another one, not an outdated answer") {
+  StoreHistory history;
+  history.note(sign(10, 0, 5, 5));
+  CHECK(history.note(sign(11, 10, 15, uint64_t{1} << 40)) == StoreFinding::kWentBack);
+  CHECK(history.note(sign(12, 20, 25, 5)) == StoreFinding::kWentBack);
+  CHECK(history.note(sign(13, 30, 35, 5)) == StoreFinding::kGoesOn);
+  CHECK(history.era() == 5);
+  CHECK(history.unbrokenSince() == at(25));
+}
+
+// Guards against leases that end over a sound store whose answers name the version of their last row.
+TEST_CASE("versions show nothing where an era is told") {
+  StoreHistory history;
+  history.note(sign(106, 0, 5, 1));
+  CHECK(history.note(sign(101, 10, 15, 1)) == StoreFinding::kGoesOn);
+  CHECK(history.note(sign(100, 20, 25)) == StoreFinding::kGoesOn);
+  CHECK(history.generation() == 1);
+}
+
 }  // namespace
 }  // namespace quincewick::forwarding
