A record of an era that is over may hide a holder, who is waited for

Orders of two holders could lie 1.9 s apart (3 s owed): a renewal of a holder that the store had forgotten was done late, at a version that was given out again, over the record of the holder after it; the next one read the forgotten holder's end. Such a record makes the next holder wait two leases less the margin, from its reading.

--- a/src/forwarding/order_lease.cc
+++ b/src/forwarding/order_lease.cc
@@ -32,7 +32,7 @@
   return XXH3_64bits(holder.value().data(), holder.value().size()) & kHolderMask;
 }
 
-// The store's clock when the lease was taken under this fence, or at most so much later.
+// The store's clock when a holder took the lease under a fence of its own, or a little later.
 absl::Duration clockOf(Epoch fence) {
   const uint64_t units = (fence.value() >> kHolderBits) & kClockMask;
   return static_cast<int64_t>(units + 1) * kFenceUnit;
@@ -102,35 +102,39 @@
 
 absl::Time OrderLease::firstOrder(const std::optional<LeaseRecord>& record, uint64_t version,
                                   const StoreMoment& moment, absl::Time holder_heard) const {
-  // After a moment at which another may have renewed its lease for the last time.
-  const absl::Duration longest = 2 * length_ - kOrderMargin;
-  const bool is_proof = record && record->era == history_.era();
   absl::Time first = moment.ended;
   if (record) {
     first = std::max(first, firstOrderByRecord(*record, moment));
-  } else if (version > 0) {
-    first = moment.ended + longest;  // a record that can't be read may be a holder's
   }
-  if (!is_proof || !history_.era()) {
-    first = std::max(first, history_.unbrokenSince() + longest);
+  // It may have replaced the last holder's record: a write of an era that is over may be done late.
+  const bool may_hide_holder = record ? record->era && record->era != history_.era() : version > 0;
+  if (may_hide_holder) {
+    first = std::max(first, moment.ended + longestWait());
+  }
+  const bool proves_holder = record && record->era && record->era == history_.era();
+  if (!proves_holder) {
+    first = std::max(first, history_.unbrokenSince() + longestWait());
   }
   const absl::Time end = record ? moment.ended + (record->until - moment.store_clock) : absl::InfinitePast();
   if (holder_heard > end + kNewsDelay) {
-    first = std::max(first, holder_heard + longest);  // the record is not the last holder's
+    first = std::max(first, holder_heard + longestWait());  // the record is not the last holder's
   }
   return first;
 }
 
+absl::Duration OrderLease::longestWait() const {
+  return 2 * length_ - kOrderMargin;
+}
+
 absl::Time OrderLease::firstOrderByRecord(const LeaseRecord& record, const StoreMoment& moment) const {
-  const absl::Duration longest = 2 * length_ - kOrderMargin;
-  if (record.holder != self_) {
-    return moment.ended + std::min(record.until + length_ - kOrderMargin - moment.store_clock, longest);
-  }
   if (isOfThisProcess(record)) {
     return first_order_;
   }
-  // An earlier life's, which may have been waiting for the holder before it.
-  return moment.ended + std::min(clockOf(record.fence) + longest - moment.store_clock, longest);
+  // An earlier life may have been waiting for the holder before it, since its take.
+  const bool tells_take = record.holder == self_;
+  const absl::Duration wait = tells_take ? clockOf(record.fence) + longestWait() - moment.store_clock
+                                         : record.until + length_ - kOrderMargin - moment.store_clock;
+  return moment.ended + std::min(wait, longestWait());
 }
 
 bool OrderLease::isOfThisProcess(const LeaseRecord& record) const {
--- a/src/forwarding/order_lease.h
+++ b/src/forwarding/order_lease.h
@@ -77,6 +77,8 @@
   Epoch nextFence(absl::Duration store_clock) const;
   absl::Time firstOrder(const std::optional<LeaseRecord>& record, uint64_t version, const StoreMoment& moment,
                         absl::Time holder_heard) const;
+  // After a moment at which another may have renewed its lease for the last time.
+  absl::Duration longestWait() const;
   // After the last holder's end, as far as its record tells.
   absl::Time firstOrderByRecord(const LeaseRecord& record, const StoreMoment& moment) const;
   // Written by this process, and no other's take came between.
--- a/tests/forwarding/order_lease_test.cc
+++ b/tests/forwarding/order_lease_test.cc
@@ -369,6 +369,28 @@
   CHECK_FALSE(later.mayOrder(now + absl::Milliseconds(1100)));
 }
 
+// Guards against two holders at once: a late write of a holder that the store forgot replaces the record of
+// the holder after it, so that the next one doesn't see whom it follows.
+TEST_CASE("a record of an era that is over may hide a holder, who is waited for") {
+  const absl::Time restored = absl::UnixEpoch() + absl::Hours(1);
+  const auto at = [restored](int64_t milliseconds) {
+    const absl::Time now = restored + absl::Milliseconds(milliseconds);
+    return StoreMoment{absl::Seconds(100) + absl::Milliseconds(milliseconds), now, now};
+  };
+  StoreHistory history;
+  history.note({3, 5, restored, restored});
+  // Written late, over the record of a holder that orders until its renewal at 5.6 s.
+  const LeaseRecord late{NodeId("forgotten"), Epoch(7), absl::Milliseconds(105500), 4};
+  OrderLease lease(NodeId("self"), kLength, history);
+  REQUIRE(lease.onRead(late, 8, at(5650)).has_value());
+  lease.onWritten(9, at(5650));
+  for (int64_t now = 6300; now < 8600; now += 100) {
+    REQUIRE(lease.renew(at(now).ended).has_value());
+    lease.onWritten(10, at(now));
+    CHECK_FALSE(lease.mayOrder(at(now).ended));
+  }
+}
+
 TEST_CASE("a free lease is taken and used at once, another's only after its end") {
   const StoreHistory history;
   OrderLease first(NodeId("a"), kLength, history);
