An earlier life's record with another's fence counts from its end

While a site is upgraded gateway by gateway, a holder's record of the version before was read by the same gateway's next life as if its fence told when the lease was taken: it is 1, 2, 3 or another's plus one, and the first order came at once where 1.8 s were owed. Only a fence that bears the holder's own bits tells it; else the record's end counts, as for another holder's.

--- a/src/forwarding/order_lease.cc
+++ b/src/forwarding/order_lease.cc
@@ -131,7 +131,7 @@
     return first_order_;
   }
   // An earlier life may have been waiting for the holder before it, since its take.
-  const bool tells_take = record.holder == self_;
+  const bool tells_take = record.holder == self_ && (record.fence.value() & kHolderMask) == holderBits(self_);
   const absl::Duration wait = tells_take ? clockOf(record.fence) + longestWait() - moment.store_clock
                                          : record.until + length_ - kOrderMargin - moment.store_clock;
   return moment.ended + std::min(wait, longestWait());
--- a/tests/forwarding/order_lease_test.cc
+++ b/tests/forwarding/order_lease_test.cc
@@ -391,6 +391,19 @@
   }
 }
 
+// Guards against orders within a lease of the last holder's while gateways are upgraded: fences of the
+// version before don't tell when the lease was taken.
+TEST_CASE("an earlier life's record with another's fence counts from its end") {
+  const absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+  const StoreHistory history;
+  const LeaseRecord own{NodeId("self"), Epoch(5), absl::Seconds(103)};
+  const StoreMoment moment{absl::Milliseconds(100300), now, now};
+  OrderLease lease(NodeId("self"), kLength, history);
+  REQUIRE(lease.onRead(own, 8, moment).has_value());
+  lease.onWritten(9, moment);
+  CHECK_FALSE(lease.mayOrder(now + absl::Milliseconds(1900)));
+}
+
 TEST_CASE("a free lease is taken and used at once, another's only after its end") {
   const StoreHistory history;
   OrderLease first(NodeId("a"), kLength, history);
