--- a/src/forwarding/order_lease.cc
+++ b/src/forwarding/order_lease.cc
@@ -170,6 +170,11 @@
   held_ = false;
 }
 
+void OrderLease::onFenced(Epoch seen) {
+  held_ = false;
+  highest_fence_ = std::max(highest_fence_, seen);
+}
+
 // What the store forgot since the take is no proof any more: another may hold the lease.
 bool OrderLease::holds(absl::Time now) const {
   return held_ && now < valid_until_ && history_.generation() == generation_;
--- a/src/forwarding/order_lease.h
+++ b/src/forwarding/order_lease.h
@@ -70,8 +70,8 @@
   // The row's, as the last write was answered.
   uint64_t version() const { return version_; }
   absl::Time validUntil() const { return valid_until_; }
-  // An engine knows a higher fence: this holder is not the last one.
-  void onFenced() { held_ = false; }
+  // A higher fence is known elsewhere, if told which: this holder is not the last one.
+  void onFenced(Epoch seen = Epoch());
 
  private:
   Epoch nextFence(absl::Duration store_clock) const;
--- a/src/gateway/lease_keeper.h
+++ b/src/gateway/lease_keeper.h
@@ -30,8 +30,8 @@
   Epoch fence() const { return lease_.fence(); }
   // The row's version, as the last write was answered.
   uint64_t rowVersion() const { return lease_.version(); }
-  // A higher fence was seen: this holder is not the last one.
-  void onFenced() { lease_.onFenced(); }
+  // A higher fence was seen, if told which: this holder is not the last one.
+  void onFenced(Epoch seen = Epoch()) { lease_.onFenced(seen); }
 
  private:
   void take(absl::Time holder_heard, absl::Time now);
--- a/src/gateway/rollout_director.cc
+++ b/src/gateway/rollout_director.cc
@@ -140,7 +140,7 @@
   Judged& judged = judgedOf(service, state);
   const KnownRecord& known = *state.gate.known();
   if (known.record.fence > lease_.fence()) {
-    lease_.onFenced();
+    lease_.onFenced(known.record.fence);
     return;
   }
   judged.verdict.judge(now);
--- a/tests/forwarding/order_lease_test.cc
+++ b/tests/forwarding/order_lease_test.cc
@@ -404,6 +404,22 @@
   CHECK_FALSE(lease.mayOrder(now + absl::Milliseconds(1900)));
 }
 
+// Guards against a lease that is taken again and again because what it is for knows a higher fence.
+TEST_CASE("the next take is above a fence that was seen elsewhere") {
+  const absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+  const StoreHistory history;
+  const StoreMoment moment{absl::Seconds(100), now, now};
+  OrderLease lease(NodeId("self"), kLength, history);
+  REQUIRE(lease.onRead(std::nullopt, 0, moment).has_value());
+  lease.onWritten(1, moment);
+  const Epoch seen(lease.fence().value() * 2);
+  lease.onFenced(seen);
+  CHECK_FALSE(lease.holds(now));
+  const auto taken = lease.onRead(LeaseRecord{NodeId("self"), lease.fence(), absl::Seconds(103)}, 1, moment);
+  REQUIRE(taken.has_value());
+  CHECK(taken->record.fence > seen);
+}
+
 TEST_CASE("a free lease is taken and used at once, another's only after its end") {
   const StoreHistory history;
   OrderLease first(NodeId("a"), kLength, history);
