A lease that isn't held is not told to peers

A take whose answer showed that the store went back was announced to all peers and logged as taken, though nothing was held: they waited up to five seconds longer for a holder that wasn't there. A lease that ended in such an answer left no line (lease_lost).

--- a/src/gateway/lease_keeper.cc
+++ b/src/gateway/lease_keeper.cc
@@ -79,31 +79,39 @@
   row.table = kTable;
   row.key = row_;
   row.value = forwarding::printLeaseRecord(write.record);
+  const bool was_held = lease_.holds(began);
   store_.write(row, write.expected_version,
-               [this, began](StoreStatus status, const forwarding::StoreRows& answer) {
+               [this, began, was_held](StoreStatus status, const forwarding::StoreRows& answer) {
                  call_under_way_ = false;
-                 const absl::Time now = reactor::steadyNow();
-                 const bool was_held = lease_.holds(now);
-                 if (status == StoreStatus::kDone) {
-                   lease_.onWritten(answer.version, {answer.clock, began, now});
-                   renewed_();
-                   if (!was_held) {
-                     logTaken(answer.clock, now);
-                   }
-                   return;
-                 }
-                 lease_.onNotWritten();
-                 if (was_held) {
-                   core_.log.event("lease_lost", now)
-                       .with("row", row_)
-                       .with("why", static_cast<int64_t>(status))
-                       .with("fence", static_cast<int64_t>(lease_.fence().value()))
-                       .with("row_version", static_cast<int64_t>(lease_.version()))
-                       .with("store_version", static_cast<int64_t>(answer.version));
-                 }
+                 takeWritten(status, answer, began, was_held);
                });
 }
 
+void LeaseKeeper::takeWritten(StoreStatus status, const forwarding::StoreRows& answer, absl::Time began,
+                              bool was_held) {
+  const absl::Time now = reactor::steadyNow();
+  if (status == StoreStatus::kDone) {
+    lease_.onWritten(answer.version, {answer.clock, began, now});
+  } else {
+    lease_.onNotWritten();
+  }
+  // A write that was done counts for nothing where the store went back meanwhile.
+  const bool is_held = lease_.holds(now);
+  if (is_held) {
+    renewed_();
+  }
+  if (is_held && !was_held) {
+    logTaken(answer.clock, now);
+  } else if (was_held && !is_held) {
+    core_.log.event("lease_lost", now)
+        .with("row", row_)
+        .with("why", static_cast<int64_t>(status))
+        .with("fence", static_cast<int64_t>(lease_.fence().value()))
+        .with("row_version", static_cast<int64_t>(lease_.version()))
+        .with("store_version", static_cast<int64_t>(answer.version));
+  }
+}
+
 void LeaseKeeper::logTaken(absl::Duration store_clock, absl::Time now) {
   auto line = core_.log.event("lease_taken", now);
   line.with("row", row_)
--- a/src/gateway/lease_keeper.h
+++ b/src/gateway/lease_keeper.h
@@ -37,6 +37,7 @@
   void take(absl::Time holder_heard, absl::Time now);
   void renew(absl::Time now);
   void write(const forwarding::LeaseWrite& write);
+  void takeWritten(StoreStatus status, const forwarding::StoreRows& answer, absl::Time began, bool was_held);
   void logTaken(absl::Duration store_clock, absl::Time now);
 
   Core& core_;
