Ids with the separator of an era read back from a lease's record

A gateway with the id "a@1" and no era was read as holder "a" of era 1, and gateway "a" took its lease at once. Such an id is followed by a mark that tells that there is no era.

--- a/src/forwarding/order_lease.cc
+++ b/src/forwarding/order_lease.cc
@@ -1,5 +1,6 @@
 #include "forwarding/order_lease.h"
 
+#include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
@@ -9,6 +10,8 @@
 #include <utility>
 #include <vector>
 
+#include "types/http_message.h"
+
 namespace quincewick::forwarding {
 namespace {
 
@@ -26,7 +29,8 @@
 constexpr uint64_t kHighestEra = 511;                  // later ones count as this one
 constexpr uint64_t kHighestFence = uint64_t{1} << 62;  // above it the next one has no room
 
-constexpr char kEraSeparator = '@';  // between the holder's id and the era
+constexpr const char* kEraSeparator = "@";  // between the holder's id and the era
+constexpr const char* kNoEra = "@-";        // behind an id that has a separator itself
 
 uint64_t holderBits(const NodeId& holder) {
   return XXH3_64bits(holder.value().data(), holder.value().size()) & kHolderMask;
@@ -43,7 +47,9 @@
 std::string printLeaseRecord(const LeaseRecord& record) {
   std::string holder = record.holder.value();
   if (record.era) {
-    absl::StrAppend(&holder, std::string(1, kEraSeparator), *record.era);
+    absl::StrAppend(&holder, kEraSeparator, *record.era);
+  } else if (absl::StrContains(holder, kEraSeparator)) {
+    absl::StrAppend(&holder, kNoEra);
   }
   return absl::StrCat(holder, " ", record.fence.value(), " ", absl::ToInt64Milliseconds(record.until));
 }
@@ -58,11 +64,13 @@
     return std::nullopt;
   }
   LeaseRecord record{NodeId(parts[0]), Epoch(fence), absl::Milliseconds(until), std::nullopt};
-  uint64_t era = 0;
   const size_t separator = parts[0].rfind(kEraSeparator);
-  if (separator != std::string::npos && absl::SimpleAtoi(parts[0].substr(separator + 1), &era)) {
+  if (separator == std::string::npos) {
+    return record;
+  }
+  record.era = parseWhole(parts[0].substr(separator + 1));
+  if (record.era || parts[0].substr(separator) == kNoEra) {
     record.holder = NodeId(parts[0].substr(0, separator));
-    record.era = era;
   }
   return record;
 }
--- a/tests/forwarding/order_lease_test.cc
+++ b/tests/forwarding/order_lease_test.cc
@@ -443,6 +443,8 @@
   const LeaseRecord of_an_era{NodeId("front@1"), Epoch(7), absl::Milliseconds(123456), 4};
   CHECK(printLeaseRecord(of_an_era) == "front@1@4 7 123456");
   CHECK(parseLeaseRecord(printLeaseRecord(of_an_era)) == of_an_era);
+  const LeaseRecord with_separator{NodeId("front@1"), Epoch(7), absl::Milliseconds(123456)};
+  CHECK(parseLeaseRecord(printLeaseRecord(with_separator)) == with_separator);
   CHECK_FALSE(parseLeaseRecord("front-1 7"));
   CHECK_FALSE(parseLeaseRecord("front-1 x 5"));
   CHECK_FALSE(parseLeaseRecord("front-1 18446744073709551615 5"));
