--- a/src/forwarding/dialect.h
+++ b/src/forwarding/dialect.h
@@ -71,7 +71,8 @@
   // All of them or none.
   virtual HttpCall writeRows(const std::vector<RowWrite>& writes) const = 0;
   virtual Result<StoreRows> readRowsAnswer(std::string_view body) const = 0;
-  // Rises when the store lost what it had acknowledged; nothing where it tells none. Errors: kInvalidArgument.
+  // Rises when the store lost what it had acknowledged; nothing where none is told. Errors:
+  // kInvalidArgument.
   virtual Result<std::optional<uint64_t>> readStoreEra(const HttpHead& head) const = 0;
   virtual Result<SiteConfiguration> readConfiguration(std::string_view value) const = 0;
   virtual Result<NamedWeights> readNamedWeights(std::string_view value) const = 0;
