--- a/src/reactor/plain_server.cc
+++ b/src/reactor/plain_server.cc
@@ -75,6 +75,7 @@
   void answer(const PlainAnswer& answer, bool keeps_alive) {
     HeaderFields fields = {{"Content-Length", std::to_string(answer.body.size())},
                            {"Content-Type", answer.content_type}};
+    fields.insert(fields.end(), answer.further_fields.begin(), answer.further_fields.end());
     if (!keeps_alive) {
       fields.push_back({"Connection", "close"});
     }
--- a/src/reactor/plain_server.h
+++ b/src/reactor/plain_server.h
@@ -19,6 +19,7 @@
   int status = 200;
   std::string content_type = "text/plain";
   std::string body;
+  HeaderFields further_fields{};
 };
 
 class PlainServer {
