Failing test: the last round of loads empties its engine for half of the time that it has

Callers see: streams that peers sent an engine before they learnt that it is reserved are held up by its load. By hand, one engine with 300 ms and its load until the bound less its margin: ordered before 199 ms, empty or not.

--- a/tests/forwarding/rollout_planner_test.cc
+++ b/tests/forwarding/rollout_planner_test.cc
@@ -209,5 +209,24 @@
   CHECK(orders_after(absl::Milliseconds(100)) == 18);
 }
 
+// The emptying that a round had had was counted as still to come: the last round got half of its time.
+TEST_CASE("the last engine is emptied for what its load leaves before the bound") {
+  WeightsRegister weights(kBound);
+  weights.note({kModel, WeightsVersion(2)}, absl::UnixEpoch());
+  const absl::Duration load_time = absl::Milliseconds(750);
+  const absl::Time done = weights.deadlineOf(kModel, WeightsVersion(1)) - RolloutSettings().margin;
+  auto fleet = engines(1);
+  fleet[0].reserved_since = done - load_time - absl::Milliseconds(300);
+  const auto is_ordered_after = [&](absl::Duration emptied) {
+    const absl::Time now = fleet[0].reserved_since + emptied;
+    return planRollout(fleet, kModel, weights, kBound, load_time, {}, now).order.size() == 1;
+  };
+  CHECK_FALSE(is_ordered_after(absl::Milliseconds(199)));
+  CHECK(is_ordered_after(RolloutSettings().shortest_emptying));
+  fleet[0].running = 3;
+  CHECK_FALSE(is_ordered_after(absl::Milliseconds(299)));
+  CHECK(is_ordered_after(absl::Milliseconds(300)));
+}
+
 }  // namespace
 }  // namespace quincewick::forwarding
