Each round of loads gets all of its time for emptying: what has passed is not counted as still to come

Callers see: late in a tight rollout, fewer streams that are held up by a load, for engines are emptied for as long as the bound allows. Cause: the planner divided what was left before the bound, less its margin, by the rounds left at every tick, as if the round that is being emptied had its whole emptying ahead. A round with k rounds to go got k / (k + 1) of its share, the last one half. Now the share is that of the time when the engine's emptying began. "emptying takes what time the loads that are left allow" held the clock still and moved the reservation back, so it asked for five rounds of 800 ms after the first one's 100 ms had passed: it stated the fault.

--- a/src/forwarding/rollout_planner.cc
+++ b/src/forwarding/rollout_planner.cc
@@ -27,13 +27,43 @@
   return at_once;
 }
 
-bool isEmptied(const RolloutEngine& engine, absl::Duration emptying, absl::Duration shortest_emptying,
-               absl::Time now) {
-  if (emptying == absl::ZeroDuration()) {
-    return true;
+// Engines whose loads must be done by a time, in so many rounds.
+struct DueRounds {
+  absl::Time done;
+  double rounds = 0;
+};
+
+// By rising deadlines: the last engine of each must be done by it.
+std::vector<DueRounds> dueRounds(const std::vector<RolloutEngine>& pending, const ModelName& model,
+                                 const WeightsRegister& weights, uint32_t at_once, absl::Duration margin) {
+  std::vector<DueRounds> due;
+  for (size_t index = 0; index < pending.size(); ++index) {
+    const absl::Time done = weights.deadlineOf(model, pending[index].version) - margin;
+    if (due.empty() || due.back().done != done) {
+      due.push_back({done, 0});
+    }
+    const size_t rounds = (index + at_once) / at_once;
+    due.back().rounds = static_cast<double>(rounds);
   }
-  const absl::Duration reserved = now - engine.reserved_since;
-  return reserved >= emptying || (engine.running == 0 && reserved >= shortest_emptying);
+  return due;
+}
+
+// What each round has for emptying, where the first of them began to be emptied at `began`.
+absl::Duration emptyingOfRound(const std::vector<DueRounds>& due, absl::Time began, absl::Duration load_time,
+                               absl::Duration longest) {
+  absl::Duration emptying = longest;
+  for (const DueRounds& loads : due) {
+    emptying = std::min(emptying, (loads.done - began) / loads.rounds - load_time);
+  }
+  return emptying;
+}
+
+bool isEmptied(const RolloutEngine& engine, const std::vector<DueRounds>& due, absl::Duration load_time,
+               const RolloutSettings& settings, absl::Time now) {
+  const absl::Time began = std::min(engine.reserved_since, now);
+  const absl::Duration emptied = now - began;
+  return emptied >= emptyingOfRound(due, began, load_time, settings.emptying) ||
+         (engine.running == 0 && emptied >= settings.shortest_emptying);
 }
 
 }  // namespace
@@ -64,18 +94,11 @@
            std::tuple(weights.deadlineOf(model, right.version), right.reserved_since, right.running);
   });
   const uint32_t at_once = loadsAtOnce(engines.size(), all_within, load_time, settings);
-  // The last engine of each deadline must be done by it: the latest start is the least over all prefixes, and
-  // so is the time that each round has for emptying.
+  const std::vector<DueRounds> due = dueRounds(pending, model, weights, at_once, settings.margin);
   absl::Time latest_start = absl::InfiniteFuture();
-  absl::Duration emptying = settings.emptying;
-  for (size_t index = 0; index < pending.size(); ++index) {
-    const size_t whole_rounds = (index + at_once) / at_once;
-    const auto rounds = static_cast<double>(whole_rounds);
-    const absl::Time done = weights.deadlineOf(model, pending[index].version) - settings.margin;
-    latest_start = std::min(latest_start, done - (settings.emptying + load_time) * rounds);
-    emptying = std::min(emptying, (done - now) / rounds - load_time);
+  for (const DueRounds& loads : due) {
+    latest_start = std::min(latest_start, loads.done - (settings.emptying + load_time) * loads.rounds);
   }
-  emptying = std::max(emptying, absl::ZeroDuration());
   latest_start = std::min(latest_start, weights.namedAt(model, newest) + settings.patience);
   plan.next_start = latest_start;
   plan.is_due = now >= latest_start;
@@ -84,7 +107,7 @@
   }
   const size_t free = at_once > loading ? at_once - loading : 0;
   for (size_t index = 0; index < std::min(pending.size(), free); ++index) {
-    if (isEmptied(pending[index], emptying, settings.shortest_emptying, now)) {
+    if (isEmptied(pending[index], due, load_time, settings, now)) {
       plan.order.push_back(pending[index].id);
     } else {
       plan.reserve.push_back(pending[index].id);
--- a/tests/forwarding/rollout_planner_test.cc
+++ b/tests/forwarding/rollout_planner_test.cc
@@ -194,15 +194,16 @@
   WeightsRegister weights(kBound);
   const absl::Time named = absl::UnixEpoch();
   weights.note({kModel, WeightsVersion(2)}, named);
-  // Five rounds of 700 ms and 100 ms each for emptying, until 900 ms before the bound less its margin.
-  const absl::Time now =
+  // Five rounds of 700 ms and 100 ms each for emptying, until the bound less its margin.
+  const absl::Time reserved =
       weights.deadlineOf(kModel, WeightsVersion(1)) - RolloutSettings().margin - 5 * absl::Milliseconds(800);
   auto fleet = engines(90);
-  const auto orders_after = [&](absl::Duration reserved) {
-    for (RolloutEngine& engine : fleet) {
-      engine.running = 3;
-      engine.reserved_since = now - reserved;
-    }
+  for (RolloutEngine& engine : fleet) {
+    engine.running = 3;
+    engine.reserved_since = reserved;
+  }
+  const auto orders_after = [&](absl::Duration emptied) {
+    const absl::Time now = reserved + emptied;
     return planRollout(fleet, kModel, weights, kBound, absl::Milliseconds(700), {}, now).order.size();
   };
   CHECK(orders_after(absl::Milliseconds(99)) == 0);
