--- a/src/forwarding/rollout_planner.h
+++ b/src/forwarding/rollout_planner.h
@@ -42,7 +42,8 @@
   // them serves nothing meanwhile. Where loads are behind their bound, as after the store was away, there is
   // less time for it or none: an engine that is late may not serve at all.
   absl::Duration emptying = absl::Milliseconds(400);
-  // Peers may have sent it something before they learnt that it is reserved.
+  // Peers may have sent it something before they learnt that it is reserved. Where the time before the bound
+  // leaves each round less, it is emptied for that: the bound is a rule, what a load holds up only late.
   absl::Duration shortest_emptying = absl::Milliseconds(200);
   absl::Duration margin = absl::Milliseconds(900);  // before the bound
 };
