--- a/src/forwarding/order_lease.cc
+++ b/src/forwarding/order_lease.cc
@@ -138,9 +138,11 @@
   if (isOfThisProcess(record)) {
     return first_order_;
   }
-  // An earlier life may have been waiting for the holder before it, since its take.
+  // An earlier life may have been waiting for the holder before it, since its take: for a forgotten one only
+  // where the store can go back, which then tells eras.
   const bool tells_take = record.holder == self_ && (record.fence.value() & kHolderMask) == holderBits(self_);
-  const absl::Duration wait = tells_take ? clockOf(record.fence) + longestWait() - moment.store_clock
+  const absl::Duration longest_since_take = record.era ? longestWait() : length_ - kOrderMargin;
+  const absl::Duration wait = tells_take ? clockOf(record.fence) + longest_since_take - moment.store_clock
                                          : record.until + length_ - kOrderMargin - moment.store_clock;
   return moment.ended + std::min(wait, longestWait());
 }
