Soak: a store that goes back to a copy, engines that take orders, and a promise on their fences

Two gateways gave orders under one fence after the store lost what it had acknowledged; real processes could not play that. The store keeps copies of its rows and goes back to one, or to nothing: versions are given out again, gateways' writes are lost, the operator and the servers write theirs anew. It tells an era, or none (--no-era). Three engines take orders and note holder and fence; weights are named, and whoever gave the last order is killed, frozen or turned away.

Promises: no two holders give orders under one fence, and fences rise; timed, orders of two holders lie a lease apart. Thus 18 promises in place of 16, 10 of them untimed in place of 9; no check changed.

--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -98,6 +98,14 @@
   uint64_t descriptors = 0;
 };
 
+// As it came to an engine, whatever that answered.
+struct Order {
+  std::string engine;
+  std::string holder;
+  uint64_t fence = 0;
+  absl::Time at;
+};
+
 struct History {
   std::vector<Request> requests;
   std::vector<Arrival> arrivals;
@@ -106,6 +114,7 @@
   std::vector<RouteChange> route_changes;  // in order
   std::vector<Disturbance> disturbances;
   std::vector<OwnEnd> own_ends;
+  std::vector<Order> orders;
   std::vector<ProcessSize> sizes;
   int events_of_a_stream = 0;
   absl::Duration recovery = absl::InfiniteDuration();  // after the last fault
@@ -115,11 +124,15 @@
 // Who sent is told by the caller's request.
 void attributeArrivals(History& history);
 
+// Of the requests under the key, from that index on, how many of the last ones got what they asked for.
+size_t servedInARow(const History& history, size_t from, const std::string& key);
+
 struct Bounds {
   absl::Duration server_drain = absl::Seconds(2);
   absl::Duration key_revocation = absl::Seconds(5);
   absl::Duration configuration_in_force = absl::Seconds(3);
   absl::Duration stop_grace = absl::Seconds(8);
+  absl::Duration order_lease = absl::Seconds(3);
   absl::Duration in_touch_after = absl::Seconds(3);  // of the last disturbance
   absl::Duration recovery = absl::Seconds(12);
   double retry_ratio = 0.2;
--- a/tests/soak/history_test.cc
+++ b/tests/soak/history_test.cc
@@ -76,8 +76,8 @@
 
 TEST_CASE_METHOD(Sound, "a sound history keeps all promises") {
   CHECK(broken().empty());
-  CHECK(checkPromises(history, Bounds(), true).size() == 16);
-  CHECK(checkPromises(history, Bounds(), false).size() == 9);
+  CHECK(checkPromises(history, Bounds(), true).size() == 18);
+  CHECK(checkPromises(history, Bounds(), false).size() == 10);
 }
 
 TEST_CASE_METHOD(Sound, "a second run of what may run once is found") {
@@ -269,6 +269,38 @@
   CHECK(breaks("no request runs under a key that was taken away"));
 }
 
+TEST_CASE_METHOD(Sound, "orders of two holders under one fence are found, however far apart") {
+  history.orders = {{"e-1", "g-1", 7, kStart}, {"e-2", "g-2", 7, kStart + absl::Seconds(9)}};
+  CHECK(breaks("no two holders give orders under one fence, and fences rise"));
+  history.orders[1].fence = 8;
+  CHECK(broken().empty());
+}
+
+TEST_CASE_METHOD(Sound,
+                 "a later holder's lower fence is found, also after others and out of the notes' order") {
+  history.orders = {{"e-1", "g-3", 6, kStart + absl::Seconds(9)},
+                    {"e-1", "g-1", 7, kStart},
+                    {"e-1", "g-2", 8, kStart + absl::Seconds(4)}};
+  CHECK(broken() == std::vector<std::string>{"no two holders give orders under one fence, and fences rise"});
+  history.orders[0].fence = 9;
+  CHECK(broken().empty());
+}
+
+TEST_CASE_METHOD(Sound, "a holder gives many orders under one fence, to several engines at once") {
+  history.orders = {{"e-1", "g-1", 7, kStart}, {"e-2", "g-1", 7, kStart}, {"e-1", "g-1", 7, kStart}};
+  CHECK(broken().empty());
+}
+
+TEST_CASE_METHOD(Sound, "orders of two holders within a lease are found, also with a third one's between") {
+  history.orders = {{"e-1", "g-1", 7, kStart},
+                    {"e-2", "g-2", 8, kStart + Bounds().order_lease - absl::Milliseconds(1)}};
+  CHECK(breaks("orders of two holders lie a lease apart"));
+  history.orders[1].at += absl::Milliseconds(1);
+  CHECK(broken().empty());
+  history.orders.push_back({"e-3", "g-1", 9, kStart + Bounds().order_lease + absl::Seconds(2)});
+  CHECK(breaks("orders of two holders lie a lease apart"));
+}
+
 TEST_CASE_METHOD(Sound, "a site that doesn't serve again is found") {
   history.recovery = absl::Seconds(13);
   CHECK(breaks("it serves again soon after the last fault"));
--- a/tests/soak/processes.cc
+++ b/tests/soak/processes.cc
@@ -57,6 +57,7 @@
        << ", configuration_in_force: " << absl::FormatDuration(bounds_.configuration_in_force)
        << ", server_drain: " << absl::FormatDuration(bounds_.server_drain)
        << ", stop_grace: " << absl::FormatDuration(bounds_.stop_grace)
+       << ", order_lease: " << absl::FormatDuration(bounds_.order_lease)
        << ", retry_ratio: " << bounds_.retry_ratio << ", retry_constant: " << bounds_.retry_constant << "}\n";
 }
 
--- /dev/null
+++ b/tests/soak/reserved_ports.h
@@ -0,0 +1,30 @@
+// Ports for gateways, all different. Each stays bound, without listening, so that nobody else is given it
+// while its gateway is down; the gateway itself may bind it besides.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <list>
+
+#include "types/back_end.h"
+
+namespace quincewick::soak {
+
+class ReservedPorts {
+ public:
+  explicit ReservedPorts(boost::asio::io_context& reactor) : reactor_(reactor) {}
+  Address next() {
+    using boost::asio::ip::tcp;
+    tcp::acceptor& held = held_.emplace_back(reactor_);
+    held.open(tcp::v4());
+    held.set_option(tcp::acceptor::reuse_address(true));
+    held.bind(tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    return {"127.0.0.1", held.local_endpoint().port()};
+  }
+
+ private:
+  boost::asio::io_context& reactor_;
+  std::list<boost::asio::ip::tcp::acceptor> held_;
+};
+
+}  // namespace quincewick::soak
--- a/tests/soak/run.cc
+++ b/tests/soak/run.cc
@@ -6,16 +6,18 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/ip/tcp.hpp>
 #include <functional>
-#include <list>
 #include <map>
 #include <memory>
 #include <utility>
 
 #include "back_ends.h"
 #include "callers.h"
+#include "engines.h"
+#include "fault_switches.h"
 #include "processes.h"
+#include "reserved_ports.h"
+#include "site_rows.h"
 #include "store.h"
 #include "types/address_text.h"
 
@@ -36,25 +38,7 @@
 // The site serves all again once so many requests in a row got what they asked for.
 constexpr size_t kServedInARow = 60;
 constexpr const char* kPlainKey = "key-0";
-
-// Ports for gateways, all different. Each stays bound, without listening, so that nobody else is given it
-// while its gateway is down; the gateway itself may bind it besides.
-class ReservedPorts {
- public:
-  explicit ReservedPorts(boost::asio::io_context& reactor) : reactor_(reactor) {}
-  Address next() {
-    using boost::asio::ip::tcp;
-    tcp::acceptor& held = held_.emplace_back(reactor_);
-    held.open(tcp::v4());
-    held.set_option(tcp::acceptor::reuse_address(true));
-    held.bind(tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
-    return {"127.0.0.1", held.local_endpoint().port()};
-  }
-
- private:
-  boost::asio::io_context& reactor_;
-  std::list<boost::asio::ip::tcp::acceptor> held_;
-};
+constexpr uint32_t kRestoreSpan = 10;  // seconds; 0 of them: all
 
 class Run {
  public:
@@ -76,7 +60,8 @@
         reactor_, timers_, settings_.gateways,
         [this](const std::string& table, const std::string& key, const std::string& value, size_t gateway) {
           return rendered(table, key, value, gateway);
-        });
+        },
+        settings_.store_tells_era);
     std::vector<GatewayPlace> places;
     for (size_t index = 0; index < settings_.gateways; ++index) {
       GatewayPlace place;
@@ -96,6 +81,7 @@
     for (size_t index = 0; index < kStreamServers; ++index) {
       addBackEnd("streams", {});
     }
+    engines_ = std::make_unique<Engines>(reactor_, timers_, history_, *store_, kZones);
     traffic_.keys = {kPlainKey, "key-1", "key-2", "key-3"};
     putConfiguration();
     processes_ = std::make_unique<Processes>(settings_.program, settings_.folder, std::move(places), history_,
@@ -133,35 +119,17 @@
 
   void putServer(const BackEnd& back_end, const std::string& state,
                  absl::Duration earlier = absl::ZeroDuration()) {
-    store_->put("servers", back_end.id(),
-                absl::StrCat(R"({"service":")", back_end.service(), R"(","address":"ADDRESS","zone":"z)",
-                             last_back_end_ % kZones, R"(","slots":8,"state":")", state, R"(","born":)",
-                             absl::ToUnixMillis(back_end.started() - earlier), R"(,"models":[]})"));
+    store_->put(
+        "servers", back_end.id(),
+        printServer(back_end.service(), last_back_end_ % kZones, state, back_end.started() - earlier));
   }
 
   void putConfiguration() {
-    std::string tenants;
-    for (size_t index = 0; index < traffic_.keys.size(); ++index) {
-      absl::StrAppend(&tenants, index == 0 ? "" : ",", R"({"name":"t)", index, R"(","apiKeys":[")",
-                      is_key_removed_[index] ? "" : traffic_.keys[index], R"("]})");
-    }
-    const auto route = [](const char* name, const char* kind, const char* service, bool resumable) {
-      return absl::StrCat(R"({"name":")", name, R"(","host":"h","pathPrefix":"/)", name, R"(/","kind":")",
-                          kind, R"(","timeoutMs":5000,"service":")", service,
-                          R"(","maxAttempts":3,"resumable":)", resumable ? "true}" : "false}");
-    };
-    std::string routes = absl::StrCat(
-        route("safe", "safe", "calls", false), ",", route("once", "unsafe", "calls", false), ",",
-        route("resumed", "streaming", "streams", true), ",", route("stream", "streaming", "streams", false));
-    if (traffic_.has_new_route) {
-      absl::StrAppend(&routes, ",", route("new", "safe", "calls", false));
+    std::vector<std::string> keys = traffic_.keys;
+    for (size_t index = 0; index < keys.size(); ++index) {
+      keys[index] = is_key_removed_[index] ? "" : keys[index];
     }
-    store_->put(
-        "op", "config",
-        absl::StrCat(R"({"version":)", ++configuration_version_, R"(,"routes":[)", routes,
-                     R"(],"services":[{"name":"calls","maxConnections":200},{"name":"streams",)",
-                     R"("maxConnections":200}],"limits":{"maxHeaderBytes":8000,"maxBodyBytes":50000,)",
-                     R"("headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[)", tenants, "]}"));
+    store_->put("op", "config", printConfiguration(++configuration_version_, traffic_.has_new_route, keys));
   }
 
   void whenReady(absl::Time latest) {
@@ -209,15 +177,7 @@
 
   void awaitRecovery() {
     const absl::Time now = reactor::steadyNow();
-    size_t in_a_row = 0;
-    for (size_t index = served_from_; index < history_.requests.size(); ++index) {
-      const Request& request = history_.requests[index];
-      const bool is_served = request.end == RequestEnd::kAnswered && request.status == 200;
-      const bool is_known =
-          request.end != RequestEnd::kOpen && request.end != RequestEnd::kLeft && request.key == kPlainKey;
-      in_a_row = !is_known ? in_a_row : is_served ? in_a_row + 1 : 0;
-    }
-    const bool is_recovered = in_a_row >= kServedInARow;
+    const bool is_recovered = servedInARow(history_, served_from_, kPlainKey) >= kServedInARow;
     if (is_recovered || now > faults_over_ + settings_.recovery_awaited) {
       if (is_recovered) {
         history_.recovery = now - faults_over_;
@@ -260,6 +220,17 @@
       case FaultKind::kStoreForgets:
         strikeStore(fault, gateway);
         return;
+      case FaultKind::kStoreGoesBack:
+        restoreStore(fault);
+        return;
+      case FaultKind::kWeightsNamed:
+        engines_->nameWeights();
+        return;
+      case FaultKind::kHolderKilled:
+      case FaultKind::kHolderFrozen:
+      case FaultKind::kHolderRefused:
+        strikeHolder(fault);
+        return;
       case FaultKind::kRouteChanges:
         traffic_.has_new_route = !traffic_.has_new_route;
         putConfiguration();
@@ -311,6 +282,31 @@
     }
   }
 
+  // Whoever gave the last order; nobody, where none was given yet.
+  void strikeHolder(const Fault& fault) {
+    const auto found = history_.orders.empty() ? gateway_ids_.end()
+                                               : std::find(gateway_ids_.begin(), gateway_ids_.end(),
+                                                           history_.orders.back().holder);
+    if (found == gateway_ids_.end()) {
+      return;
+    }
+    Fault struck = fault;
+    struck.kind = fault.kind == FaultKind::kHolderKilled   ? FaultKind::kKill
+                  : fault.kind == FaultKind::kHolderFrozen ? FaultKind::kFreeze
+                                                           : FaultKind::kStoreRefuses;
+    struck.target = static_cast<uint32_t>(found - gateway_ids_.begin());
+    begin(struck);
+  }
+
+  void restoreStore(const Fault& fault) {
+    const uint32_t seconds = fault.target % kRestoreSpan;
+    const absl::Duration ago = seconds == 0 ? absl::InfiniteDuration() : absl::Seconds(seconds);
+    Fault outage = fault;
+    outage.kind = FaultKind::kStoreDown;
+    later(fault.lasts, [this, ago] { store_->goBack(ago); });  // before it answers again
+    strikeStore(outage, 0);
+  }
+
   void strikeStore(const Fault& fault, size_t gateway) {
     if (fault.kind == FaultKind::kStoreForgets) {
       store_->forgetHistory();
@@ -318,14 +314,7 @@
     }
     const auto set = [this, kind = fault.kind, gateway](bool on) {
       for (size_t other = 0; other < settings_.gateways; ++other) {
-        StoreTrouble& trouble = store_->trouble(other);
-        const bool is_struck = other == gateway;
-        trouble.refuses = kind == FaultKind::kStoreRefuses && is_struck ? on : trouble.refuses;
-        trouble.is_silent = kind == FaultKind::kStoreDown || (kind == FaultKind::kStoreSilent && is_struck)
-                                ? on
-                                : trouble.is_silent;
-        trouble.is_slow = kind == FaultKind::kStoreSlow ? on : trouble.is_slow;
-        trouble.loses_answers = kind == FaultKind::kStoreLosesAnswers ? on : trouble.loses_answers;
+        setTrouble(store_->trouble(other), kind, other == gateway, on);
       }
     };
     const bool is_one = fault.kind == FaultKind::kStoreRefuses || fault.kind == FaultKind::kStoreSilent;
@@ -384,17 +373,7 @@
   }
 
   void speak(BackEnd& back_end, const Fault& fault) {
-    static constexpr std::array kRates = {0.0, 0.5, 1.1, 4.0, 12.0};
-    const auto set = [&back_end, fault](bool on) {
-      Speech& speech = back_end.speech();
-      if (fault.kind == FaultKind::kBackEndNamesRate) {
-        speech.rate = on ? std::optional(kRates.at(fault.target % kRates.size())) : std::nullopt;
-      } else if (fault.kind == FaultKind::kBackEndRests) {
-        speech.rest = on ? std::optional(fault.lasts / 2) : std::nullopt;
-      } else {
-        speech.is_ill = on;
-      }
-    };
+    const auto set = [&back_end, fault](bool on) { setSpeech(back_end.speech(), fault, on); };
     set(true);
     later(fault.lasts, [set] { set(false); });
   }
@@ -412,11 +391,7 @@
 
   void misbehave(BackEnd& back_end, const Fault& fault) {
     const auto set = [&back_end, kind = fault.kind](bool on) {
-      Misbehaviour& misbehaviour = back_end.misbehaviour();
-      misbehaviour.refuses = kind == FaultKind::kBackEndRefuses ? on : misbehaviour.refuses;
-      misbehaviour.fails = kind == FaultKind::kBackEndFails ? on : misbehaviour.fails;
-      misbehaviour.loses_answers = kind == FaultKind::kAnswersLost ? on : misbehaviour.loses_answers;
-      misbehaviour.cuts_answers = kind == FaultKind::kAnswersCut ? on : misbehaviour.cuts_answers;
+      setMisbehaviour(back_end.misbehaviour(), kind, on);
     };
     set(true);
     later(fault.lasts, [set] { set(false); });
@@ -497,6 +472,7 @@
   std::vector<std::string> gateway_ids_;
   std::vector<std::unique_ptr<BackEnd>> back_ends_;  // all that ever were
   std::vector<BackEnd*> serving_;
+  std::unique_ptr<Engines> engines_;
   std::unique_ptr<Processes> processes_;
   std::vector<absl::Time> restart_at_;
   std::map<std::string, bool> is_planned_;  // the last end of each gateway
--- a/tests/soak/run.h
+++ b/tests/soak/run.h
@@ -23,6 +23,7 @@
   // Signals to reload also come to processes that started less than a second ago. Until its first line runs,
   // no program can take a signal, and this one ends it: which of both comes first is chance.
   bool reloads_early = false;
+  bool store_tells_era = true;
   Bounds bounds;
 };
 
--- a/tests/soak/schedule.cc
+++ b/tests/soak/schedule.cc
@@ -12,18 +12,21 @@
 namespace quincewick::soak {
 namespace {
 
-constexpr std::array kNames = {
-    "stop",          "kill",          "freeze",     "reload",       "kill-many",     "store-refuses",
-    "store-silent",  "store-down",    "store-slow", "store-loses",  "store-forgets", "back-end-leaves",
-    "back-end-goes", "back-end-dies", "refuses",    "fails",        "answers-lost",  "answers-cut",
-    "reset",         "silent",        "route",      "key",          "restarts",      "row-spoiled",
-    "row-old",       "names-rate",    "rests",      "says-leaving", "speaks-ill",
-};
+constexpr std::array kNames = {"stop",          "kill",          "freeze",          "reload",
+                               "kill-many",     "store-refuses", "store-silent",    "store-down",
+                               "store-slow",    "store-loses",   "store-forgets",   "back-end-leaves",
+                               "back-end-goes", "back-end-dies", "refuses",         "fails",
+                               "answers-lost",  "answers-cut",   "reset",           "silent",
+                               "route",         "key",           "restarts",        "row-spoiled",
+                               "row-old",       "names-rate",    "rests",           "says-leaving",
+                               "speaks-ill",    "weights-named", "store-goes-back", "holder-killed",
+                               "holder-frozen", "holder-refused"};
 constexpr size_t kKinds = kNames.size();
-static_assert(static_cast<size_t>(FaultKind::kBackEndSpeaksIll) + 1 == kKinds);
+static_assert(static_cast<size_t>(FaultKind::kHolderRefused) + 1 == kKinds);
 // Kinds that came later are drawn apart, so that what a seed drew before it draws still.
 constexpr size_t kFirstKinds = static_cast<size_t>(FaultKind::kKeyRemoved) + 1;
 constexpr size_t kSecondKinds = static_cast<size_t>(FaultKind::kRowOutdated) + 1;
+constexpr size_t kThirdKinds = static_cast<size_t>(FaultKind::kBackEndSpeaksIll) + 1;
 
 // A fault begins about so often; some come twice or three times in a row, half a second to two apart.
 constexpr absl::Duration kMeanPause = absl::Milliseconds(400);
@@ -33,6 +36,7 @@
 constexpr int kLongestSeries = 3;
 constexpr uint32_t kTargets = 60;
 constexpr uint64_t kThirdDraw = 0x5bd1e995;  // tells its generator from the others of a seed
+constexpr uint64_t kFourthDraw = 0x27d4eb2f;
 
 // Faults of the kinds from `first_kind` to before `end_kind`, each alone, by a generator of their own.
 void drawLaterKinds(std::mt19937_64 random, size_t first_kind, size_t end_kind, absl::Duration last,
@@ -56,7 +60,7 @@
 
 // The generator is the standard's own and its numbers are taken as they are, so that a seed means the same
 // everywhere.
-Schedule drawSchedule(uint64_t seed, absl::Duration length) {
+Schedule drawSchedule(uint64_t seed, absl::Duration length, bool store_goes_back) {
   std::mt19937_64 random(seed);
   const auto drawn = [&random](absl::Duration least, absl::Duration most) {
     const auto span = static_cast<uint64_t>(absl::ToInt64Milliseconds(most - least)) + 1;
@@ -81,7 +85,10 @@
   }
   const absl::Duration longest = std::min(kLongestFault, length - last);
   drawLaterKinds(std::mt19937_64(~seed), kFirstKinds, kSecondKinds, last, longest, schedule);
-  drawLaterKinds(std::mt19937_64(seed ^ kThirdDraw), kSecondKinds, kKinds, last, longest, schedule);
+  drawLaterKinds(std::mt19937_64(seed ^ kThirdDraw), kSecondKinds, kThirdKinds, last, longest, schedule);
+  if (store_goes_back) {
+    drawLaterKinds(std::mt19937_64(seed ^ kFourthDraw), kThirdKinds, kKinds, last, longest, schedule);
+  }
   std::stable_sort(schedule.begin(), schedule.end(),
                    [](const Fault& one, const Fault& other) { return one.at < other.at; });
   return schedule;
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -41,6 +41,11 @@
   kBackEndRests,        // it turns everything away and asks each gateway for a rest
   kBackEndSaysLeaving,  // it says in its answers that it leaves, its entry doesn't; another one comes
   kBackEndSpeaksIll,    // its answers hold what can't be read as any of these
+  kWeightsNamed,        // the operator names the next version of the engines' weights
+  kStoreGoesBack,       // it is silent, then a copy of TARGET modulo 10 seconds ago; 0: of the beginning
+  kHolderKilled,        // as of a gateway, of the one that gave the last order
+  kHolderFrozen,
+  kHolderRefused,
 };
 
 struct Fault {
@@ -54,8 +59,9 @@
 
 using Schedule = std::vector<Fault>;
 
-// Faults overlap and come in series. The last one ends before `length`.
-Schedule drawSchedule(uint64_t seed, absl::Duration length);
+// Faults overlap and come in series. The last one ends before `length`. `store_goes_back`: also draws the
+// kinds from kWeightsNamed on, and leaves the others as they were.
+Schedule drawSchedule(uint64_t seed, absl::Duration length, bool store_goes_back = false);
 
 // A line a fault: "AT_MS KIND TARGET LASTS_MS".
 std::string printSchedule(const Schedule& schedule);
--- a/tests/soak/schedule_test.cc
+++ b/tests/soak/schedule_test.cc
@@ -32,6 +32,33 @@
   CHECK(kinds.size() == static_cast<size_t>(FaultKind::kBackEndSpeaksIll) + 1);
 }
 
+// Seeds and schedules of earlier days must play the faults that they played then.
+TEST_CASE(
+    "that the store goes back is drawn when asked for, and changes nothing of what is drawn otherwise") {
+  std::set<FaultKind> kinds;
+  for (uint64_t seed = 1; seed < 40; ++seed) {
+    Schedule usual;
+    for (const Fault& fault : drawSchedule(seed, absl::Seconds(30), true)) {
+      if (fault.kind > FaultKind::kBackEndSpeaksIll) {
+        kinds.insert(fault.kind);
+      } else {
+        usual.push_back(fault);
+      }
+    }
+    CHECK(usual == drawSchedule(seed, absl::Seconds(30)));
+  }
+  CHECK(kinds == std::set<FaultKind>{FaultKind::kWeightsNamed, FaultKind::kStoreGoesBack,
+                                     FaultKind::kHolderKilled, FaultKind::kHolderFrozen,
+                                     FaultKind::kHolderRefused});
+}
+
+TEST_CASE("the kinds that are drawn when asked for read back as they were printed") {
+  const Schedule schedule = drawSchedule(1, absl::Seconds(60), true);
+  const auto read = parseSchedule(printSchedule(schedule));
+  REQUIRE(read.has_value());
+  CHECK(read.value() == schedule);
+}
+
 TEST_CASE("a line that is no fault is refused, and told") {
   const auto read = parseSchedule("100 stop 1 300\n200 nonsense 1 300\n");
   REQUIRE(read.has_error());
--- /dev/null
+++ b/tests/soak/site_rows.cc
@@ -0,0 +1,48 @@
+#include "site_rows.h"
+
+#include <absl/strings/str_cat.h>
+
+#include "engines.h"
+
+namespace quincewick::soak {
+namespace {
+
+std::string printRoute(const char* name, const char* kind, const char* service, bool is_resumable) {
+  return absl::StrCat(R"({"name":")", name, R"(","host":"h","pathPrefix":"/)", name, R"(/","kind":")", kind,
+                      R"(","timeoutMs":5000,"service":")", service, R"(","maxAttempts":3,"resumable":)",
+                      is_resumable ? "true}" : "false}");
+}
+
+}  // namespace
+
+std::string printConfiguration(uint64_t version, bool has_new_route, const std::vector<std::string>& keys) {
+  std::string tenants;
+  for (size_t index = 0; index < keys.size(); ++index) {
+    absl::StrAppend(&tenants, index == 0 ? "" : ",", R"({"name":"t)", index, R"(","apiKeys":[")", keys[index],
+                    R"("]})");
+  }
+  std::string routes = absl::StrCat(printRoute("safe", "safe", "calls", false), ",",
+                                    printRoute("once", "unsafe", "calls", false), ",",
+                                    printRoute("resumed", "streaming", "streams", true), ",",
+                                    printRoute("stream", "streaming", "streams", false));
+  if (has_new_route) {
+    absl::StrAppend(&routes, ",", printRoute("new", "safe", "calls", false));
+  }
+  std::string services;
+  for (const char* const name : {"calls", "streams", Engines::kService}) {
+    absl::StrAppend(&services, services.empty() ? "" : ",", R"({"name":")", name,
+                    R"(","maxConnections":200})");
+  }
+  return absl::StrCat(R"({"version":)", version, R"(,"routes":[)", routes, R"(],"services":[)", services,
+                      R"(],"limits":{"maxHeaderBytes":8000,"maxBodyBytes":50000,)",
+                      R"("headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[)", tenants, "]}");
+}
+
+std::string printServer(const std::string& service, size_t zone, const std::string& state,
+                        absl::Time started) {
+  return absl::StrCat(R"({"service":")", service, R"(","address":"ADDRESS","zone":"z)", zone,
+                      R"(","slots":8,"state":")", state, R"(","born":)", absl::ToUnixMillis(started),
+                      R"(,"models":[]})");
+}
+
+}  // namespace quincewick::soak
--- /dev/null
+++ b/tests/soak/site_rows.h
@@ -0,0 +1,19 @@
+// What the operator and the back ends write into the store of a run.
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace quincewick::soak {
+
+// `keys`: one of each tenant; empty: it is taken away.
+std::string printConfiguration(uint64_t version, bool has_new_route, const std::vector<std::string>& keys);
+
+// Its address is put in for each gateway that reads it.
+std::string printServer(const std::string& service, size_t zone, const std::string& state,
+                        absl::Time started);
+
+}  // namespace quincewick::soak
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -65,8 +65,9 @@
             << countEnds(history, RequestEnd::kAnswered) - static_cast<size_t>(served)
             << " refused or failed, " << countEnds(history, RequestEnd::kCut) << " cut, "
             << countEnds(history, RequestEnd::kUnsent) << " without a connection, "
-            << countEnds(history, RequestEnd::kLeft) << " left; " << history.arrivals.size()
-            << " arrivals; serves all again after " << absl::FormatDuration(history.recovery) << "\n";
+            << countEnds(history, RequestEnd::kLeft) << " left; " << history.arrivals.size() << " arrivals, "
+            << history.orders.size() << " orders; serves all again after "
+            << absl::FormatDuration(history.recovery) << "\n";
   for (const PromiseResult& result : outcome.promises) {
     if (!result.violations.empty()) {
       std::cout << "BROKEN " << result.promise << ": " << result.violations.size() << " of " << result.checks
@@ -89,6 +90,7 @@
   nlohmann::json report = {{"seed", options.run.seed},
                            {"requests", outcome.history.requests.size()},
                            {"arrivals", outcome.history.arrivals.size()},
+                           {"orders", outcome.history.orders.size()},
                            {"recovery_seconds", absl::ToDoubleSeconds(outcome.history.recovery)},
                            {"schedule", printSchedule(outcome.schedule)}};
   for (const PromiseResult& result : outcome.promises) {
@@ -150,6 +152,8 @@
       ("duration", "of the faults, such as 20s", cxxopts::value<std::string>()->default_value("20s"))  //
       ("gateways", "in three zones", cxxopts::value<uint32_t>()->default_value("6"))                   //
       ("callers", "with a connection each", cxxopts::value<uint32_t>()->default_value("36"))           //
+      ("store-goes-back", "also draw that the store is restored, and faults of the giver of orders")   //
+      ("no-era", "the store doesn't tell when it went back")                                           //
       ("timed", "also check promises that say how soon")                                               //
       ("output", "text or json", cxxopts::value<std::string>()->default_value("text"))                 //
       ("replay", "a file with a schedule", cxxopts::value<std::string>())                              //
@@ -175,6 +179,7 @@
   options.run.callers = parsed["callers"].as<uint32_t>();
   options.timed = parsed.count("timed") > 0;
   options.run.reloads_early = options.timed;
+  options.run.store_tells_era = parsed.count("no-era") == 0;
   options.json = parsed["output"].as<std::string>() == "json";
   options.shrinks = parsed.count("shrink") > 0;
   int worst = kKept;
@@ -182,7 +187,7 @@
   const uint64_t last = first + parsed["seeds"].as<uint64_t>();
   for (options.run.seed = first; options.run.seed < last; ++options.run.seed) {
     options.run.folder = absl::StrCat(parsed["folder"].as<std::string>(), "/seed-", options.run.seed);
-    Schedule schedule = drawSchedule(options.run.seed, length);
+    Schedule schedule = drawSchedule(options.run.seed, length, parsed.count("store-goes-back") > 0);
     if (parsed.count("replay") > 0) {
       auto read = parseSchedule(readFile(parsed["replay"].as<std::string>()));
       if (read.has_error()) {
--- a/tests/soak/store.cc
+++ b/tests/soak/store.cc
@@ -4,6 +4,7 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
+#include <array>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -13,6 +14,11 @@
 constexpr size_t kConnectionsAtMost = 256;
 constexpr absl::Duration kAnswerTime = absl::Milliseconds(4);
 constexpr absl::Duration kSlowAnswerTime = absl::Milliseconds(500);
+constexpr absl::Duration kBetweenCopies = absl::Milliseconds(250);
+constexpr absl::Duration kCopiesKept = absl::Seconds(10);
+constexpr const char* kEra = "Store-Era";
+// Of those who know what they wrote, and write it again.
+constexpr std::array kTablesOfOthers = {"op", "servers"};
 
 std::string parameter(const std::string& target, const std::string& name) {
   const size_t begin = target.find(name + "=");
@@ -35,16 +41,22 @@
 }  // namespace
 
 Store::Store(boost::asio::io_context& reactor, reactor::TimerQueue& timers, size_t gateways,
-             Rendered rendered)
-    : timers_(timers), rendered_(std::move(rendered)), troubles_(gateways) {
+             Rendered rendered, bool tells_era)
+    : timers_(timers), rendered_(std::move(rendered)), troubles_(gateways), tells_era_(tells_era) {
   for (size_t gateway = 0; gateway < gateways; ++gateway) {
     doors_.push_back(std::make_unique<reactor::PlainServer>(
         reactor, Address{"127.0.0.1", 0}, kConnectionsAtMost,
         [this, gateway](const HttpHead& question, const std::string& body,
                         const reactor::PlainServer::Respond& respond) {
-          take(gateway, question, body, respond);
+          take(gateway, question, body, [this, respond](reactor::PlainAnswer answer) {
+            if (tells_era_) {
+              answer.further_fields.push_back({kEra, absl::StrCat(era_)});
+            }
+            respond(answer);
+          });
         }));
   }
+  keepCopy();
 }
 
 void Store::put(const std::string& table, const std::string& key, const std::string& value) {
@@ -57,17 +69,57 @@
 
 void Store::change(const std::string& table, const std::string& key, const std::string& value, bool is_gone) {
   tables_[table][key] = {value, ++version_, is_gone};
+  answerWaiting([&table](const Waiting& waiting) { return waiting.table == table; });
+}
+
+void Store::answerWaiting(const std::function<bool(const Waiting&)>& is_due) {
   for (auto waiting = waiting_.begin(); waiting != waiting_.end();) {
-    if (waiting->table != table) {
+    if (!is_due(*waiting)) {
       ++waiting;
       continue;
     }
     timers_.cancel(waiting->limit);
-    waiting->respond(changes(waiting->gateway, table, waiting->after));
+    waiting->respond(changes(waiting->gateway, waiting->table, waiting->after));
     waiting = waiting_.erase(waiting);
   }
 }
 
+void Store::keepCopy() {
+  const absl::Time now = reactor::steadyNow();
+  copies_.push_back({now, tables_, version_, forgotten_});
+  while (copies_.front().made < now - kCopiesKept) {
+    copies_.pop_front();
+  }
+  timers_.schedule(now + kBetweenCopies, [this] { keepCopy(); });
+}
+
+void Store::goBack(absl::Duration ago) {
+  const absl::Time latest = reactor::steadyNow() - ago;
+  // What is newer than the copy never was, for a second restore as well.
+  while (!copies_.empty() && copies_.back().made > latest) {
+    copies_.pop_back();
+  }
+  const Copy copy = copies_.empty() ? Copy{latest, {}, 1, 0} : copies_.back();
+  const Tables lost = std::exchange(tables_, copy.tables);
+  version_ = copy.version;
+  forgotten_ = copy.forgotten;
+  ++era_;
+  answerWaiting([this](const Waiting& waiting) { return isGone(waiting.after); });
+  for (const char* const table : kTablesOfOthers) {
+    const auto written = lost.find(table);
+    if (written == lost.end()) {
+      continue;
+    }
+    for (const auto& [key, row] : written->second) {
+      const auto& rows = tables_[table];
+      const auto found = rows.find(key);
+      if (found == rows.end() || found->second.version != row.version) {
+        change(table, key, row.value, row.is_gone);
+      }
+    }
+  }
+}
+
 void Store::take(size_t gateway, const HttpHead& question, const std::string& body,
                  const reactor::PlainServer::Respond& respond) {
   const StoreTrouble& trouble = troubles_[gateway];
@@ -125,7 +177,7 @@
 }
 
 reactor::PlainAnswer Store::changes(size_t gateway, const std::string& table, uint64_t after) const {
-  if (after < forgotten_) {
+  if (isGone(after)) {
     return {410, "text/plain", ""};
   }
   std::string rows;
@@ -142,7 +194,7 @@
 void Store::follow(size_t gateway, const std::string& target, const reactor::PlainServer::Respond& respond) {
   const std::string table = parameter(target, "table");
   const uint64_t after = number(parameter(target, "after"));
-  bool is_news = after < forgotten_;
+  bool is_news = isGone(after);
   for (const auto& [key, row] : tables_[table]) {
     is_news = is_news || row.version > after;
   }
--- /dev/null
+++ b/tests/soak/store_test.cc
@@ -0,0 +1,112 @@
+// The stand-in store as a gateway sees it, above all one that goes back to a copy.
+#include "store.h"
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/str_cat.h>
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "reactor/http_caller.h"
+
+namespace quincewick::soak {
+namespace {
+
+struct Site {
+  boost::asio::io_context reactor;
+  reactor::TimerQueue timers{reactor};
+  Store store;
+  reactor::HttpCaller gateway;
+
+  explicit Site(bool tells_era = true)
+      : store(
+            reactor, timers, 1,
+            [](const std::string& /*table*/, const std::string& /*key*/, const std::string& value,
+               size_t /*gateway*/) { return value; },
+            tells_era),
+        gateway(reactor, timers, store.addressFor(0)) {}
+
+  reactor::HttpReply ask(const HttpCall& call) {
+    std::optional<reactor::HttpReply> reply;
+    gateway.call(call, absl::Seconds(5),
+                 [&reply](const Result<reactor::HttpReply>& given) { reply = given.value(); });
+    while (!reply) {
+      reactor.run_one();
+    }
+    return *reply;
+  }
+  nlohmann::json rowsOf(const std::string& table) {
+    return nlohmann::json::parse(ask({"GET", "/v1/rows-get?table=" + table, {}, ""}).body);
+  }
+  int write(const std::string& value, uint64_t expected) {
+    const nlohmann::json row = {{"table", "own"}, {"key", "row"}};
+    nlohmann::json condition = row;
+    condition["ver"] = expected;
+    nlohmann::json put = row;
+    put["value"] = absl::Base64Escape(value);
+    const nlohmann::json transaction = {{"expectedRevision", {condition}}, {"put", {put}}};
+    return ask({"POST", "/v1/rows-tx", {}, transaction.dump()}).head.status;
+  }
+  std::string era() {
+    const reactor::HttpReply reply = ask({"GET", "/v1/rows-get?table=own", {}, ""});
+    const std::string* const field = findField(reply.head.fields, "Store-Era");
+    return field == nullptr ? "" : *field;
+  }
+  void pass(absl::Duration time) {
+    bool is_over = false;
+    timers.schedule(reactor::steadyNow() + time, [&is_over] { is_over = true; });
+    while (!is_over) {
+      reactor.run_one();
+    }
+  }
+};
+
+TEST_CASE("a store that goes back to nothing gives versions out again, and others write anew") {
+  Site site;
+  site.store.put("op", "config", "one");
+  CHECK(site.write("first", 0) == 200);
+  const uint64_t version = site.rowsOf("own")["ver"];
+  CHECK(site.era() == "1");
+  site.store.goBack(absl::InfiniteDuration());
+  CHECK(site.era() == "2");
+  CHECK(site.rowsOf("own")["rows"].empty());
+  CHECK(site.rowsOf("op")["rows"].size() == 1);
+  CHECK(site.ask({"GET", absl::StrCat("/v1/rows-feed?table=own&after=", version, "&waitMs=9000"), {}, ""})
+            .head.status == 410);
+  CHECK(site.write("second", 0) == 200);
+  CHECK(site.rowsOf("own")["ver"].get<uint64_t>() == version);
+}
+
+TEST_CASE("a store that goes back to a copy has what gateways had written by then, and no more") {
+  Site site;
+  CHECK(site.write("first", 0) == 200);
+  site.store.put("servers", "s-1", "ready");
+  const nlohmann::json before = site.rowsOf("own");
+  site.pass(absl::Milliseconds(600));
+  CHECK(site.write("second", before["rows"][0]["ver"]) == 200);
+  site.store.remove("servers", "s-1");
+  site.store.goBack(absl::Milliseconds(100));
+  const nlohmann::json after = site.rowsOf("own");
+  CHECK(after["rows"] == before["rows"]);
+  CHECK(site.rowsOf("servers")["rows"].empty());
+}
+
+TEST_CASE("whoever waits for changes after a version that the store lost is told at once") {
+  Site site;
+  CHECK(site.write("first", 0) == 200);
+  const uint64_t version = site.rowsOf("own")["ver"];
+  site.timers.schedule(reactor::steadyNow() + absl::Milliseconds(100),
+                       [&site] { site.store.goBack(absl::InfiniteDuration()); });
+  CHECK(site.ask({"GET", absl::StrCat("/v1/rows-feed?table=own&after=", version, "&waitMs=9000"), {}, ""})
+            .head.status == 410);
+}
+
+TEST_CASE("a store that tells no era goes back without a word") {
+  Site site(false);
+  CHECK(site.era().empty());
+  site.store.goBack(absl::InfiniteDuration());
+  CHECK(site.era().empty());
+}
+
+}  // namespace
+}  // namespace quincewick::soak
