--- a/tests/soak/engines.cc
+++ b/tests/soak/engines.cc
@@ -11,6 +11,7 @@
 constexpr size_t kEngines = 3;
 constexpr size_t kConnectionsAtMost = 256;
 constexpr absl::Duration kLoadTime = absl::Milliseconds(300);
+constexpr absl::Duration kHeartbeat = absl::Milliseconds(400);
 constexpr const char* kModel = "m";
 constexpr const char* kInstanceId = "Quincewick-Instance-Id";
 
@@ -38,7 +39,7 @@
                   answer.further_fields.push_back({kInstanceId, id_});
                   respond(answer);
                 }) {
-    putEntry();
+    beat();
   }
 
  private:
@@ -99,11 +100,17 @@
                         R"(,"queued":0,"running":0,"kvUsed":0,"kvTotal":1000,"handles":0})");
   }
 
+  void beat() {
+    putEntry();
+    timers_.schedule(reactor::steadyNow() + kHeartbeat, [this] { beat(); });
+  }
+
   void putEntry() {
     store_.put("servers", id_,
                absl::StrCat(R"({"service":")", kService, R"(","address":"127.0.0.1:)", server_.port(),
                             R"(","zone":")", zone_, R"(","slots":8,"state":"ready","born":)",
-                            absl::ToUnixMillis(started_), R"(,"stage":"colocated",)", printModels(), "}"));
+                            absl::ToUnixMillis(started_), R"(,"stage":"colocated","sequence":)", ++writes_,
+                            ",", printModels(), "}"));
   }
 
   reactor::TimerQueue& timers_;
@@ -115,6 +122,7 @@
   absl::Time started_;
   uint64_t version_ = 1;
   uint64_t orders_taken_ = 0;
+  uint64_t writes_ = 0;  // of its entry
   bool is_loading_ = false;
   reactor::PlainServer server_;
 };
