--- a/src/forwarding/order_lease.h
+++ b/src/forwarding/order_lease.h
@@ -70,13 +70,15 @@
   // The row's, as the last write was answered.
   uint64_t version() const { return version_; }
   absl::Time validUntil() const { return valid_until_; }
-  // An engine knows a higher fence: this holder is not the last one.
-  void onFenced() { held_ = false; }
+  // A higher fence is known elsewhere, if told which: this holder is not the last one.
+  void onFenced(Epoch seen = Epoch());
 
  private:
   Epoch nextFence(absl::Duration store_clock) const;
   absl::Time firstOrder(const std::optional<LeaseRecord>& record, uint64_t version, const StoreMoment& moment,
                         absl::Time holder_heard) const;
+  // After a moment at which another may have renewed its lease for the last time.
+  absl::Duration longestWait() const;
   // After the last holder's end, as far as its record tells.
   absl::Time firstOrderByRecord(const LeaseRecord& record, const StoreMoment& moment) const;
   // Written by this process, and no other's take came between.
