--- a/tests/quota/shared_quotas_test.cc
+++ b/tests/quota/shared_quotas_test.cc
@@ -98,8 +98,8 @@
   CHECK(site.mostInAWindow() <= 1);
 }
 
-// Guards against a limit that is passed while keepers change: one that is cut off gives out all of it until it
-// notices, then an even share from a full bucket, and the next in rank gives out all of it to the others.
+// Guards against a limit that is passed while keepers change: one that is cut off gives out all of it until
+// it notices, then an even share from a full bucket, and the next in rank gives out all of it to the others.
 TEST_CASE("a keeper that is cut off and the one that follows it keep to the limit together") {
   for (const uint64_t seed : {1, 2, 3}) {
     Site site = makeSite(8, kLarge, 0, seed);
