Streams' property tests: an engine whose end has come has nothing to cancel

The harness counted an engine among the running ones until it was cancelled, though an engine that has sent its end, after all tokens, has nothing left to cancel. A caller who was behind the answer (tokens and end held, not all delivered yet) and left at that moment broke `engines_.empty()`. Traced, 9 tokens, unsent limit 1: the engine's last token and its end came, the caller had 6 of 9 tokens and left; on return it gets the rest and the end. src/streams does what docs/design/streams.md says and is unchanged.

The harness now marks an engine as finished once its end has reached the node with all tokens before it; only such an engine is let pass when the caller leaves. Its late and repeated ends still go into the network. Added: nothing runs after an end has been taken, at the end marker and, in both properties, at the end of the schedule. The case by hand is a test of its own.

--- a/tests/streams/answer_stream_test.cc
+++ b/tests/streams/answer_stream_test.cc
@@ -82,21 +82,42 @@
   bool cut() const { return cut_; }
   bool connected() const { return connected_; }
   uint64_t received() const { return received_; }
-  size_t running() const { return engines_.size(); }
+  // Engines with work that nobody cancelled and whose end the node hasn't seen.
+  int64_t running() const {
+    return std::count_if(engines_.begin(), engines_.end(),
+                         [](const auto& entry) { return !entry.second.finished; });
+  }
 
  private:
   struct Engine {
     uint64_t next = 0;  // offset of the token that it sends next
     bool reading = true;
+    bool finished = false;  // its end reached the node after all tokens: nothing is left to cancel
   };
 
   void feed(const AnswerEvent& event) {
+    const bool at_end = noteEnd(event);
     for (const AnswerAction& action : stream_.handle(event)) {
       std::visit([this](const auto& one) { carryOut(one); }, action);
     }
+    RC_ASSERT(!at_end || running() == 0);  // a hedge's loser doesn't outlive the end
     RC_ASSERT(unsent_ <= options_.unsent_limit_bytes + tokenAt(answer_size_).size());
   }
 
+  // Whether the event is the end of an engine that still counts, with all tokens before it at the node.
+  bool noteEnd(const AnswerEvent& event) {
+    const auto* end = std::get_if<EngineEnd>(&event);
+    if (end == nullptr || stream_.transcript().tokenCount() != answer_size_) {
+      return false;
+    }
+    const auto engine = engines_.find(end->attempt);
+    if (engine == engines_.end()) {
+      return false;
+    }
+    engine->second.finished = true;
+    return true;
+  }
+
   void carryOut(const DeliverToken& token) {
     RC_ASSERT(connected_ && !ended_ && !cut_);
     RC_ASSERT(engines_.size() <= 1u);  // the losers of a hedge are cancelled before the first token
@@ -109,6 +130,7 @@
     RC_ASSERT(connected_ && !ended_ && !cut_);
     RC_ASSERT(received_ == answer_size_);
     RC_ASSERT(end.end.token_count == answer_size_);
+    RC_ASSERT(running() == 0);
     ended_ = true;
   }
   void carryOut(const DeliverCut& /*cut*/) {
@@ -118,7 +140,7 @@
   void carryOut(const ResumeAtEngine& resume) {
     RC_ASSERT(engines_.count(resume.attempt) == 1u);
     RC_ASSERT(resume.from_offset <= answer_size_);
-    engines_[resume.attempt] = Engine{resume.from_offset, true};
+    engines_[resume.attempt] = Engine{resume.from_offset};
     in_flight_.push_back(EngineStarted{resume.attempt});
   }
   void carryOut(const StartAttempt& start) {
@@ -128,7 +150,7 @@
       expected += tokenAt(offset);
     }
     RC_ASSERT(start.generated_prefix == expected);
-    engines_[start.attempt] = Engine{start.from_offset, true};
+    engines_[start.attempt] = Engine{start.from_offset};
   }
   void carryOut(const CancelAtEngine& cancel) { engines_.erase(cancel.attempt); }
   void carryOut(const PauseReading& pause) { engines_.at(pause.attempt).reading = false; }
@@ -191,7 +213,7 @@
     if (connected_) {
       connected_ = false;
       feed(CallerGone{});
-      RC_ASSERT(engines_.empty());
+      RC_ASSERT(running() == 0);
       return;
     }
     connected_ = true;
@@ -232,7 +254,7 @@
     }
     world.settle();
     RC_ASSERT(world.ended() || world.cut());
-    RC_ASSERT(world.running() == 0u || world.ended());
+    RC_ASSERT(world.running() == 0);
   });
 }
 
@@ -250,9 +272,25 @@
     }
     world.settle();
     RC_ASSERT(world.ended());
+    RC_ASSERT(world.running() == 0);
   });
 }
 
+// Guards against counting an engine that has sent its end among those whose work must be cancelled.
+TEST_CASE("a caller who leaves after the engine's end leaves nothing to cancel and gets the rest on return") {
+  AnswerStream stream(AnswerOptions{.unsent_limit_bytes = 1});
+  stream.handle(RequestOpened{});
+  stream.handle(EngineToken{AttemptNumber(1), 0, tokenAt(0)});
+  stream.handle(EngineToken{AttemptNumber(1), 1, tokenAt(1)});
+  stream.handle(EngineEnd{AttemptNumber(1), 2, FinishReason::kStop, Usage{}});
+  REQUIRE_FALSE(stream.finished());
+  CHECK(stream.handle(CallerGone{}).empty());
+  const AnswerActions actions = stream.handle(CallerResumed{1});
+  REQUIRE(actions.size() == 2);
+  CHECK(std::get<DeliverToken>(actions[0]).offset == 1);
+  CHECK(std::get<DeliverEnd>(actions[1]).end.token_count == 2);
+}
+
 TEST_CASE("when the limits are used up, the caller is told, and whether anything ran") {
   AnswerStream stream(AnswerOptions{.maximum_attempts = 2});
   stream.handle(RequestOpened{});
