Divide each limit into parts with one holder each, so that a partition grants nothing twice

Cause: a limit had one owner by each gateway's own view. A partitioned owner granted the whole limit until it noticed, then an even share from a full bucket, beside its successor. Change: a limit has five parts, each assigned to one gateway whether it is up or not, zones in turn; only its holder grants from it. Requests ask holders in turn; one above a part's capacity gets a share of each. A new holder waits until all know of the members' change, a restarted one begins with an eighth of its part of the tolerance, a late grant is not used, a gateway that doesn't know the others yet grants nothing. A gateway that reaches no holder answers 503 at once. Why it works: what can't be reached can't be granted, and nobody grants it instead. The sum is r W + 0.04 r + b + T/2 of r W + b + T.

--- a/src/gateway/exchange_quota.cc
+++ b/src/gateway/exchange_quota.cc
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
 
 }  // namespace
 
@@ -41,6 +42,10 @@
   quota_owner_ = decision.owner;
   if (!decision.verdict.is_granted) {
     quota_cost_ = 0;
+    if (decision.is_unavailable) {
+      reject(kUnavailable, "limit_unavailable", decision.verdict.retry_after);
+      return;
+    }
     reject(kTooManyRequests, "over_limit", decision.verdict.retry_after);
     return;
   }
--- a/src/gateway/peer_directory.cc
+++ b/src/gateway/peer_directory.cc
@@ -133,6 +133,7 @@
   } else if (!has_own_row) {
     writeOwnRow(own_version);
   } else {
+    is_complete_ = true;
     core_.budget.noteNodes(peers_.size() + 1);
     readRowsLater(kRowsInterval);
   }
@@ -185,9 +186,10 @@
 }
 
 std::vector<routing::KeeperMember> PeerDirectory::ownerCandidates() const {
-  std::vector<routing::KeeperMember> members = {{core_.settings.gateway_id, core_.settings.capacity}};
+  std::vector<routing::KeeperMember> members = {
+      {core_.settings.gateway_id, core_.settings.capacity, core_.settings.zone}};
   for (const auto& [id, peer] : peers_) {
-    members.push_back({id, peer.capacity});
+    members.push_back({id, peer.capacity, peer.zone});
   }
   std::sort(members.begin(), members.end(),
             [](const auto& left, const auto& right) { return left.id < right.id; });
--- a/src/gateway/peer_directory.h
+++ b/src/gateway/peer_directory.h
@@ -43,6 +43,8 @@
   peer::Authenticator* authenticator() const { return authenticator_.get(); }
   absl::btree_map<NodeId, Peer>& peers() { return peers_; }
   const absl::btree_map<NodeId, Peer>& peers() const { return peers_; }
+  // Whether the others' rows were read after this gateway's own was written, or there are no peers to know.
+  bool isComplete() const { return !core_.settings.listen.peers || is_complete_; }
   // All gateways of the site, including this one, as candidates for owners of limits and engine occupancy.
   // Sorted by id.
   std::vector<routing::KeeperMember> ownerCandidates() const;
@@ -67,6 +69,7 @@
   std::unique_ptr<peer::Authenticator> authenticator_;
   absl::btree_map<NodeId, Peer> peers_;
   RefusedRows refused_rows_;
+  bool is_complete_ = false;
 };
 
 }  // namespace quincewick::gateway
--- a/src/gateway/quota_exchange.cc
+++ b/src/gateway/quota_exchange.cc
@@ -6,7 +6,7 @@
 namespace quincewick::gateway {
 namespace {
 
-// Bounds how late a new gateway counts among the owners, and how late this gateway notices that it receives
+// Bounds how late a new gateway counts among the holders, and how late this gateway notices that it receives
 // nothing from any peer.
 constexpr absl::Duration kHeartbeatInterval = absl::Milliseconds(250);
 
@@ -14,12 +14,12 @@
 
 QuotaExchange::QuotaExchange(Core& core, PeerDirectory& directory, PeerExchange& peers,
                              peer::PeerModule module, const quota::LimitTolerance& tolerance,
-                             quota::SharedQuotas::LimitOf limit_of, quota::NoOwnerPolicy unanswered)
+                             quota::SharedQuotas::LimitOf limit_of)
     : core_(core),
       directory_(directory),
       peers_(peers),
       module_(module),
-      quotas_(core.settings.gateway_id, tolerance, std::move(limit_of), unanswered) {}
+      quotas_(core.settings.gateway_id, tolerance, std::move(limit_of)) {}
 
 void QuotaExchange::start() {
   peers_.setMessageHandler(
@@ -29,12 +29,23 @@
 
 void QuotaExchange::heartbeat() {
   const absl::Time now = reactor::steadyNow();
-  quotas_.setMembers(directory_.ownerCandidates());
+  updateMembers();
   quotas_.onHeartbeat(!directory_.peers().empty() && peers_.areNearPeersSilent(now), now);
   core_.timers.schedule(now + kHeartbeatInterval, [this] { heartbeat(); });
 }
 
+// A gateway that knows no other yet would hold all parts of every limit.
+void QuotaExchange::updateMembers() {
+  if (directory_.isComplete()) {
+    has_members_ = true;
+    quotas_.setMembers(directory_.ownerCandidates());
+  }
+}
+
 uint64_t QuotaExchange::acquire(const quota::LimitName& name, double cost, DecisionCallback on_decision) {
+  if (!has_members_) {
+    updateMembers();
+  }
   quota::QuotaActions actions;
   const uint64_t number = quotas_.requestGrant(name, cost, reactor::steadyNow(), actions);
   waiting_[number] = std::move(on_decision);
--- a/src/gateway/quota_exchange.h
+++ b/src/gateway/quota_exchange.h
@@ -1,5 +1,5 @@
-// Acquires shares of limits from the gateways that own the limits' accounts, and serves the accounts that
-// this gateway owns, by datagrams. There is one instance for each kind of limit.
+// Acquires shares of limits from the gateways that hold the limits' parts, and grants from the parts that
+// this gateway holds, by datagrams. There is one instance for each kind of limit.
 #pragma once
 
 #include <absl/container/flat_hash_map.h>
@@ -19,8 +19,7 @@
  public:
   // `module`: envelope type of the messages of this kind of limit.
   QuotaExchange(Core& core, PeerDirectory& directory, PeerExchange& peers, peer::PeerModule module,
-                const quota::LimitTolerance& tolerance, quota::SharedQuotas::LimitOf limit_of,
-                quota::NoOwnerPolicy unanswered = quota::NoOwnerPolicy::kUseEvenShare);
+                const quota::LimitTolerance& tolerance, quota::SharedQuotas::LimitOf limit_of);
 
   void start();
 
@@ -37,6 +36,7 @@
   Result<void> receive(const NodeId& from, std::string_view payload);
   void execute(const quota::QuotaActions& actions);
   void heartbeat();
+  void updateMembers();
   void scheduleTick();
 
   Core& core_;
@@ -44,6 +44,7 @@
   PeerExchange& peers_;
   peer::PeerModule module_;
   quota::SharedQuotas quotas_;
+  bool has_members_ = false;
   absl::flat_hash_map<uint64_t, DecisionCallback> waiting_;
   reactor::TimerQueue::Key timer_;
   absl::Time timer_at_ = absl::InfiniteFuture();
--- a/src/gateway/server_rates.cc
+++ b/src/gateway/server_rates.cc
@@ -17,9 +17,8 @@
 
 ServerRates::ServerRates(Core& core, PeerDirectory& directory, PeerExchange& peers)
     : core_(core),
-      exchange_(
-          core, directory, peers, peer::PeerModule::kServerRates, kTolerance,
-          [](const quota::LimitName&) { return &kServerTimeLimit; }, quota::NoOwnerPolicy::kDenyRequest) {}
+      exchange_(core, directory, peers, peer::PeerModule::kServerRates, kTolerance,
+                [](const quota::LimitName&) { return &kServerTimeLimit; }) {}
 
 uint64_t ServerRates::acquire(const forwarding::Server& server, DecisionCallback on_decision) {
   RateGrant grant;
--- a/src/quota/quota_account.h
+++ b/src/quota/quota_account.h
@@ -1,9 +1,9 @@
-// Token bucket of one limit, held by the limit's owner. Pure; `now` never goes back.
+// Token bucket of one part of a limit, held by the gateway to which the part is assigned. Pure; `now` never
+// goes back.
 //
-// The bucket fills at the limit's rate. Half of the tolerance is headroom in the bucket; the other half
-// covers what two owners grant at the same time while one succeeds the other. The first in rank starts with a
-// full bucket. A stand-in starts with an eighth of the tolerance and falls back to that after a second
-// without requests, because another node may have owned the limit meanwhile.
+// The bucket fills at the part's share of the limit's rate. Its capacity is the same share of the burst and
+// of half of the tolerance. The other half covers costs on credit, responses on their way and holders that
+// restart: a holder that may have granted before its start begins with an eighth of the tolerance.
 #pragma once
 
 #include <absl/time/time.h>
@@ -17,33 +17,37 @@
   absl::Duration retry_after;  // if denied: when the requested amount will be available
 };
 
-// How much of a limit an owner may grant.
+// How much of a limit an account may grant.
 struct OwnerAllowance {
-  double rate_fraction = 1;  // of the limit's rate
-  // Whether unused rate accumulates for bursts. False: another node owned the limit recently and may have
-  // granted the same amount.
+  double fraction = 1;  // of the limit's rate, burst and tolerance
+  // Whether unused rate accumulates for bursts. False: what was granted recently from this part is unknown.
   bool may_accumulate = true;
-  // No node ranks before this one, so a second without requests does not mean that another owner was asked.
+  // No other node grants from this account's amount, so a second without requests does not mean that another
+  // one was asked.
   bool is_first_in_rank = true;
-  double initial_fraction = 1;  // of the balance that a succeeding owner starts with
+  // Whether a denied request is expected back at its retry time, and later ones are to return after it.
+  bool defers_denied = true;
 
   static OwnerAllowance full() { return {}; }
 };
 
 class QuotaAccount {
  public:
-  // Consumes `cost` or nothing. A cost above the initial balance of a succeeding owner is granted on credit
-  // as soon as the bucket holds that initial balance.
+  // Consumes `cost` or nothing. A cost above the bucket's capacity is granted on credit when the bucket is
+  // half full.
   QuotaVerdict tryConsume(double cost, const RateLimit& limit, const LimitTolerance& tolerance,
                           const OwnerAllowance& allowance, absl::Time now);
+  // The capacity of an account with this fraction of the limit, which is the largest cost without credit.
+  static double capacityOf(const RateLimit& limit, const LimitTolerance& tolerance, double fraction);
   // Returns what was consumed for a request that never ran.
   void refund(double cost) { balance_ += cost; }
 
   absl::Time lastRequest() const { return last_request_; }
 
  private:
-  void accrue(const RateLimit& limit, const LimitTolerance& tolerance, const OwnerAllowance& allowance,
-              absl::Time now);
+  // Returns the capacity, in the limit's unit.
+  double accrue(const RateLimit& limit, const LimitTolerance& tolerance, const OwnerAllowance& allowance,
+                absl::Time now);
 
   double balance_ = 0;   // negative: granted on credit
   double deferred_ = 0;  // cost of denied requests that may still be waiting for their retry time
--- a/src/quota/shared_quotas.cc
+++ b/src/quota/shared_quotas.cc
@@ -1,129 +1,197 @@
 #include "quota/shared_quotas.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace quincewick::quota {
 namespace {
 
-constexpr size_t kMaxCandidates = 3;  // gateways asked for one request
-constexpr absl::Duration kProbeInterval = absl::Milliseconds(100);
-// Fraction of the allowed overshoot that all stand-ins together may grant while another gateway is the owner.
-constexpr double kStandInFraction = 0.5;
-constexpr absl::Duration kMaxHeartbeatGap = absl::Seconds(1);  // between heartbeats of a running process
+// Parts of a limit. More lose less with each holder that is down; fewer hold larger requests.
+constexpr size_t kParts = 5;
+constexpr int kMaxSilentHolders = 3;  // of one request
+constexpr absl::Duration kProbeInterval = absl::Milliseconds(500);
+// Bounds the time for which gateways know different members.
+constexpr absl::Duration kViewPropagation = absl::Seconds(8);
 constexpr size_t kMaxAccounts = 4096;
-constexpr absl::Duration kNoOwnerRetryAfter = absl::Milliseconds(250);  // if no owner responded
+constexpr absl::Duration kUnreachableRetryAfter = absl::Milliseconds(250);  // if no holder responded
 
 }  // namespace
 
-void SharedQuotas::onHeartbeat(bool is_isolated, absl::Time now) {
-  const bool was_disconnected =
-      is_isolated || now - last_heartbeat_ > kMaxHeartbeatGap;  // also true at start
-  if (was_disconnected) {
-    rejoining_until_ = now + tolerance_.window;
+void SharedQuotas::setMembers(const std::vector<routing::KeeperMember>& members) {
+  if (members == members_) {
+    return;
   }
+  if (!members_.empty()) {
+    earlier_views_.push_back({ranks_, absl::InfiniteFuture()});
+  }
+  members_ = members;
+  ranks_.setMembers(members);
+}
+
+void SharedQuotas::onHeartbeat(bool is_isolated, absl::Time now) {
   is_isolated_ = is_isolated;
-  last_heartbeat_ = now;
+  first_heartbeat_ = std::min(first_heartbeat_, now);
+  for (View& view : earlier_views_) {
+    view.replaced_at = std::min(view.replaced_at, now);
+  }
+  std::erase_if(earlier_views_,
+                [now](const View& view) { return now - view.replaced_at > kViewPropagation; });
+}
+
+std::vector<NodeId> SharedQuotas::holdersOf(const LimitName& name) {
+  return ranks_.spreadOverZones(name.value(), kParts);
+}
+
+double SharedQuotas::partOf(const LimitName& name) {
+  const auto part_by = [&](routing::KeeperRanks& ranks) {
+    const std::vector<NodeId> holders = ranks.spreadOverZones(name.value(), kParts);
+    const bool is_holder = std::find(holders.begin(), holders.end(), self_) != holders.end();
+    return is_holder ? 1.0 / static_cast<double>(holders.size()) : 0.0;
+  };
+  double part = part_by(ranks_);
+  for (View& view : earlier_views_) {
+    part = std::min(part, part_by(view.ranks));
+  }
+  return part;
+}
+
+std::vector<NodeId> SharedQuotas::reachableHolders(const LimitName& name) {
+  std::vector<NodeId> holders = holdersOf(name);
+  std::erase_if(holders, [this](const NodeId& holder) {
+    return holder != self_ && (is_isolated_ || ranks_.isSuspected(holder));
+  });
+  return holders;
 }
 
 uint64_t SharedQuotas::requestGrant(const LimitName& name, double cost, absl::Time now,
                                     QuotaActions& actions) {
+  probeSuspected(name, now, actions);
   const uint64_t number = ++last_number_;
-  tryNextOwner(number, pending_[number] = {name, cost, false, {}, now}, now, actions);
+  PendingRequest& request = pending_[number];
+  request.name = name;
+  request.cost = cost;
+  request.holders = reachableHolders(name);
+  request.last_deadline = now + kMaxSilentHolders * kResponseTimeout;
+  const auto count = static_cast<ptrdiff_t>(request.holders.size());
+  const RateLimit* const limit = limit_of_(name);
+  if (limit != nullptr && cost > QuotaAccount::capacityOf(*limit, tolerance_, 1.0 / kParts)) {
+    // All requesters ask in the same order, so that two don't take shares from each other.
+    request.is_shared = true;
+    request.cost = cost / static_cast<double>(std::max<ptrdiff_t>(count, 1));
+  } else if (count > 0) {
+    // Requests begin at different holders, so that all parts are used alike.
+    const auto first = static_cast<ptrdiff_t>(number) % count;
+    std::rotate(request.holders.begin(), request.holders.begin() + first, request.holders.end());
+  }
+  askNextHolder(number, request, now, actions);
   return number;
 }
 
-void SharedQuotas::tryNextOwner(uint64_t number, PendingRequest& request, absl::Time now,
-                                QuotaActions& actions) {
-  const LimitName name = request.name;
-  const double cost = request.cost;
-  if (!is_isolated_ && request.tried.size() < kMaxCandidates) {
-    for (const NodeId& candidate : ranks_.candidates(name.value())) {
-      if (std::find(request.tried.begin(), request.tried.end(), candidate) != request.tried.end()) {
-        continue;
-      }
-      if (candidate == self_) {
-        pending_.erase(number);
-        actions.decisions.push_back({number, decideAsOwner(name, cost, now, actions), self_});
-        return;
-      }
-      const bool is_first_candidate = request.tried.empty();
-      request.tried.push_back(candidate);
-      request.deadline = now + kResponseTimeout;
-      actions.messages.push_back(
-          {candidate, {QuotaMessageKind::kRequestGrant, number, name, cost, is_first_candidate, {}}});
-      return;
-    }
+void SharedQuotas::askNextHolder(uint64_t number, PendingRequest& request, absl::Time now,
+                                 QuotaActions& actions) {
+  if (request.wereAllAsked() || now >= request.last_deadline) {
+    deny(number, request, actions);
+    return;
+  }
+  const bool is_first = request.asked == 0;
+  const NodeId& holder = request.holders[request.asked++];
+  if (holder != self_) {
+    request.deadline = std::min(now + kResponseTimeout, request.last_deadline);
+    actions.messages.push_back(
+        {holder, {QuotaMessageKind::kRequestGrant, number, request.name, request.cost, is_first, {}}});
+    return;
+  }
+  const QuotaVerdict verdict = decideFromPart(request.name, request.cost, is_first, now);
+  if (verdict.is_granted) {
+    onGranted(number, request, now, actions);
+  } else {
+    request.retry_after = request.retry_after.value_or(verdict.retry_after);
+    onNotGranted(number, request, now, actions);
   }
+}
+
+void SharedQuotas::onGranted(uint64_t number, PendingRequest& request, absl::Time now,
+                             QuotaActions& actions) {
+  if (request.is_shared && !request.wereAllAsked()) {
+    askNextHolder(number, request, now, actions);
+    return;
+  }
+  const NodeId owner = request.is_shared ? NodeId() : request.lastAsked();
   pending_.erase(number);
-  const bool is_denied = !is_isolated_ && no_owner_policy_ == NoOwnerPolicy::kDenyRequest;
-  actions.decisions.push_back(
-      {number, is_denied ? QuotaVerdict{false, kNoOwnerRetryAfter} : decideByEvenShare(name, cost, now),
-       NodeId()});
+  actions.decisions.push_back({number, {true, absl::ZeroDuration()}, owner, false});
 }
 
-QuotaVerdict SharedQuotas::decideAsOwner(const LimitName& name, double cost, absl::Time now,
-                                         QuotaActions& actions) {
-  const RateLimit* const limit = limit_of_(name);
-  if (limit == nullptr) {
-    return {true, absl::ZeroDuration()};
+void SharedQuotas::onNotGranted(uint64_t number, PendingRequest& request, absl::Time now,
+                                QuotaActions& actions) {
+  if (!request.is_shared) {
+    askNextHolder(number, request, now, actions);
+    return;
   }
-  const bool is_owner = isOwner(name);
-  const std::vector<NodeId> before = ranks_.before(name.value(), self_);
-  probe(before, name, now, actions);
-  // Several gateways stand in at the same time if some requesters can't reach the owner and others can't
-  // reach the next in rank either. Each has half the share of the one before it in rank, so that together
-  // they stay within the fraction of one stand-in.
-  const double share = std::exp2(-static_cast<double>(before.size()));
-  const OwnerAllowance allowance = {is_owner ? 1 : tolerance_.overshoot * kStandInFraction * share,
-                                    is_owner && now >= rejoining_until_, before.empty(),
-                                    is_owner ? 1 : share};
-  forgetIdleAccounts(now);
-  return owned_accounts_[name].tryConsume(cost, *limit, tolerance_, allowance, now);
+  for (size_t granted = 0; granted + 1 < request.asked; ++granted) {
+    refund(request.name, request.cost, request.holders[granted], actions);
+  }
+  deny(number, request, actions);
+}
+
+void SharedQuotas::deny(uint64_t number, PendingRequest& request, QuotaActions& actions) {
+  const bool is_unavailable = !request.retry_after.has_value();
+  const absl::Duration retry_after = request.retry_after.value_or(kUnreachableRetryAfter);
+  pending_.erase(number);
+  actions.decisions.push_back({number, {false, retry_after}, NodeId(), is_unavailable});
 }
 
-QuotaVerdict SharedQuotas::decideByEvenShare(const LimitName& name, double cost, absl::Time now) {
+QuotaVerdict SharedQuotas::decideFromPart(const LimitName& name, double cost, bool defers_denied,
+                                          absl::Time now) {
   const RateLimit* const limit = limit_of_(name);
   if (limit == nullptr) {
     return {true, absl::ZeroDuration()};
   }
-  const double share = 1.0 / static_cast<double>(std::max<size_t>(ranks_.members(), 1));
-  RateLimit own = *limit;
-  own.per_second *= share;
-  own.burst *= share;
-  LimitTolerance tolerance = tolerance_;
-  tolerance.slack *= share;
-  return even_share_accounts_[name].tryConsume(cost, own, tolerance, OwnerAllowance::full(), now);
-}
-
-bool SharedQuotas::isOwner(const LimitName& name) {
-  const std::vector<NodeId> candidates = ranks_.candidates(name.value());
-  return candidates.empty() || candidates.front() == self_;
+  const double part = partOf(name);
+  if (part <= 0) {
+    return {false, kUnreachableRetryAfter};
+  }
+  forgetIdleAccounts(now);
+  const auto [account, is_new] = accounts_.try_emplace(name);
+  // What this gateway granted before it started is unknown.
+  const bool may_have_granted = is_new && now - first_heartbeat_ < tolerance_.window;
+  const OwnerAllowance allowance = {part, !may_have_granted, true, defers_denied};
+  return account->second.tryConsume(cost, *limit, tolerance_, allowance, now);
 }
 
-// Checks whether nodes that rank before this one are reachable.
-void SharedQuotas::probe(const std::vector<NodeId>& nodes, const LimitName& name, absl::Time now,
-                         QuotaActions& actions) {
-  for (const NodeId& node : nodes) {
-    absl::Time& last = last_probe_.try_emplace(node, absl::InfinitePast()).first->second;
+// Checks whether holders that didn't respond are reachable again.
+void SharedQuotas::probeSuspected(const LimitName& name, absl::Time now, QuotaActions& actions) {
+  for (const NodeId& holder : holdersOf(name)) {
+    if (!ranks_.isSuspected(holder)) {
+      continue;
+    }
+    absl::Time& last = last_probe_.try_emplace(holder, absl::InfinitePast()).first->second;
     if (now - last < kProbeInterval) {
       continue;
     }
     last = now;
     const uint64_t number = ++last_number_;
-    pending_[number] = {name, 0, true, {node}, now + kResponseTimeout};
-    actions.messages.push_back({node, {QuotaMessageKind::kRequestGrant, number, name, 0, true, {}}});
+    PendingRequest& probe = pending_[number];
+    probe.name = name;
+    probe.is_probe = true;
+    probe.holders = {holder};
+    probe.asked = 1;
+    probe.deadline = now + kResponseTimeout;
+    actions.messages.push_back({holder, {QuotaMessageKind::kRequestGrant, number, name, 0, true, {}}});
   }
 }
 
 void SharedQuotas::refund(const LimitName& name, double cost, const NodeId& owner, QuotaActions& actions) {
   if (owner == self_) {
-    if (const auto account = owned_accounts_.find(name); account != owned_accounts_.end()) {
+    if (const auto account = accounts_.find(name); account != accounts_.end()) {
       account->second.refund(cost);
     }
   } else if (!owner.value().empty()) {
     actions.messages.push_back({owner, {QuotaMessageKind::kRefund, 0, name, cost, true, {}}});
+  } else {
+    const std::vector<NodeId> holders = reachableHolders(name);
+    for (const NodeId& holder : holders) {
+      refund(name, cost / static_cast<double>(holders.size()), holder, actions);
+    }
   }
 }
 
@@ -149,36 +217,34 @@
                                  QuotaActions& actions) {
   QuotaMessage reply = {QuotaMessageKind::kGrant, request.number, request.name, 0, true, {}};
   const bool is_probe = request.cost <= 0;
-  if (!is_probe && request.is_first_candidate && !isOwner(request.name)) {
+  if (!is_probe && partOf(request.name) <= 0) {
     reply.kind = QuotaMessageKind::kNotOwner;
   } else if (!is_probe) {
-    const QuotaVerdict verdict = decideAsOwner(request.name, request.cost, now, actions);
+    const QuotaVerdict verdict = decideFromPart(request.name, request.cost, request.is_first_candidate, now);
     reply.kind = verdict.is_granted ? QuotaMessageKind::kGrant : QuotaMessageKind::kDeny;
     reply.retry_after = verdict.retry_after;
   }
   actions.messages.push_back({from, reply});
 }
 
+// A late grant counts as used, a small loss for the limit's owner: work that starts long after the grant
+// would add to what is granted meanwhile.
 void SharedQuotas::handleResponse(const NodeId& from, const QuotaMessage& message, absl::Time now,
                                   QuotaActions& actions) {
   const auto found = pending_.find(message.number);
-  const bool is_awaited = found != pending_.end() && found->second.tried.back() == from;
-  if (!is_awaited) {
-    return;  // late response: its grant counts as used, a small loss for the limit's holder
+  if (found == pending_.end() || found->second.lastAsked() != from || now >= found->second.deadline) {
+    return;
   }
   PendingRequest& request = found->second;
-  if (message.kind == QuotaMessageKind::kNotOwner) {
-    for (const NodeId& node : ranks_.before(request.name.value(), from)) {
-      ranks_.noteHeard(node);  // `from` can reach it
+  if (request.is_probe) {
+    pending_.erase(found);
+  } else if (message.kind == QuotaMessageKind::kGrant) {
+    onGranted(message.number, request, now, actions);
+  } else {
+    if (message.kind == QuotaMessageKind::kDeny) {
+      request.retry_after = request.retry_after.value_or(message.retry_after);
     }
-    tryNextOwner(message.number, request, now, actions);
-    return;
-  }
-  const bool is_probe = request.is_probe;
-  pending_.erase(found);
-  if (!is_probe) {
-    const bool is_granted = message.kind == QuotaMessageKind::kGrant;
-    actions.decisions.push_back({message.number, {is_granted, message.retry_after}, from});
+    onNotGranted(message.number, request, now, actions);
   }
 }
 
@@ -191,11 +257,11 @@
   }
   for (const uint64_t number : late) {
     PendingRequest& request = pending_.at(number);
-    ranks_.noteSilence(request.tried.back());
+    ranks_.noteSilence(request.lastAsked());
     if (request.is_probe) {
       pending_.erase(number);
     } else {
-      tryNextOwner(number, request, now, actions);
+      onNotGranted(number, request, now, actions);
     }
   }
 }
@@ -208,12 +274,12 @@
   return next;
 }
 
-// Accounts unused for a window hold the same state as new ones.
+// Nothing was granted from such an account within a window, so a new one may begin with a full bucket.
 void SharedQuotas::forgetIdleAccounts(absl::Time now) {
-  if (owned_accounts_.size() < kMaxAccounts) {
+  if (accounts_.size() < kMaxAccounts) {
     return;
   }
-  absl::erase_if(owned_accounts_,
+  absl::erase_if(accounts_,
                  [&](const auto& entry) { return now - entry.second.lastRequest() > tolerance_.window; });
 }
 
--- a/src/routing/keeper_ranks.h
+++ b/src/routing/keeper_ranks.h
@@ -20,6 +20,7 @@
 struct KeeperMember {
   NodeId id;
   double capacity = 1;  // of its machine, in the unit of all others
+  ZoneName zone = {};   // empty: unknown
 
   friend bool operator==(const KeeperMember&, const KeeperMember&) = default;
 };
@@ -33,6 +34,10 @@
   // Those that may keep the subject's books, the first one first, without the suspected ones.
   std::vector<NodeId> candidates(std::string_view subject);
 
+  // Those among which a subject is divided, `count` at most, suspected ones too: the first of each zone in
+  // rank, then the second of each, and so on. A zone that fails takes few of them away.
+  std::vector<NodeId> spreadOverZones(std::string_view subject, size_t count);
+
   // Those that rank before the node for the subject, suspected ones too; all that rank where it doesn't.
   std::vector<NodeId> before(std::string_view subject, const NodeId& node);
 
@@ -43,10 +48,15 @@
   bool isSuspected(const NodeId& node) const;
 
  private:
-  const std::vector<NodeId>& rankedFor(std::string_view subject);
+  struct Ranking {
+    std::vector<NodeId> ranked;  // the first ones of all members
+    std::vector<NodeId> spread;  // the first ones, zones in turn
+  };
+
+  const Ranking& rankingOf(std::string_view subject);
 
   std::vector<KeeperMember> members_;
-  absl::btree_map<std::string, std::vector<NodeId>, std::less<>> ranked_;  // of the members as they are now
+  absl::btree_map<std::string, Ranking, std::less<>> rankings_;  // of the members as they are now
   absl::btree_map<NodeId, uint32_t> unanswered_;  // questions in a row, of nodes with one at least
 };
 
--- a/tests/quota/quota_site.h
+++ b/tests/quota/quota_site.h
@@ -34,14 +34,13 @@
   // `draw_cost`: draws the cost of each request, in the limit's unit.
   using DrawCost = std::function<double(Site& site)>;
   Site(size_t count, RateLimit limit, const LimitTolerance& tolerance, double loss, uint64_t seed,
-       DrawCost draw_cost, NoOwnerPolicy no_owner_policy = NoOwnerPolicy::kUseEvenShare)
+       DrawCost draw_cost)
       : gateways_(count),
         limit_(limit),
         tolerance_(tolerance),
         loss_(loss),
         random_(seed),
-        draw_cost_(std::move(draw_cost)),
-        no_owner_policy_(no_owner_policy) {
+        draw_cost_(std::move(draw_cost)) {
     for (size_t index = 0; index < count; ++index) {
       start(index);
     }
@@ -49,8 +48,8 @@
 
   void start(size_t index) {
     Gateway& gateway = gateways_[index];
-    gateway.quotas = std::make_unique<SharedQuotas>(
-        idOf(index), tolerance_, [this](const LimitName&) { return &limit_; }, no_owner_policy_);
+    gateway.quotas =
+        std::make_unique<SharedQuotas>(idOf(index), tolerance_, [this](const LimitName&) { return &limit_; });
     gateway.quotas->setMembers(members());
     gateway.is_up = true;
     gateway.started = now_;
@@ -63,7 +62,22 @@
     }
     return result;
   }
+  // Adds a gateway with an address of its own, which starts now. The others know of it at once.
+  size_t add() {
+    gateways_.emplace_back();
+    const size_t index = gateways_.size() - 1;
+    start(index);
+    for (Gateway& gateway : gateways_) {
+      gateway.quotas->setMembers(members());
+    }
+    return index;
+  }
   void stop(size_t index) { gateways_[index].is_up = false; }
+  // From now on this fraction of the requests arrives at one gateway.
+  void crowdAt(size_t index, double fraction) {
+    crowded_ = index;
+    crowding_ = fraction;
+  }
   Gateway& gateway(size_t index) { return gateways_[index]; }
   size_t size() const { return gateways_.size(); }
   // The first in rank among the owners of kName.
@@ -106,7 +120,9 @@
     while (demand_backlog_ > 0) {
       const double cost = draw_cost_(*this);
       demand_backlog_ -= cost;
-      const auto index = static_cast<size_t>(uniform(0, static_cast<double>(gateways_.size())));
+      const bool is_crowded = crowding_ > 0 && uniform(0, 1) < crowding_;
+      const size_t index =
+          is_crowded ? crowded_ : static_cast<size_t>(uniform(0, static_cast<double>(gateways_.size())));
       if (isRunning(index)) {
         ++requests;
         QuotaActions actions;
@@ -206,7 +222,6 @@
   double loss_;
   std::mt19937_64 random_;
   DrawCost draw_cost_;
-  NoOwnerPolicy no_owner_policy_;
   absl::Time now_ = absl::UnixEpoch() + absl::Hours(1);
   std::multimap<absl::Time, InFlightMessage> in_flight_;
   std::map<size_t, std::map<uint64_t, double>> pending_costs_;
@@ -214,6 +229,8 @@
   // Time of each grant, and since when its gateway had been undisturbed.
   std::vector<std::pair<absl::Time, absl::Time>> granted_since_disturbed_;
   double demand_backlog_ = 0;
+  size_t crowded_ = 0;
+  double crowding_ = 0;  // fraction of the requests
 };
 
 inline void run(Site& site, absl::Duration time, double demand_per_second) {
--- a/tests/quota/server_rate_test.cc
+++ b/tests/quota/server_rate_test.cc
@@ -14,13 +14,7 @@
 const LimitTolerance kTolerance{absl::Seconds(4), 0.5, 0};
 
 Site makeSite(size_t count, double rate, double loss, uint64_t seed) {
-  return {count,
-          kSecondsASecond,
-          kTolerance,
-          loss,
-          seed,
-          [rate](Site&) { return 1 / rate; },
-          NoOwnerPolicy::kDenyRequest};
+  return {count, kSecondsASecond, kTolerance, loss, seed, [rate](Site&) { return 1 / rate; }};
 }
 
 // The most requests that a server that set the rate may get in 4 s.
