Close a rollout's target while nobody judges it, and judge a successor's first reports at once

Change: while finishing the target closes 5 s after the last notice or new record; a span that shows the target to be bad is judged before it ends. Why it works: a successor sends notices within 5 s (a lease of 3 s, its turn, a notice), so only a rollout without any lease holder closes; the first reports to a successor carry everything since the rollout began. Two cases added.

--- a/src/staged_rollout/traffic_splitter.cc
+++ b/src/staged_rollout/traffic_splitter.cc
@@ -16,7 +16,7 @@
 
 }  // namespace
 
-void TrafficSplitter::take(const KnownRecord& known) {
+void TrafficSplitter::take(const KnownRecord& known, absl::Time as_of) {
   if (known_ && known.row <= known_->row) {
     return;
   }
@@ -26,16 +26,17 @@
     buckets_.clear();
   }
   known_ = known;
+  row_as_of_ = as_of;
 }
 
 void TrafficSplitter::takeRecord(const KnownRecord& known, absl::Time as_of) {
-  take(known);
+  take(known, as_of);
   confirmRecord(as_of);
 }
 
 // A notice with an older record than the known one comes from a lease holder that was replaced.
 void TrafficSplitter::takeNotice(const RolloutNotice& notice, absl::Time now) {
-  take(notice.known);
+  take(notice.known, now);
   if (notice.known.row < known_->row) {
     return;
   }
@@ -81,9 +82,10 @@
   if (!isRunning() || known_->record.request_row == stopped_request_row_) {
     return false;
   }
-  // While finishing, the target is the only version that gets requests.
-  const bool is_only_side = known_->record.stage == RolloutStage::kFinishing;
-  return is_only_side || now < notice_received_at_ + kNoticeTtl;
+  if (known_->record.stage == RolloutStage::kFinishing) {
+    return now < std::max(notice_received_at_, row_as_of_) + kFinishingTtl;
+  }
+  return now < notice_received_at_ + kNoticeTtl;
 }
 
 bool TrafficSplitter::mayUse(const SoftwareVersion& version, absl::Duration store_clock,
--- a/src/staged_rollout/traffic_splitter.h
+++ b/src/staged_rollout/traffic_splitter.h
@@ -70,9 +70,12 @@
   // How long a notice is valid, and a record that was read.
   static constexpr absl::Duration kNoticeTtl = absl::Milliseconds(1500);
   static constexpr absl::Duration kRecordTtl = absl::Milliseconds(2500);
+  // How long the target stays open while finishing, when no other version is: a successor of a lease holder
+  // that crashed sends its first notice within this. After it nobody judges the target.
+  static constexpr absl::Duration kFinishingTtl = absl::Seconds(5);
 
  private:
-  void take(const KnownRecord& known);
+  void take(const KnownRecord& known, absl::Time as_of);
   bool isBaseOpen(absl::Duration store_clock, absl::Time now) const;
   bool isTargetOpen(absl::Time now) const;
 
@@ -80,7 +83,8 @@
   std::optional<KnownRecord> known_;
   absl::Time record_as_of_ = absl::InfinitePast();
   absl::Time notice_received_at_ = absl::InfinitePast();
-  uint64_t stopped_request_row_ = 0;  // the operator's request whose target was found bad
+  absl::Time row_as_of_ = absl::InfinitePast();  // when the known row was first received
+  uint64_t stopped_request_row_ = 0;             // the operator's request whose target was found bad
   std::optional<SoftwareVersion> guessed_base_;
   absl::flat_hash_map<uint64_t, double> buckets_;  // tokens by route
 };
--- a/src/staged_rollout/version_verdict.cc
+++ b/src/staged_rollout/version_verdict.cc
@@ -78,7 +78,8 @@
 void VersionVerdict::judge(absl::Time now) {
   for (auto& [stratum, span] : spans_) {
     const bool is_comparable = span.base.answers >= kMinBaselineResponses;
-    if (now - span.began < (is_comparable ? kMinSpan : kMaxSpan)) {
+    const bool has_ended = now - span.began >= (is_comparable ? kMinSpan : kMaxSpan);
+    if (!has_ended && !(is_comparable && judgementWith(stratum, span).is_bad)) {
       continue;
     }
     judgeSpan(stratum, span);
@@ -88,30 +89,42 @@
   }
 }
 
+VersionVerdict::Judgement VersionVerdict::judgementWith(const Stratum& stratum, const Span& span) const {
+  const size_t slowest_good = slowestGoodBucket(span.base);
+  const uint64_t bad_in_baseline = span.base.failures + span.base.slowerThan(slowest_good);
+  const double expected = expectedBadRate(bad_in_baseline, span.base.answers);
+  const auto known = tests_.find(stratum);
+  Judgement judgement;
+  judgement.test = known == tests_.end() ? SequentialTest() : known->second;
+  judgement.overall_test = overall_test_;
+  judgement.bad = span.target.failures + span.target.slowerThan(slowest_good);
+  judgement.test.note(judgement.bad, span.target.answers, expected);
+  judgement.overall_test.note(judgement.bad, span.target.answers, expected);
+  const double excess =
+      static_cast<double>(judgement.bad) - expected * static_cast<double>(span.target.answers);
+  judgement.excess_bad_responses = std::max(excess_bad_responses_ + excess, 0.0);
+  const double threshold = thresholdForBad(tests_.size() + (known == tests_.end() ? 1 : 0));
+  judgement.is_bad = judgement.test.evidence >= threshold || judgement.overall_test.evidence >= threshold ||
+                     judgement.excess_bad_responses >= kMaxExcessBadResponses;
+  return judgement;
+}
+
 void VersionVerdict::judgeSpan(const Stratum& stratum, const Span& span) {
   if (span.target.answers == 0) {
     return;
   }
-  const size_t slowest_good = slowestGoodBucket(span.base);
-  const uint64_t bad = span.target.failures + span.target.slowerThan(slowest_good);
-  const uint64_t bad_in_baseline = span.base.failures + span.base.slowerThan(slowest_good);
-  const double expected = expectedBadRate(bad_in_baseline, span.base.answers);
-  SequentialTest& test = tests_[stratum];
-  test.note(bad, span.target.answers, expected);
-  overall_test_.note(bad, span.target.answers, expected);
-  bad_responses_ += bad;
+  const Judgement judgement = judgementWith(stratum, span);
+  tests_[stratum] = judgement.test;
+  overall_test_ = judgement.overall_test;
+  bad_responses_ += judgement.bad;
   target_responses_ += span.target.answers;
-  excess_bad_responses_ += static_cast<double>(bad) - expected * static_cast<double>(span.target.answers);
-  excess_bad_responses_ = std::max(excess_bad_responses_, 0.0);
-  const bool is_found_bad = test.evidence >= thresholdForBad() ||
-                            overall_test_.evidence >= thresholdForBad() ||
-                            excess_bad_responses_ >= kMaxExcessBadResponses;
-  is_bad_ = is_bad_ || is_found_bad;
+  excess_bad_responses_ = judgement.excess_bad_responses;
+  is_bad_ = is_bad_ || judgement.is_bad;
 }
 
 // The probability of a false verdict is divided among all tests.
-double VersionVerdict::thresholdForBad() const {
-  return std::log(static_cast<double>(tests_.size() + 1) / kFalseVerdictProbability);
+double VersionVerdict::thresholdForBad(size_t strata) {
+  return std::log(static_cast<double>(strata + 1) / kFalseVerdictProbability);
 }
 
 bool VersionVerdict::isEveryRouteCovered() const {
--- a/src/staged_rollout/version_verdict.h
+++ b/src/staged_rollout/version_verdict.h
@@ -28,7 +28,8 @@
 
   // Adds what one gateway's stats gained since its last report: responses of both variants of one span.
   void take(const ResponseStats& more, absl::Time now);
-  // Evaluates the spans that have ended.
+  // Evaluates the spans that have ended, and those that already show the target to be bad: the first reports
+  // to a new lease holder carry all responses since the rollout began.
   void judge(absl::Time now);
   // A bad verdict is final.
   Verdict verdict() const;
@@ -52,8 +53,18 @@
     void note(uint64_t bad, uint64_t more_responses, double expected_rate);
   };
 
+  // A stratum's tests and the sums, with one more span.
+  struct Judgement {
+    SequentialTest test;
+    SequentialTest overall_test;
+    uint64_t bad = 0;
+    double excess_bad_responses = 0;
+    bool is_bad = false;
+  };
+
+  Judgement judgementWith(const Stratum& stratum, const Span& span) const;
   void judgeSpan(const Stratum& stratum, const Span& span);
-  double thresholdForBad() const;
+  static double thresholdForBad(size_t strata);
   bool isEveryRouteCovered() const;
 
   absl::btree_map<Stratum, Span> spans_;
--- a/tests/staged_rollout/rollout_site_test.cc
+++ b/tests/staged_rollout/rollout_site_test.cc
@@ -336,6 +336,24 @@
   CHECK(splitter.mayUse(kOld, absl::ZeroDuration(), kStart));
 }
 
+// Guards against a target that gets requests while nobody judges it: no other version is open while
+// finishing.
+TEST_CASE("while finishing the target closes when no lease holder has sent notices for 5 s") {
+  TrafficSplitter splitter(TrafficSplitterSettings{kShare});
+  RolloutRecord finishing = initialRecord(kPool, kOld);
+  finishing.request_row = 7;
+  finishing.target = kNew;
+  finishing.stage = RolloutStage::kFinishing;
+  splitter.takeNotice({{finishing, 8}, false}, kStart);
+  const absl::Duration clock = absl::Seconds(100);
+  CHECK(splitter.mayUse(kNew, clock, kStart + absl::Milliseconds(4900)));
+  splitter.takeRecord({finishing, 8}, kStart + absl::Milliseconds(4900));
+  CHECK_FALSE(splitter.mayUse(kNew, clock, kStart + absl::Seconds(5)));
+  CHECK_FALSE(splitter.choose(kRoute, 0, clock, kStart + absl::Seconds(5)).has_value());
+  splitter.takeNotice({{finishing, 8}, false}, kStart + absl::Seconds(6));
+  CHECK(splitter.mayUse(kNew, clock, kStart + absl::Seconds(6)));
+}
+
 TEST_CASE(
     "servers of a version that wasn't requested get nothing, in whatever order servers and gateways start") {
   TrafficSplitter first(TrafficSplitterSettings{kShare});
--- a/tests/staged_rollout/version_verdict_test.cc
+++ b/tests/staged_rollout/version_verdict_test.cc
@@ -188,5 +188,23 @@
   CHECK(anew.since(first) == anew);
 }
 
+// Guards against requests to a bad version while a new lease holder waits for a span to end.
+TEST_CASE("the first report to a new lease holder is judged at once if it shows the target to be bad") {
+  const Stratum stratum{kLong, false};
+  ResponseStats since_the_start;
+  for (int number = 0; number < 500; ++number) {
+    since_the_start.noteResponse(Variant::kBaseline, stratum, absl::Milliseconds(100));
+  }
+  for (int number = 0; number < 50; ++number) {
+    since_the_start.noteFailure(Variant::kTarget, stratum);
+    since_the_start.noteResponse(Variant::kTarget, stratum, absl::Milliseconds(100));
+  }
+  VersionVerdict verdict;
+  verdict.take(since_the_start, kStart);
+  verdict.judge(kStart);
+  CHECK(verdict.verdict() == Verdict::kBad);
+  CHECK(verdict.badResponses() == 50);
+}
+
 }  // namespace
 }  // namespace quincewick::staged_rollout
