Reject a policy's text that isn't UTF-8 or can't be printed

Cause: the YAML emitter prints U+FFFD for text that isn't UTF-8, for surrogates and noncharacters. Evidence: the shrunk cases share nothing but the byte 0xff. Change: loadYaml, which all readers of YAML go through, checks each scalar after escapes are resolved: "not UTF-8 text", with line and column. The test of six such texts fails before for want of the fault.

--- a/src/configuration/yaml_cursor.cc
+++ b/src/configuration/yaml_cursor.cc
@@ -3,7 +3,9 @@
 #include <absl/strings/str_cat.h>
 #include <yaml-cpp/eventhandler.h>
 
+#include <array>
 #include <sstream>
+#include <string_view>
 
 namespace quincewick::configuration {
 namespace {
@@ -19,6 +21,48 @@
           std::move(message)};
 }
 
+// Length of the UTF-8 sequence that starts with this byte; 0: none does.
+size_t sequenceLength(unsigned char first) {
+  if (first < 0x80) {
+    return 1;
+  }
+  return first < 0xC0 ? 0 : first < 0xE0 ? 2 : first < 0xF0 ? 3 : first < 0xF8 ? 4 : 0;
+}
+
+// Whether printing the code point of a sequence of this length reads back the same: the YAML emitter replaces
+// overlong sequences, surrogates and noncharacters.
+bool isPrintable(uint32_t code_point, size_t length) {
+  constexpr std::array<uint32_t, 5> kLeast = {0, 0, 0x80, 0x800, 0x10000};
+  const bool is_surrogate = code_point >= 0xD800 && code_point <= 0xDFFF;
+  const bool is_noncharacter =
+      (code_point & 0xFFFE) == 0xFFFE || (code_point >= 0xFDD0 && code_point <= 0xFDEF);
+  return code_point >= kLeast.at(length) && code_point <= 0x10FFFF && !is_surrogate && !is_noncharacter;
+}
+
+// Whether the text is UTF-8 that reads back as the same text after it was printed.
+bool isPrintableUtf8(std::string_view text) {
+  for (size_t place = 0; place < text.size();) {
+    const auto first = static_cast<unsigned char>(text[place]);
+    const size_t length = sequenceLength(first);
+    if (length == 0 || place + length > text.size()) {
+      return false;
+    }
+    uint32_t code_point = length == 1 ? first : first & (0x7FU >> length);
+    for (const char next : text.substr(place + 1, length - 1)) {
+      const auto byte = static_cast<unsigned char>(next);
+      if ((byte & 0xC0) != 0x80) {
+        return false;
+      }
+      code_point = code_point << 6 | (byte & 0x3F);
+    }
+    if (!isPrintable(code_point, length)) {
+      return false;
+    }
+    place += length;
+  }
+  return true;
+}
+
 // Sees the text as a stream of events, before any tree is built of it.
 class StructureCheck : public YAML::EventHandler {
  public:
@@ -32,8 +76,11 @@
     fault(mark, "aliases are not allowed");
   }
   void OnScalar(const YAML::Mark& mark, const std::string& tag, YAML::anchor_t anchor,
-                const std::string& /*value*/) override {
+                const std::string& value) override {
     see(mark, tag, anchor);
+    if (!isPrintableUtf8(value)) {
+      fault(mark, "not UTF-8 text");
+    }
   }
   void OnSequenceStart(const YAML::Mark& mark, const std::string& tag, YAML::anchor_t anchor,
                        YAML::EmitterStyle::value /*style*/) override {
--- a/tests/configuration/policy_test.cc
+++ b/tests/configuration/policy_test.cc
@@ -5,6 +5,7 @@
 #include <sstream>
 
 #include "configuration/policy_objects.h"
+#include "configuration/yaml_cursor.h"
 #include "tests/configuration/policy_generators.h"
 
 namespace quincewick::configuration {
@@ -59,6 +60,20 @@
   });
 }
 
+// Guards against a policy that differs after it was printed: the YAML emitter replaces such text.
+TEST_CASE("text that isn't UTF-8 or can't be printed is a fault at its place") {
+  const std::vector<std::string> texts = {"\xff",         "\xc3",         "\xc0\x80",
+                                          "\xed\xa0\x80", "\xef\xbf\xbe", "\\ufffe"};
+  for (const std::string& text : texts) {
+    const Parsed<YAML::Node> parsed = loadYaml("first: 1\nsecond: \"a" + text + "\"\n");
+    CAPTURE(text);
+    REQUIRE(parsed.diagnostics.size() == 1);
+    CHECK(parsed.diagnostics.front().line == 2);
+    CHECK(parsed.diagnostics.front().message == "not UTF-8 text");
+  }
+  CHECK(loadYaml("first: \"\xc3\xa9 \xe2\x82\xac \xf0\x9f\x98\x80\"\n").ok());
+}
+
 TEST_CASE("parts that do not fit together are faults at their place") {
   const std::string hash(64, 'a');
   const Parsed<Policy> parsed = parsePolicy(
