Drop what an account needed for stand-ins

Cause: since limits have parts with one holder each there are no stand-ins, so the account's rank and the second without requests decided nothing. Change: `OwnerAllowance::is_first_in_rank` and its gap are gone.

--- a/src/quota/quota_account.cc
+++ b/src/quota/quota_account.cc
@@ -11,8 +11,6 @@
 constexpr double kInitialFraction = 0.125;
 // Fraction of the capacity at which a larger cost is granted. The rest accumulates while none is requested.
 constexpr double kCreditThreshold = 0.5;
-// After this time without requests another owner may have been asked.
-constexpr absl::Duration kOwnershipGap = absl::Seconds(1);
 
 }  // namespace
 
@@ -23,12 +21,11 @@
 double QuotaAccount::accrue(const RateLimit& limit, const LimitTolerance& tolerance,
                             const OwnerAllowance& allowance, absl::Time now) {
   const bool is_new = last_request_ == absl::InfinitePast();
-  const absl::Duration passed = is_new ? kOwnershipGap : now - last_request_;
+  const absl::Duration passed = is_new ? absl::ZeroDuration() : now - last_request_;
   const double earned = limit.per_second * allowance.fraction * absl::ToDoubleSeconds(passed);
-  const bool others_were_asked = !allowance.is_first_in_rank && passed >= kOwnershipGap;
-  const double capacity = others_were_asked || !allowance.may_accumulate
-                              ? kInitialFraction * allowance.fraction * tolerance.amountFor(limit)
-                              : capacityOf(limit, tolerance, allowance.fraction);
+  const double capacity = allowance.may_accumulate
+                              ? capacityOf(limit, tolerance, allowance.fraction)
+                              : kInitialFraction * allowance.fraction * tolerance.amountFor(limit);
   balance_ = is_new ? capacity : std::min(balance_ + earned, capacity);
   deferred_ = std::max(deferred_ - earned, 0.0);
   last_request_ = now;
--- a/src/quota/quota_account.h
+++ b/src/quota/quota_account.h
@@ -22,9 +22,6 @@
   double fraction = 1;  // of the limit's rate, burst and tolerance
   // Whether unused rate accumulates for bursts. False: what was granted recently from this part is unknown.
   bool may_accumulate = true;
-  // No other node grants from this account's amount, so a second without requests does not mean that another
-  // one was asked.
-  bool is_first_in_rank = true;
   // Whether a denied request is expected back at its retry time, and later ones are to return after it.
   bool defers_denied = true;
 
--- a/src/quota/shared_quotas.cc
+++ b/src/quota/shared_quotas.cc
@@ -154,7 +154,7 @@
   const auto [account, is_new] = accounts_.try_emplace(name);
   // What this gateway granted before it started is unknown.
   const bool may_have_granted = is_new && now - first_heartbeat_ < tolerance_.window;
-  const OwnerAllowance allowance = {part, !may_have_granted, true, defers_denied};
+  const OwnerAllowance allowance = {part, !may_have_granted, defers_denied};
   return account->second.tryConsume(cost, *limit, tolerance_, allowance, now);
 }
 
