Check a length against the bytes that follow before memory is allocated for it

Cause: cereal resizes a text or list to the length that it reads, before it reads the bytes. Evidence: each place of three messages damaged in turn, the largest allocation noted: above 15 MB at 104 of them. Change: BoundedInputArchive reads the same bytes as cereal's portable binary archive and checks each length against what is left. It reads ledger messages and entries, what decodeArchive reads, kept requests and answers, and peers' replies, which had the same fault.

--- a/src/ledger/messages.cc
+++ b/src/ledger/messages.cc
@@ -1,10 +1,11 @@
 #include "ledger/messages.h"
 
 #include <cereal/archives/portable_binary.hpp>
-#include <exception>
 #include <sstream>
 #include <utility>
 
+#include "types/bounded_input_archive.h"
+
 namespace quincewick::ledger {
 namespace {
 
@@ -23,17 +24,16 @@
   if (bytes.size() > kMaximumMessageBytes) {
     return fail(ErrorCode::kInvalidArgument, "a ledger message is too long");
   }
-  std::istringstream stream{std::string(bytes)};
   T value;
   try {
-    cereal::PortableBinaryInputArchive archive(stream);
+    BoundedInputArchive archive(bytes);
     archive(value);
-  } catch (const std::exception& exception) {  // cereal's own, and bad_alloc or length_error for wild sizes
+    if (!archive.isAtEnd()) {
+      return fail(ErrorCode::kInvalidArgument, "a ledger message has bytes left over");
+    }
+  } catch (const cereal::Exception& exception) {
     return fail(ErrorCode::kInvalidArgument, "a ledger message is malformed");
   }
-  if (stream.peek() != std::istringstream::traits_type::eof()) {
-    return fail(ErrorCode::kInvalidArgument, "a ledger message has bytes left over");
-  }
   return value;
 }
 
--- a/src/node/answer_relay.cc
+++ b/src/node/answer_relay.cc
@@ -7,6 +7,8 @@
 #include <utility>
 #include <vector>
 
+#include "types/bounded_input_archive.h"
+
 namespace quincewick::node {
 namespace {
 
@@ -33,13 +35,10 @@
   return out.str();
 }
 
-// A vector's count comes before its elements: one that the bytes can't hold must not be believed. The peers'
-// channel bounds the bytes, and each token takes at least its own length field.
 template <class... Parts>
 Result<void> decodeParts(const std::string& bytes, Parts&... parts) {
   try {
-    std::istringstream in(bytes);
-    cereal::PortableBinaryInputArchive archive(in);
+    BoundedInputArchive archive(bytes);
     archive(parts...);
   } catch (const std::exception&) {
     return fail(ErrorCode::kInternal, "a peer's message can't be read", Execution::kUnknown);
--- a/src/node/kept_answers.cc
+++ b/src/node/kept_answers.cc
@@ -6,6 +6,8 @@
 #include <sstream>
 #include <utility>
 
+#include "types/bounded_input_archive.h"
+
 namespace quincewick::node {
 namespace {
 
@@ -29,8 +31,7 @@
 Result<http::CompletionCall> decodeCall(const std::string& bytes) {
   http::CompletionCall call;
   try {
-    std::istringstream in(bytes);
-    cereal::PortableBinaryInputArchive archive(in);
+    BoundedInputArchive archive(bytes);
     archiveCall(archive, call);
   } catch (const std::exception&) {
     return fail(ErrorCode::kInternal, "a kept request can't be read", Execution::kUnknown);
--- a/src/peer/peer_rpc.cc
+++ b/src/peer/peer_rpc.cc
@@ -8,6 +8,8 @@
 #include <sstream>
 #include <utility>
 
+#include "types/bounded_input_archive.h"
+
 namespace quincewick::peer {
 namespace {
 
@@ -56,12 +58,11 @@
 
 // The reply is authenticated, but a peer of another version may still send what this one can't read.
 Result<std::string> decodeReply(const std::string& bytes) {
-  std::istringstream stream(bytes);
   Reply reply;
   try {
-    cereal::PortableBinaryInputArchive archive(stream);
+    BoundedInputArchive archive(bytes);
     archive(reply);
-  } catch (const std::exception&) {  // cereal's own, or an allocation refused for a false size
+  } catch (const cereal::Exception&) {
     return fail(ErrorCode::kOutcomeUnknown, "peer answered with a malformed reply", Execution::kUnknown);
   }
   if (reply.succeeded) {
--- a/src/types/bounded_archive.h
+++ b/src/types/bounded_archive.h
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "types/bounded_input_archive.h"
 #include "types/error.h"
 #include "types/strong_id.h"
 
@@ -77,11 +78,10 @@
 template <class T>
 Result<T> decodeArchive(std::string_view bytes) {
   try {
-    std::istringstream in{std::string(bytes)};
-    cereal::PortableBinaryInputArchive archive(in);
+    BoundedInputArchive archive(bytes);
     T value{};
     archive(value);
-    if (in.peek() != std::istringstream::traits_type::eof()) {
+    if (!archive.isAtEnd()) {
       return fail(ErrorCode::kInvalidArgument, "bytes follow the encoded value");
     }
     return value;
