--- a/src/routing/keeper_ranks.cc
+++ b/src/routing/keeper_ranks.cc
@@ -29,6 +29,7 @@
 std::vector<NodeId> zonesInTurn(const std::vector<std::pair<double, const KeeperMember*>>& ranks) {
   absl::btree_map<ZoneName, size_t> of_zone;  // members so far
   std::vector<std::pair<size_t, NodeId>> turns;
+  turns.reserve(ranks.size());
   for (const auto& [rank, member] : ranks) {
     turns.emplace_back(of_zone[member->zone]++, member->id);
   }
@@ -36,6 +37,7 @@
                    [](const auto& left, const auto& right) { return left.first < right.first; });
   turns.resize(std::min(turns.size(), kRanked));
   std::vector<NodeId> result;
+  result.reserve(turns.size());
   for (const auto& [turn, id] : turns) {
     result.push_back(id);
   }
--- a/tests/routing/keeper_ranks_test.cc
+++ b/tests/routing/keeper_ranks_test.cc
@@ -2,7 +2,9 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <map>
 
 namespace quincewick::routing {
 namespace {
@@ -62,5 +64,28 @@
   CHECK_FALSE(ranks.isSuspected(first));
 }
 
+TEST_CASE("a subject is divided among gateways of different zones, suspected ones too") {
+  std::vector<KeeperMember> all = members(30, 1);
+  for (size_t index = 0; index < all.size(); ++index) {
+    all[index].zone = ZoneName(absl::StrCat("zone-", index % 3));
+  }
+  KeeperRanks ranks;
+  ranks.setMembers(all);
+  for (int tenant = 0; tenant < 100; ++tenant) {
+    const std::vector<NodeId> spread = ranks.spreadOverZones(absl::StrCat(tenant), 5);
+    REQUIRE(spread.size() == 5);
+    std::map<std::string, int> of_zone;
+    for (const NodeId& id : spread) {
+      ranks.noteSilence(id);
+      ranks.noteSilence(id);
+      ++of_zone[absl::StrCat(std::stoi(id.value().substr(1)) % 3)];
+    }
+    CHECK(of_zone.size() == 3);
+    CHECK(std::all_of(of_zone.begin(), of_zone.end(), [](const auto& zone) { return zone.second <= 2; }));
+    CHECK(ranks.spreadOverZones(absl::StrCat(tenant), 5) == spread);
+  }
+  CHECK(ranks.spreadOverZones("tenant", 2).size() == 2);
+}
+
 }  // namespace
 }  // namespace quincewick::routing
