Give the parts of a gateway that is gone for good to others

Change: a gateway whose row was removed from `gateway-peers`, and that wasn't heard for a minute, is no candidate for parts or occupancy. A store that lost the row silences no gateway, and a partition removes no row.

--- a/src/gateway/peer_directory.cc
+++ b/src/gateway/peer_directory.cc
@@ -111,7 +111,9 @@
   bool has_key = false;
   bool has_own_row = false;
   uint64_t own_version = 0;
+  absl::flat_hash_set<NodeId> listed;
   for (const forwarding::StoreRow& row : table.rows) {
+    listed.insert(NodeId(row.key));  // also a row that can't be read
     if (row.key == kKeyRow) {
       has_key = true;
       applyKey(row.value, table.clock);
@@ -128,6 +130,7 @@
       peer.capacity = read->capacity;
     }
   }
+  retired_.noteRows(std::move(listed));
   if (!has_key) {
     writeKey();
   } else if (!has_own_row) {
@@ -188,8 +191,11 @@
 std::vector<routing::KeeperMember> PeerDirectory::ownerCandidates() const {
   std::vector<routing::KeeperMember> members = {
       {core_.settings.gateway_id, core_.settings.capacity, core_.settings.zone}};
+  const absl::Time now = reactor::steadyNow();
   for (const auto& [id, peer] : peers_) {
-    members.push_back({id, peer.capacity, peer.zone});
+    if (!retired_.isRetired(id, peer.last_received, now)) {
+      members.push_back({id, peer.capacity, peer.zone});
+    }
   }
   std::sort(members.begin(), members.end(),
             [](const auto& left, const auto& right) { return left.id < right.id; });
--- a/src/gateway/peer_directory.h
+++ b/src/gateway/peer_directory.h
@@ -12,6 +12,7 @@
 
 #include "gateway/core.h"
 #include "gateway/refused_rows.h"
+#include "gateway/retired_peers.h"
 #include "gateway/snapshot_reader.h"
 #include "gateway/store_client.h"
 #include "peer/authenticator.h"
@@ -45,8 +46,8 @@
   const absl::btree_map<NodeId, Peer>& peers() const { return peers_; }
   // Whether the others' rows were read after this gateway's own was written, or there are no peers to know.
   bool isComplete() const { return !core_.settings.listen.peers || is_complete_; }
-  // All gateways of the site, including this one, as candidates for owners of limits and engine occupancy.
-  // Sorted by id.
+  // All gateways of the site, including this one, as candidates for holding parts of limits and owning engine
+  // occupancy: also those that are down, but not those whose rows were removed. Sorted by id.
   std::vector<routing::KeeperMember> ownerCandidates() const;
   bool isOwnZone(const Peer& peer) const { return peer.zone == core_.settings.zone; }
 
@@ -69,6 +70,7 @@
   std::unique_ptr<peer::Authenticator> authenticator_;
   absl::btree_map<NodeId, Peer> peers_;
   RefusedRows refused_rows_;
+  RetiredPeers retired_;
   bool is_complete_ = false;
 };
 
