Don't ask a gateway for its own part while it may not grant from it

Cause: found in reading: a gateway that had just become a holder counted its own part as a denial for 8 s, so that a request that reached no holder got 429 instead of 503 `limit_unavailable`. Change: it is no reachable holder meanwhile; a comment's lines. Measured: tests/quota passes, the case of a new holder also asks for the reason.

--- a/src/quota/shared_quotas.cc
+++ b/src/quota/shared_quotas.cc
@@ -57,8 +57,9 @@
 
 std::vector<NodeId> SharedQuotas::reachableHolders(const LimitName& name) {
   std::vector<NodeId> holders = holdersOf(name);
-  std::erase_if(holders, [this](const NodeId& holder) {
-    return holder != self_ && (is_isolated_ || ranks_.isSuspected(holder));
+  const bool is_holder = partOf(name) > 0;
+  std::erase_if(holders, [this, is_holder](const NodeId& holder) {
+    return holder == self_ ? !is_holder : is_isolated_ || ranks_.isSuspected(holder);
   });
   return holders;
 }
--- a/src/quota/shared_quotas.h
+++ b/src/quota/shared_quotas.h
@@ -10,8 +10,8 @@
 //
 // Each request under a limit needs a grant before it is sent to a server. Holders are asked in turn until one
 // grants; for a request that is too large for one part, each reachable holder has to grant an equal share.
-// After a change of the members a part is granted only by the gateway that held it
-// before and still does; a new holder waits until all gateways know of the change.
+// After a change of the members a part is granted only by the gateway that held it before and still does; a
+// new holder waits until all gateways know of the change.
 #pragma once
 
 #include <absl/container/btree_map.h>
@@ -102,6 +102,7 @@
   std::vector<NodeId> holdersOf(const LimitName& name);
   // The fraction of the limit that this gateway may grant; 0: it holds no part.
   double partOf(const LimitName& name);
+  // Holders that may grant, as far as this gateway knows.
   std::vector<NodeId> reachableHolders(const LimitName& name);
   void askNextHolder(uint64_t number, PendingRequest& request, absl::Time now, QuotaActions& actions);
   // Continue after the last asked holder's response or silence.
--- a/tests/quota/limit_parts_test.cc
+++ b/tests/quota/limit_parts_test.cc
@@ -144,6 +144,7 @@
     quotas.onHeartbeat(false, now);
     QuotaActions actions;
     quotas.requestGrant(kName, 1000, now, actions);
+    CHECK(actions.decisions.front().is_unavailable != actions.decisions.front().verdict.is_granted);
     return actions.decisions.front().verdict.is_granted;
   };
   CHECK_FALSE(granted());
