Apply the faults of a quota site in one place

Cause: the new test of limits' parts had a copy of the switch over faults in server_rate_test. Change: the switch stands in quota_site.h, both call it; draws and checks are as they were.

--- a/tests/quota/limit_parts_test.cc
+++ b/tests/quota/limit_parts_test.cc
@@ -154,35 +154,7 @@
   CHECK(granted());
 }
 
-enum class Fault : uint8_t { kStop, kStart, kFreeze, kPartition, kDelay, kCrowd, kNothing };
-
-void apply(Site& site, Fault fault, size_t index) {
-  Gateway& gateway = site.gateway(index);
-  switch (fault) {
-    case Fault::kStop:
-      site.stop(index);
-      break;
-    case Fault::kStart:
-      if (!gateway.is_up) {
-        site.start(index);
-      }
-      break;
-    case Fault::kFreeze:
-      gateway.frozen_until = site.now() + absl::Seconds(3);
-      break;
-    case Fault::kPartition:
-      partition(site, index);
-      break;
-    case Fault::kDelay:
-      gateway.delay = absl::Milliseconds(site.uniform(0, 60));
-      break;
-    case Fault::kCrowd:
-      site.crowdAt(index, site.uniform(0, 1));
-      break;
-    case Fault::kNothing:
-      break;
-  }
-}
+constexpr int kCrowd = static_cast<int>(Fault::kNothing);  // drawn in its place
 
 // Several faults a second, most of them at the gateways that hold the limit's parts.
 TEST_CASE("no window passes a limit when faults come together and callers crowd") {
@@ -195,7 +167,12 @@
       for (int number = *rc::gen::inRange(0, 4); number > 0; --number) {
         const size_t any = *rc::gen::inRange<size_t>(0, site.size());
         const size_t index = *rc::gen::inRange(0, 2) == 0 ? owner : any;
-        apply(site, static_cast<Fault>(*rc::gen::inRange(0, 8)), index);
+        const int fault = *rc::gen::inRange(0, 8);
+        if (fault == kCrowd) {
+          site.crowdAt(index, site.uniform(0, 1));
+        } else {
+          apply(site, static_cast<Fault>(fault), index);
+        }
       }
       run(site, absl::Seconds(1), *rc::gen::element(0.55, 2.0, 4.2) * limit.per_second);
     }
--- a/tests/quota/quota_site.h
+++ b/tests/quota/quota_site.h
@@ -240,4 +240,31 @@
   }
 }
 
+enum class Fault : uint8_t { kStop, kStart, kFreeze, kPartition, kDelay, kNothing };
+
+inline void apply(Site& site, Fault fault, size_t index) {
+  Gateway& gateway = site.gateway(index);
+  switch (fault) {
+    case Fault::kStop:
+      site.stop(index);
+      break;
+    case Fault::kStart:
+      if (!gateway.is_up) {
+        site.start(index);
+      }
+      break;
+    case Fault::kFreeze:
+      gateway.frozen_until = site.now() + absl::Seconds(3);
+      break;
+    case Fault::kPartition:
+      gateway.partitioned_until = site.now() + kPartitionDuration;
+      break;
+    case Fault::kDelay:
+      gateway.delay = absl::Milliseconds(site.uniform(0, 60));
+      break;
+    case Fault::kNothing:
+      break;
+  }
+}
+
 }  // namespace quincewick::quota
--- a/tests/quota/server_rate_test.cc
+++ b/tests/quota/server_rate_test.cc
@@ -47,8 +47,6 @@
   CHECK(static_cast<double>(site.maxRequestsIn(absl::Seconds(4))) <= allowedIn4Seconds(1));
 }
 
-enum class Fault : uint8_t { kStop, kStart, kFreeze, kPartition, kDelay, kNothing };
-
 // One second on a site: a fault of one gateway, and the demand as a multiple of the rate.
 struct Second {
   Fault fault = Fault::kNothing;
@@ -57,29 +55,7 @@
 };
 
 void play(Site& site, uint32_t seed, const Second& second) {
-  const size_t index = second.affects_owner ? site.owner() : seed % site.size();
-  Gateway& gateway = site.gateway(index);
-  switch (second.fault) {
-    case Fault::kStop:
-      site.stop(index);
-      break;
-    case Fault::kStart:
-      if (!gateway.is_up) {
-        site.start(index);
-      }
-      break;
-    case Fault::kFreeze:
-      gateway.frozen_until = site.now() + absl::Seconds(3);
-      break;
-    case Fault::kPartition:
-      gateway.partitioned_until = site.now() + kPartitionDuration;
-      break;
-    case Fault::kDelay:
-      gateway.delay = absl::Milliseconds(site.uniform(0, 60));
-      break;
-    case Fault::kNothing:
-      break;
-  }
+  apply(site, second.fault, second.affects_owner ? site.owner() : seed % site.size());
   runAt(site, second.times_the_rate, absl::Seconds(1));
 }
 
