Log services that a gateway can't reach, and servers that say how many rejections they stand

Now: service_cut_off and service_reached, the service in connect_failed, server_brittle, and quincewick_back_pressure_total{what=brittle|brittle_ended}. No decision goes by them.

--- a/src/forwarding/back_pressure.cc
+++ b/src/forwarding/back_pressure.cc
@@ -35,6 +35,10 @@
   rate_exhausted_until_ = now + std::min(retry_after, kMaxRatePause);
 }
 
+bool BackPressure::noteMaxRejections(std::optional<uint32_t> max_rejections) {
+  return std::exchange(max_rejections_, max_rejections) != max_rejections;
+}
+
 bool BackPressure::noteLeaving() {
   return !std::exchange(is_leaving_, true);
 }
--- a/src/forwarding/back_pressure.h
+++ b/src/forwarding/back_pressure.h
@@ -20,6 +20,11 @@
   // The owner of the server's rate limit had no tokens left.
   void noteRateUsedUp(absl::Duration retry_after, absl::Time now);
 
+  // Rejections a second beyond which the server crashes, as its latest response says; nothing: it stands any
+  // number. Returns whether this changed.
+  bool noteMaxRejections(std::optional<uint32_t> max_rejections);
+  std::optional<uint32_t> maxRejections() const { return max_rejections_; }
+
   // A response said that the server drains, which holds for the rest of its incarnation. Returns whether this
   // is new.
   bool noteLeaving();
@@ -43,6 +48,7 @@
  private:
   std::optional<double> rate_limit_;
   absl::Time rate_exhausted_until_ = absl::InfinitePast();
+  std::optional<uint32_t> max_rejections_;
   bool is_leaving_ = false;
   absl::Time back_off_until_ = absl::InfinitePast();
   bool is_half_open_ = false;  // it backed off, and no response has come since
--- a/src/gateway/back_end_connection.cc
+++ b/src/gateway/back_end_connection.cc
@@ -66,17 +66,33 @@
           return;
         }
         self->server_->connect_failures = 0;
+        self->recordConnected();
         self->connection_->dropWhenPeerIsSilent(kSilenceTimeout);
         self->connection_->start(self.get());
         self->sendRequest();
       });
 }
 
+void BackEndConnection::recordConnected() {
+  const absl::Time now = reactor::steadyNow();
+  if (pool_.core_.paths.noteConnected(server_->entry.service, now)) {
+    pool_.core_.log.event("service_reached", now).with("service", server_->entry.service.value());
+  }
+}
+
 void BackEndConnection::recordConnectFailure(reactor::ConnectResult result) {
   const absl::Time now = reactor::steadyNow();
   forwarding::ServerDirectory::noteConnectFailure(*server_, now);
+  const forwarding::ServiceName& service = server_->entry.service;
+  const size_t servers = pool_.core_.directory.ofService(service).size();
+  if (pool_.core_.paths.noteFailed(service, server_->identity_hash, servers, now)) {
+    pool_.core_.log.event("service_cut_off", now)
+        .with("service", service.value())
+        .with("servers", static_cast<int64_t>(servers));
+  }
   pool_.core_.log.event("connect_failed", now)
       .with("server", server_->entry.id)
+      .with("service", server_->entry.service.value())
       .with("refused", result == reactor::ConnectResult::kRefused ? "true" : "false");
 }
 
--- a/src/gateway/back_end_connection.h
+++ b/src/gateway/back_end_connection.h
@@ -34,6 +34,7 @@
   void onEnd(reactor::EndKind kind) override;
 
   void connect();
+  void recordConnected();
   void recordConnectFailure(reactor::ConnectResult result);
   void sendRequest();
   void processInput();
--- a/src/gateway/back_pressure_notes.cc
+++ b/src/gateway/back_pressure_notes.cc
@@ -26,6 +26,21 @@
   }
 }
 
+void recordMaxRejections(Core& core, const forwarding::Server& server, std::optional<uint32_t> max_rejections,
+                         absl::Time now) {
+  if (!server.back_pressure->noteMaxRejections(max_rejections)) {
+    return;
+  }
+  core.metrics.countBackPressure(max_rejections ? "brittle" : "brittle_ended");
+  auto line = core.log.event("server_brittle", now);
+  line.with("server", server.entry.id).with("service", server.entry.service.value());
+  if (max_rejections) {
+    line.with("rejections_a_second", static_cast<int64_t>(*max_rejections));
+  } else {
+    line.with("ended", "true");
+  }
+}
+
 void recordLeaving(Core& core, const forwarding::Server& server, absl::Time now) {
   if (server.back_pressure->noteLeaving()) {
     core.metrics.countBackPressure("leaving");
@@ -58,6 +73,9 @@
   if (facts.rate_limit || ends_limit) {
     recordRateLimit(core, server, facts.rate_limit, now);
   }
+  if (facts.max_rejections || ends_limit) {
+    recordMaxRejections(core, server, facts.max_rejections, now);
+  }
   if (facts.is_leaving) {
     recordLeaving(core, server, now);
   }
--- a/src/gateway/core.h
+++ b/src/gateway/core.h
@@ -12,6 +12,7 @@
 
 #include "forwarding/dialect.h"
 #include "forwarding/engine_placement.h"
+#include "forwarding/path_monitor.h"
 #include "forwarding/retry_budget.h"
 #include "forwarding/server_directory.h"
 #include "forwarding/site_configuration.h"
@@ -51,6 +52,7 @@
   forwarding::EnginePlacement placement;
   forwarding::RetryBudget budget;
   forwarding::WeightsRegister weights;
+  forwarding::PathMonitor paths;
   // Placements since the last digest to peers.
   struct UnreportedPlacement {
     uint64_t server = 0;  // its identity hash
