--- a/tests/gateway/stand_in_site.h
+++ b/tests/gateway/stand_in_site.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -121,7 +122,7 @@
     second_store_ =
         std::make_unique<StandInServer>(reactor_, [this](const HttpHead& head, const std::string& body) {
           recordSecondCall(head.target);
-          return refusesSecond() ? Script{answerOf(503, {}, "")} : answerAsStore(head, body);
+          return refusesSecond() ? Script{answerOf(503, {}, "")} : answerAsStore(head, body, true);
         });
     thread_ = std::thread([this] { reactor_.run(); });
   }
@@ -184,6 +185,12 @@
     refuses_second_ = refuses;
   }
 
+  // Rows of servers read at the store's second address have this address in place of theirs.
+  void replaceServersAtSecond(const Address& address) {
+    const std::lock_guard lock(mutex_);
+    second_server_address_ = address;
+  }
+
   // Targets of the requests received at the store's second address.
   std::vector<std::string> secondCalls() const {
     const std::lock_guard lock(mutex_);
@@ -251,7 +258,16 @@
             false};
   }
 
-  Script answerAsStore(const HttpHead& head, const std::string& body) {
+  std::string valueFor(const std::string& table, const std::string& value, bool is_second) const {
+    if (table != "servers" || !is_second || !second_server_address_) {
+      return value;
+    }
+    nlohmann::json server = nlohmann::json::parse(value);
+    server["address"] = absl::StrCat(second_server_address_->host, ":", second_server_address_->port);
+    return server.dump();
+  }
+
+  Script answerAsStore(const HttpHead& head, const std::string& body, bool is_second = false) {
     const std::lock_guard lock(mutex_);
     if (head.target.starts_with("/v1/rows-tx")) {
       return write(body);
@@ -267,7 +283,8 @@
       if (is_asked_for && room > 0) {
         --room;
         absl::StrAppend(&rows, rows.empty() ? "" : ",", R"({"table":")", parameter(head.target, "table"),
-                        R"(","key":")", key, R"(","value":")", absl::Base64Escape(row.value), R"(","ver":)",
+                        R"(","key":")", key, R"(","value":")", absl::Base64Escape(valueFor(parameter(head.target, "table"), row.value, is_second)),
+                        R"(","ver":)",
                         row.version, "}");
       }
     }
@@ -286,6 +303,7 @@
   std::map<std::string, std::map<std::string, Row>> rows_;
   uint64_t version_ = 0;
   bool refuses_second_ = false;
+  std::optional<Address> second_server_address_;
   std::vector<Seen> seen_;
   std::vector<std::string> second_calls_;
   std::unique_ptr<StandInServer> store_;
