Hand requests to another gateway where this one reaches none of their servers

The cause is by design: a request could only ever be sent to a server by the gateway that received it, so 503 no_server followed within milliseconds beside four gateways that served 98 %. Class: a single path without a detour, and no notion of a path that is lost as against servers that are.

It works because the links between gateways and the others' links to servers are sound in a partition of this kind, whatever share of gateways it holds.

--- a/src/forwarding/attempt_ledger.cc
+++ b/src/forwarding/attempt_ledger.cc
@@ -22,6 +22,10 @@
     case AttemptOutcome::kNeverSent:
       ++never_sent_;
       break;
+    case AttemptOutcome::kDeclined:
+      --sent_;
+      ++never_sent_;
+      break;
     case AttemptOutcome::kRefused:
       ++refused_;
       break;
--- a/src/forwarding/attempt_ledger.h
+++ b/src/forwarding/attempt_ledger.h
@@ -14,6 +14,7 @@
 // Outcome of an attempt that gave no response to pass on.
 enum class AttemptOutcome : uint8_t {
   kNeverSent,  // no byte of the request was sent
+  kDeclined,   // sent to another gateway, which sent no byte of it to a server
   kRefused,    // the server says that it did not run it
   kUnknown,    // sent, but the connection or the response failed: it may have run
   kFailed,     // the server ran it and says that it failed
@@ -34,6 +35,8 @@
 
   // Whether the request's own limits allow another attempt. The retry budget is checked separately.
   bool mayRetry() const;
+  // Attempts so far of which no byte reached a server.
+  uint32_t neverSent() const { return never_sent_; }
   // Whether the next attempt is a retry as servers see it.
   bool isNextRetry() const { return sent_ > 0; }
   // Whether the request ran, over all attempts so far.
--- a/src/forwarding/server_directory.h
+++ b/src/forwarding/server_directory.h
@@ -39,6 +39,8 @@
   uint64_t identity_hash = 0;  // identifies this incarnation in messages between nodes
   // Of the id alone: after a restart the server remains the home of the same prefix chains.
   uint64_t home_hash = 0;
+  // Another gateway that takes requests in place of servers that can't be reached; not in the directory.
+  bool is_gateway = false;
   // False after the incarnation was removed; requests in progress still refer to it.
   bool is_listed = true;
   // False while its entry exists but cannot be parsed: it may announce that the server leaves.
--- a/src/gateway/back_end_connection.cc
+++ b/src/gateway/back_end_connection.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "gateway/back_pressure_notes.h"
+#include "gateway/path_prober.h"
 
 namespace quincewick::gateway {
 namespace {
@@ -13,6 +14,8 @@
 using reactor::ReadStatus;
 
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(250);
+// Without an answer for this time the path to the server is in doubt.
+constexpr absl::Duration kSlowConnect = absl::Milliseconds(60);
 constexpr absl::Duration kSilenceTimeout = absl::Seconds(1);
 constexpr MessageLimits kResponseLimits = {65536, uint64_t{1} << 40};
 constexpr uint32_t kMaxSkippedResponses = 3;  // late responses to earlier requests on one connection
@@ -41,13 +44,10 @@
 
 void BackEndConnection::connect() {
   const auto self = shared_from_this();
-  connect_timer_ = pool_.core_.timers.schedule(reactor::steadyNow() + kConnectTimeout, [self] {
-    AttemptListener* const listener = self->listener_;
-    self->recordConnectFailure(reactor::ConnectResult::kFailed);
-    self->close();
-    if (listener != nullptr) {
-      listener->onNeverSent();
-    }
+  connect_timer_ = pool_.core_.timers.schedule(reactor::steadyNow() + kSlowConnect, [self] {
+    self->notePathInDoubt();
+    self->connect_timer_ = self->pool_.core_.timers.schedule(
+        reactor::steadyNow() + kConnectTimeout - kSlowConnect, [self] { self->onConnectTimeout(); });
   });
   connection_ = reactor::Connection::connect(
       pool_.core_.reactor, server_->entry.address, [self](reactor::ConnectResult result) {
@@ -66,29 +66,35 @@
           return;
         }
         self->server_->connect_failures = 0;
-        self->recordConnected();
+        if (!self->server_->is_gateway) {
+          self->pool_.core_.paths->noteConnected(*self->server_);
+        }
         self->connection_->dropWhenPeerIsSilent(kSilenceTimeout);
         self->connection_->start(self.get());
         self->sendRequest();
       });
 }
 
-void BackEndConnection::recordConnected() {
-  const absl::Time now = reactor::steadyNow();
-  if (pool_.core_.paths.noteConnected(server_->entry.service, now)) {
-    pool_.core_.log.event("service_reached", now).with("service", server_->entry.service.value());
+void BackEndConnection::onConnectTimeout() {
+  AttemptListener* const listener = listener_;
+  recordConnectFailure(reactor::ConnectResult::kFailed);
+  close();
+  if (listener != nullptr) {
+    listener->onNeverSent();
+  }
+}
+
+void BackEndConnection::notePathInDoubt() {
+  if (!server_->is_gateway) {
+    pool_.core_.paths->noteDoubt(*server_);
   }
 }
 
 void BackEndConnection::recordConnectFailure(reactor::ConnectResult result) {
   const absl::Time now = reactor::steadyNow();
   forwarding::ServerDirectory::noteConnectFailure(*server_, now);
-  const forwarding::ServiceName& service = server_->entry.service;
-  const size_t servers = pool_.core_.directory.ofService(service).size();
-  if (pool_.core_.paths.noteFailed(service, server_->identity_hash, servers, now)) {
-    pool_.core_.log.event("service_cut_off", now)
-        .with("service", service.value())
-        .with("servers", static_cast<int64_t>(servers));
+  if (!server_->is_gateway) {
+    pool_.core_.paths->noteConnectFailed(server_);
   }
   pool_.core_.log.event("connect_failed", now)
       .with("server", server_->entry.id)
@@ -105,6 +111,9 @@
 
 void BackEndConnection::onBytes(std::string_view bytes) {
   const auto self = shared_from_this();
+  if (!server_->is_gateway) {
+    pool_.core_.paths->noteReceived(*server_);
+  }
   if (listener_ == nullptr) {
     close();  // no attempt is in progress
     return;
@@ -157,7 +166,9 @@
 bool BackEndConnection::handleHead() {
   const forwarding::ResponseFacts facts = pool_.core_.dialect->readResponse(reader_.head());
   const bool is_awaited = facts.attempt_id.empty() || facts.attempt_id == request_.attempt_id;
-  noteBackPressure(pool_.core_, *server_, facts, is_awaited, reactor::steadyNow());
+  if (!server_->is_gateway) {
+    noteBackPressure(pool_.core_, *server_, facts, is_awaited, reactor::steadyNow());
+  }
   if (!is_awaited) {
     reader_.takeBody();
     return false;
@@ -198,6 +209,9 @@
     finish();
     return;
   }
+  if (kind == reactor::EndKind::kBroken) {
+    notePathInDoubt();
+  }
   failAttempt();
 }
 
--- a/src/gateway/back_end_connection.h
+++ b/src/gateway/back_end_connection.h
@@ -34,7 +34,8 @@
   void onEnd(reactor::EndKind kind) override;
 
   void connect();
-  void recordConnected();
+  void onConnectTimeout();
+  void notePathInDoubt();
   void recordConnectFailure(reactor::ConnectResult result);
   void sendRequest();
   void processInput();
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -12,6 +12,7 @@
 using reactor::ReadStatus;
 
 constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
 constexpr int kRequestTimeout = 408;
 constexpr int kTooLarge = 413;
 constexpr int kHeaderTooLarge = 431;
@@ -19,6 +20,8 @@
 constexpr int kNotModified = 304;
 constexpr absl::Duration kLingerTimeout = absl::Seconds(1);
 constexpr size_t kMaxUnreadBytes = 65536;  // of pipelined requests
+// Of sealed requests of other gateways.
+constexpr MessageLimits kDelegationLimits = {8192, peer::kMaximumBodySize};
 
 MessageLimits limitsOf(const Core& core) {
   if (core.in_force.configuration == nullptr) {
@@ -36,12 +39,13 @@
 }  // namespace
 
 CallerConnection::CallerConnection(Core& core, BackEndPool& pool, reactor::Connection::Socket socket,
-                                   Closed closed)
+                                   Closed closed, Delegations* delegations)
     : core_(core),
       pool_(pool),
       connection_(std::make_shared<reactor::Connection>(std::move(socket))),
       closed_(std::move(closed)),
-      reader_(MessageKind::kRequest, limitsOf(core)) {}
+      delegations_(delegations),
+      reader_(MessageKind::kRequest, delegations == nullptr ? limitsOf(core) : kDelegationLimits) {}
 
 CallerConnection::~CallerConnection() {
   core_.timers.cancel(timer_);
@@ -105,6 +109,10 @@
   core_.timers.cancel(timer_);
   expects_continue_ = false;
   keeps_alive_ = reader_.keepsAlive();
+  if (delegations_ != nullptr) {
+    startDelegated();
+    return;
+  }
   is_bodyless_ = reader_.head().method == "HEAD";
   HttpHead head = reader_.head();
   std::string body = reader_.takeBody();
@@ -113,6 +121,21 @@
   exchange->begin();
 }
 
+void CallerConnection::startDelegated() {
+  auto opened = delegations_->open(reader_.takeBody());
+  if (opened.has_error()) {
+    core_.log.event("delegation_refused", reactor::steadyNow()).with("why", opened.error().message);
+    rejectInput(kUnauthorized);
+    return;
+  }
+  OpenedDelegation& request = opened.value();
+  is_bodyless_ = request.head.method == "HEAD";
+  exchange_ = std::make_shared<Exchange>(core_, pool_, std::move(request.head), std::move(request.body), this,
+                                         std::move(request.terms));
+  const auto exchange = exchange_;
+  exchange->begin();
+}
+
 void CallerConnection::sendHead(int status, const std::string& reason, HeaderFields fields,
                                 std::optional<uint64_t> length) {
   if (core_.is_stopping) {
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -1,4 +1,5 @@
-// A caller's connection: processes its requests one at a time and writes the responses.
+// A connection of a caller, or of another gateway that hands on its callers' requests: processes its requests
+// one at a time and writes the responses.
 #pragma once
 
 #include <absl/time/time.h>
@@ -8,6 +9,7 @@
 #include <string>
 
 #include "gateway/core.h"
+#include "gateway/delegations.h"
 #include "gateway/exchange.h"
 #include "gateway/response_sink.h"
 #include "reactor/connection.h"
@@ -22,7 +24,9 @@
   // Called once, when the connection is closed.
   using Closed = std::function<void(CallerConnection*)>;
 
-  CallerConnection(Core& core, BackEndPool& pool, reactor::Connection::Socket socket, Closed closed);
+  // `delegations`: opens the requests of another gateway; null: of a caller.
+  CallerConnection(Core& core, BackEndPool& pool, reactor::Connection::Socket socket, Closed closed,
+                   Delegations* delegations = nullptr);
   ~CallerConnection() override;
 
   void start();
@@ -45,6 +49,7 @@
 
   void processInput();
   void startExchange();
+  void startDelegated();
   void rejectInput(int status);
   void armTimer();
   void onTimer();
@@ -54,6 +59,7 @@
   BackEndPool& pool_;
   std::shared_ptr<reactor::Connection> connection_;
   Closed closed_;
+  Delegations* delegations_;
   reactor::MessageReader reader_;
   std::shared_ptr<Exchange> exchange_;
   reactor::TimerQueue::Key timer_;
--- a/src/gateway/core.h
+++ b/src/gateway/core.h
@@ -12,7 +12,6 @@
 
 #include "forwarding/dialect.h"
 #include "forwarding/engine_placement.h"
-#include "forwarding/path_monitor.h"
 #include "forwarding/retry_budget.h"
 #include "forwarding/server_directory.h"
 #include "forwarding/site_configuration.h"
@@ -32,7 +31,9 @@
 };
 
 class CrashDetector;
+class Delegations;
 class OccupancyExchange;
+class PathProber;
 class QuotaExchange;
 class RolloutExchange;
 class ServerRates;
@@ -52,7 +53,6 @@
   forwarding::EnginePlacement placement;
   forwarding::RetryBudget budget;
   forwarding::WeightsRegister weights;
-  forwarding::PathMonitor paths;
   // Placements since the last digest to peers.
   struct UnreportedPlacement {
     uint64_t server = 0;  // its identity hash
@@ -81,6 +81,8 @@
   OccupancyExchange* occupancy = nullptr;   // the same
   ServerRates* server_rates = nullptr;      // the same
   CrashDetector* crash_detector = nullptr;  // the same
+  PathProber* paths = nullptr;              // the same
+  Delegations* delegations = nullptr;       // the same
   RolloutExchange* rollouts = nullptr;      // null: the site has no staged rollouts
   bool is_stopping = false;
   bool rejects_requests = false;  // late in the shutdown: new requests get 503
--- /dev/null
+++ b/src/gateway/delegation_messages.cc
@@ -0,0 +1,148 @@
+#include "gateway/delegation_messages.h"
+
+#include <algorithm>
+
+#include "types/bounded_archive.h"
+
+namespace quincewick {
+
+template <class Archive>
+void serialize(Archive& archive, HeaderField& field) {
+  archiveText(archive, field.name);
+  archiveText(archive, field.value);
+}
+
+}  // namespace quincewick
+
+namespace quincewick::gateway {
+namespace {
+
+constexpr uint8_t kVersion = 1;
+constexpr uint32_t kMaxNameBytes = 255;
+constexpr uint32_t kMaxBodyBytes = 4U << 20;
+constexpr uint32_t kMaxFields = 1000;
+constexpr uint32_t kNoDeadlineMs = UINT32_MAX;
+
+template <class Archive>
+void archiveVersion(Archive& archive) {
+  uint8_t version = kVersion;
+  archive(version);
+  if (version != kVersion) {
+    throw cereal::Exception("unknown message version");
+  }
+}
+
+uint32_t millisecondsOf(absl::Duration duration) {
+  const int64_t milliseconds = absl::ToInt64Milliseconds(duration);
+  return static_cast<uint32_t>(std::clamp<int64_t>(milliseconds, 0, kNoDeadlineMs));
+}
+
+absl::Duration durationOf(uint32_t milliseconds) {
+  return milliseconds == kNoDeadlineMs ? absl::InfiniteDuration() : absl::Milliseconds(milliseconds);
+}
+
+struct ArchivedOutcome {
+  uint8_t outcome = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(outcome);
+  }
+};
+
+}  // namespace
+
+template <class Archive>
+void serialize(Archive& archive, DelegationMessage& message) {
+  archiveVersion(archive);
+  auto kind = static_cast<uint8_t>(message.kind);
+  std::string service = message.service.value();
+  std::vector<std::string> referrals;
+  for (const NodeId& id : message.referrals) {
+    referrals.push_back(id.value());
+  }
+  auto count = static_cast<uint8_t>(std::min(referrals.size(), kMaxReferrals));
+  archive(kind);
+  archiveText(archive, service, kMaxNameBytes);
+  archive(message.port, message.room, count);
+  if (count > kMaxReferrals) {
+    throw cereal::Exception("list is too long");
+  }
+  referrals.resize(count);
+  for (std::string& id : referrals) {
+    archiveText(archive, id, kMaxNameBytes);
+  }
+  message.kind = static_cast<DelegationMessageKind>(kind);
+  message.service = forwarding::ServiceName(std::move(service));
+  message.referrals.clear();
+  for (const std::string& id : referrals) {
+    message.referrals.emplace_back(id);
+  }
+}
+
+template <class Archive>
+void serialize(Archive& archive, DelegatedRequest& request) {
+  archiveVersion(archive);
+  std::string service = request.service.value();
+  uint32_t elapsed_ms = millisecondsOf(request.elapsed);
+  uint32_t left_ms = millisecondsOf(request.time_left);
+  archiveText(archive, request.method, kMaxNameBytes);
+  archiveText(archive, request.target);
+  archiveList(archive, request.fields, kMaxFields);
+  archiveText(archive, request.body, kMaxBodyBytes);
+  archiveText(archive, service, kMaxNameBytes);
+  archiveText(archive, request.last_event_id);
+  archive(elapsed_ms, left_ms);
+  request.service = forwarding::ServiceName(std::move(service));
+  request.elapsed = durationOf(elapsed_ms);
+  request.time_left = durationOf(left_ms);
+}
+
+std::string encodeDelegationMessage(const DelegationMessage& message) {
+  return encodeArchive(message);
+}
+
+Result<DelegationMessage> decodeDelegationMessage(std::string_view bytes) {
+  Result<DelegationMessage> decoded = decodeArchive<DelegationMessage>(bytes);
+  if (decoded.has_error()) {
+    return decoded;
+  }
+  const DelegationMessage& message = decoded.value();
+  const bool is_known =
+      message.kind >= DelegationMessageKind::kAsk && message.kind <= DelegationMessageKind::kRefusal;
+  const bool is_offer_without_port = message.kind == DelegationMessageKind::kOffer && message.port == 0;
+  if (!is_known || is_offer_without_port) {
+    return fail(ErrorCode::kInvalidArgument, "delegation message has an unknown kind or no port");
+  }
+  return decoded;
+}
+
+std::string encodeDelegatedRequest(const DelegatedRequest& request) {
+  return encodeArchive(request);
+}
+
+Result<DelegatedRequest> decodeDelegatedRequest(std::string_view bytes) {
+  Result<DelegatedRequest> decoded = decodeArchive<DelegatedRequest>(bytes);
+  if (decoded.has_error()) {
+    return decoded;
+  }
+  if (decoded.value().method.empty() || decoded.value().target.empty()) {
+    return fail(ErrorCode::kInvalidArgument, "delegated request has no method or target");
+  }
+  return decoded;
+}
+
+std::string encodeDelegationOutcome(DelegationOutcome outcome) {
+  return encodeArchive(ArchivedOutcome{static_cast<uint8_t>(outcome)});
+}
+
+Result<DelegationOutcome> decodeDelegationOutcome(std::string_view bytes) {
+  BOOST_OUTCOME_TRY(archived, decodeArchive<ArchivedOutcome>(bytes));
+  const auto outcome = static_cast<DelegationOutcome>(archived.outcome);
+  if (outcome < DelegationOutcome::kServed || outcome > DelegationOutcome::kUnknown) {
+    return fail(ErrorCode::kInvalidArgument, "delegation outcome is unknown");
+  }
+  return outcome;
+}
+
+}  // namespace quincewick::gateway
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -8,6 +8,7 @@
 
 #include "forwarding/server_choice.h"
 #include "gateway/crash_detector.h"
+#include "gateway/path_prober.h"
 
 namespace quincewick::gateway {
 namespace {
@@ -18,6 +19,7 @@
 constexpr absl::Duration kMinTimeToSend = absl::Milliseconds(15);
 constexpr uint32_t kLowestPriority = 9;
 constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
 // Between checks whether a waiting request may be sent.
 constexpr absl::Duration kCrashCheckInterval = absl::Milliseconds(10);
 // A crash is attributed within 0.4 s. Beyond that the request would wait for other suspects to finish, of
@@ -27,22 +29,31 @@
 
 }  // namespace
 
-Exchange::Exchange(Core& core, BackEndPool& pool, HttpHead head, std::string body, ResponseSink* sink)
+Exchange::Exchange(Core& core, BackEndPool& pool, HttpHead head, std::string body, ResponseSink* sink,
+                   std::optional<DelegationTerms> terms)
     : core_(core),
       pool_(pool),
       head_(std::move(head)),
       body_(std::move(body)),
       sink_(sink),
-      began_(reactor::steadyNow()) {
+      began_(reactor::steadyNow()),
+      terms_(std::move(terms)) {
   ++core_.requests_under_way;
+  if (terms_) {
+    core_.delegations->noteTaken();
+  }
 }
 
 Exchange::~Exchange() {
   core_.timers.cancel(deadline_timer_);
   core_.timers.cancel(crash_timer_);
+  core_.timers.cancel(offer_timer_);
   releaseQuota();
   releaseServer();
   --core_.requests_under_way;
+  if (terms_) {
+    core_.delegations->noteTakenEnded();
+  }
 }
 
 void Exchange::begin() {
@@ -50,11 +61,14 @@
   facts_ = core_.dialect->readRequest(head_);
   configuration_ = core_.in_force.configuration;
   noteConfigurationAge();
+  if (terms_) {
+    beginDelegated();
+    return;
+  }
   if (!admit()) {
     return;
   }
-  identity_ = forwarding::identityOf(head_.method, head_.target,
-                                     tenant_ == nullptr ? TenantId() : tenant_->id, body_);
+  identify();
   ledger_ = forwarding::AttemptLedger(route_->mayRunAgain(), route_->max_attempts);
   setDeadline();
   chooseService();
@@ -66,14 +80,24 @@
   requestQuota();
 }
 
+void Exchange::identify() {
+  identity_ = forwarding::identityOf(head_.method, head_.target,
+                                     tenant_ == nullptr ? TenantId() : tenant_->id, body_);
+}
+
 void Exchange::tryNext() {
   reservations_requested_ = 0;
   software_.reset();
   if (!maySend()) {
     return;
   }
+  if (prefersDelegate() && delegate()) {
+    return;
+  }
   if (!chooseTarget()) {
-    giveUp(false, kNoServer);
+    if (!isHeldBackByPath() || !delegate()) {
+      giveUp(false, kNoServer);
+    }
     return;
   }
   if (engine_ && core_.settings.placement.reserve_slots) {
@@ -198,7 +222,8 @@
   return server_ != nullptr;
 }
 
-void Exchange::sendAttempt() {
+// State of an attempt that starts.
+void Exchange::resetAttempt() {
   attempt_began_ = reactor::steadyNow();
   rates_requested_ = 0;
   verdict_ = Verdict::kBroken;
@@ -207,11 +232,15 @@
   is_buffering_ = true;
   buffered_body_.clear();
   events_ = {};
-  // A request that yields queues behind all others, so it adds no load for them until it starts.
   is_prompt_read_ = false;
   attempt_last_piece_ = absl::InfinitePast();
   attempt_pieces_ = 0;
   attempt_longest_pause_ = absl::ZeroDuration();
+}
+
+void Exchange::sendAttempt() {
+  resetAttempt();
+  // A request that yields queues behind all others, so it adds no load for them until it starts.
   yields_ = engine_ && isPredictedLate();
   if (yields_ && reservation_) {
     core_.occupancy->release(*std::exchange(reservation_, std::nullopt));
@@ -274,6 +303,9 @@
 
 void Exchange::onNeverSent() {
   const auto self = shared_from_this();
+  if (delegate_) {
+    noteDelegateFailed();
+  }
   endAttempt(AttemptOutcome::kNeverSent);
 }
 
@@ -296,7 +328,9 @@
     complete("caller_left");
     return;
   }
-  if (!is_cut && ledger_.mayRetry()) {
+  const bool reached_no_server =
+      end == AttemptOutcome::kNeverSent && ledger_.execution() == Execution::kNotRun;
+  if (!is_cut && (ledger_.mayRetry() || (reached_no_server && declined_by_.empty()))) {
     tryNext();
     return;
   }
@@ -315,6 +349,7 @@
   if (reservation_) {
     core_.occupancy->release(*std::exchange(reservation_, std::nullopt), longestPauseNow());
   }
+  releaseDelegate();
   if (server_ == nullptr) {
     return;
   }
@@ -328,6 +363,7 @@
     return;
   }
   const bool was_sent = ledger_.isNextRetry();
+  core_.timers.cancel(offer_timer_);
   noteRolloutEnd(RolloutExchange::AttemptOutcome::kFailed);
   attempt_.reset();
   releaseServer();
@@ -357,11 +393,18 @@
 
 void Exchange::reject(int status, std::string_view why, absl::Duration retry_after) {
   if (sink_ != nullptr) {
+    if (terms_ && !forwarding::promisesNotRun(status) &&
+        outcomeOfRejection(status) != DelegationOutcome::kUnknown) {
+      status = kUnavailable;  // the origin's configuration allows the request
+    }
     const std::string body = absl::StrCat("{\"error\":\"", std::string(why), "\"}\n");
     HeaderFields fields = {{"Content-Type", "application/json"}};
     if (!facts_.attempt_id.empty()) {
       fields.push_back(core_.dialect->attemptField(facts_.attempt_id));
     }
+    if (terms_) {
+      fields.push_back(core_.delegations->sealOutcome(*terms_, outcomeOfRejection(status)));
+    }
     if (forwarding::promisesNotRun(status)) {
       fields.push_back({"Retry-After", absl::StrFormat("%.2f", absl::ToDoubleSeconds(retry_after))});
     }
@@ -387,6 +430,7 @@
   is_done_ = true;
   core_.timers.cancel(deadline_timer_);
   core_.timers.cancel(crash_timer_);
+  core_.timers.cancel(offer_timer_);
   releaseQuota();
   settleRollout();
   const absl::Time now = reactor::steadyNow();
@@ -433,7 +477,8 @@
   sink_ = nullptr;
   const bool may_break_off = route_ == nullptr || route_->kind != RepeatKind::kOnce ||
                              pending_quota_.has_value() || pending_reservation_.has_value() ||
-                             pending_rate_.has_value() || crash_timer_ != reactor::TimerQueue::Key();
+                             pending_rate_.has_value() || crash_timer_ != reactor::TimerQueue::Key() ||
+                             offer_timer_ != reactor::TimerQueue::Key();
   if (may_break_off) {
     attempt_.reset();
     releaseServer();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -14,6 +14,7 @@
 #include "forwarding/request_identity.h"
 #include "gateway/back_end_pool.h"
 #include "gateway/core.h"
+#include "gateway/delegations.h"
 #include "gateway/occupancy_exchange.h"
 #include "gateway/quota_exchange.h"
 #include "gateway/response_sink.h"
@@ -24,7 +25,9 @@
 
 class Exchange final : public AttemptListener, public std::enable_shared_from_this<Exchange> {
  public:
-  Exchange(Core& core, BackEndPool& pool, HttpHead head, std::string body, ResponseSink* sink);
+  // `terms`: of a request that another gateway handed on.
+  Exchange(Core& core, BackEndPool& pool, HttpHead head, std::string body, ResponseSink* sink,
+           std::optional<DelegationTerms> terms = std::nullopt);
   ~Exchange() override;
 
   // Starts processing. The response may be sent before this returns.
@@ -60,6 +63,7 @@
   void releaseQuota();
   void setDeadline();
   void chooseService();
+  void identify();
   void tryNext();
   bool maySend();
   // Whether server crashes attributed to the request let it be sent now. Otherwise it waits or is rejected.
@@ -74,6 +78,18 @@
   void sendToChosenServer();
   // Takes one retry from the site's retry budget; false if none is left.
   bool mayRepeat(absl::Time now);
+  bool prefersDelegate() const;
+  bool isHeldBackByPath() const;
+  // Hands the request to another gateway, waits for one to offer, or ends it. Returns false if none takes it.
+  bool delegate();
+  bool awaitOffer();
+  bool sendToDelegate(const Delegate& chosen);
+  Verdict judgeDelegated(const HttpHead& head, const forwarding::ResponseFacts& facts);
+  void endDelegatedRefusal();
+  void noteDelegateFailed();
+  void releaseDelegate();
+  void beginDelegated();
+  DelegationOutcome outcomeOfRejection(int status) const;
   bool chooseTarget();
   using Servers = std::vector<forwarding::ServerDirectory::ServerPointer>;
   bool chooseServerAmong(const Servers& servers, absl::Time now);
@@ -90,6 +106,7 @@
   uint32_t enginePriority() const;
   void notePlacement(absl::Time now);
   void sendAttempt();
+  void resetAttempt();
   Verdict judge(const HttpHead& head, const forwarding::ResponseFacts& facts) const;
   void endAttempt(forwarding::AttemptOutcome end);
   void releaseServer();
@@ -127,6 +144,16 @@
   absl::Time crash_wait_ends_ = absl::InfiniteFuture();  // finite once the wait has begun
   std::vector<uint64_t> tried_;                          // identity hashes of the servers of earlier attempts
 
+  // Delegation to another gateway.
+  std::optional<DelegationTerms> terms_;  // this gateway is the delegate
+  std::optional<NodeId> delegate_;        // of the current attempt
+  Sequence delegated_sequence_;           // of the sealed request
+  std::vector<NodeId> declined_by_;       // gateways that don't get it again
+  bool has_declined_ = false;
+  std::optional<absl::Duration> retry_after_of_delegate_;
+  reactor::TimerQueue::Key offer_timer_;                 // set while the request waits for an offer
+  absl::Time offer_wait_ends_ = absl::InfiniteFuture();  // finite once the wait has begun
+
   // The tenant's limit.
   std::optional<uint64_t> pending_quota_;  // request to the limit's owner that is in flight
   bool is_quota_decided_ = false;
--- a/src/gateway/exchange_rate.cc
+++ b/src/gateway/exchange_rate.cc
@@ -59,6 +59,9 @@
 // Time until the first server is free if all servers of the service asked for a limit or a back-off period;
 // at least kRetryAfter.
 absl::Duration Exchange::retryAfter() const {
+  if (retry_after_of_delegate_) {
+    return std::max(kRetryAfter, *retry_after_of_delegate_);
+  }
   const absl::Time now = reactor::steadyNow();
   const absl::Time free_at = forwarding::firstAvailableAt(core_.directory.ofService(service_), now);
   return free_at == absl::InfiniteFuture() ? kRetryAfter : std::max(kRetryAfter, free_at - now);
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -47,9 +47,12 @@
 void Exchange::onResponseHead(const HttpHead& head, const forwarding::ResponseFacts& facts) {
   const absl::Time now = reactor::steadyNow();
   response_head_ = head;
-  verdict_ = judge(head, facts);
+  verdict_ = delegate_ ? judgeDelegated(head, facts) : judge(head, facts);
   const std::string* const length = findField(head.fields, "Content-Length");
   response_length_ = length == nullptr ? std::nullopt : parseUnsigned(*length);
+  if (delegate_) {
+    return;  // what the server says of itself is the delegate's to note
+  }
   if (facts.weights_version && !facts_.model.empty()) {
     if (ServerDirectory::noteVersion(*server_, facts_.model, *facts.weights_version)) {
       core_.unreported_versions.push_back({server_->identity_hash, facts_.model, *facts.weights_version});
@@ -155,10 +158,14 @@
   const std::string* const connection = findField(response_head_.fields, "Connection");
   for (const HeaderField& field : response_head_.fields) {
     if (!isHopByHop(field.name, connection == nullptr ? "" : *connection) &&
-        findField({field}, "Content-Length") == nullptr) {
+        findField({field}, "Content-Length") == nullptr &&
+        findField({field}, kDelegationOutcomeField) == nullptr) {
       fields.push_back(field);
     }
   }
+  if (terms_) {
+    fields.push_back(core_.delegations->sealOutcome(*terms_, DelegationOutcome::kServed));
+  }
   const bool is_stream = route_->kind == RepeatKind::kStream;
   std::optional<uint64_t> length = is_stream ? std::nullopt : response_length_;
   if (is_buffering_ && !is_stream) {
@@ -188,6 +195,10 @@
   const absl::Time now = reactor::steadyNow();
   switch (verdict_) {
     case Verdict::kRefused:
+      if (delegate_) {
+        endDelegatedRefusal();
+        return;
+      }
       ServerDirectory::noteFailure(*server_, kRefusalWeight, now);
       endAttempt(AttemptOutcome::kRefused);
       return;
@@ -242,8 +253,12 @@
 void Exchange::onResponseBroken() {
   const auto self = shared_from_this();
   noteRolloutEnd(RolloutExchange::AttemptOutcome::kFailed);
-  ServerDirectory::noteFailure(*server_, kBrokenWeight, reactor::steadyNow());
-  core_.crash_detector->onAttemptBroken(server_, identity_);
+  if (delegate_) {
+    noteDelegateFailed();
+  } else {
+    ServerDirectory::noteFailure(*server_, kBrokenWeight, reactor::steadyNow());
+    core_.crash_detector->onAttemptBroken(server_, identity_);
+  }
   endAttempt(AttemptOutcome::kUnknown);
 }
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -39,6 +39,8 @@
       quotas_(core_, peer_directory_, peers_, peer::PeerModule::kLimits, toleranceOf(core_.settings.bounds),
               [this](const quota::LimitName& name) { return limitOfTenant(core_, name); }),
       server_rates_(core_, peer_directory_, peers_),
+      paths_(core_),
+      delegations_(core_, peer_directory_, peers_, paths_),
       occupancy_(core_, peer_directory_, peers_),
       crash_exchange_(core_, peer_directory_, peers_),
       crash_detector_(core_, crash_exchange_),
@@ -56,7 +58,7 @@
   const GatewayListenSettings& listen = core_.settings.listen;
   caller_listener_ = std::make_unique<reactor::Listener>(
       core_.reactor, listen.callers,
-      [this](reactor::Connection::Socket socket) { acceptCaller(std::move(socket)); });
+      [this](reactor::Connection::Socket socket) { accept(std::move(socket), nullptr); });
   readiness_server_ = std::make_unique<reactor::SimpleHttpServer>(
       core_.reactor, listen.readiness, [this](const HttpHead&) { return handleReadiness(); });
   if (listen.metrics) {
@@ -64,7 +66,7 @@
         core_.reactor, *listen.metrics, [this](const HttpHead&) { return handleMetrics(); });
   }
   const bool are_bound = caller_listener_->isListening() && readiness_server_->isListening() &&
-                         (metrics_server_ == nullptr || metrics_server_->isListening());
+                         (metrics_server_ == nullptr || metrics_server_->isListening()) && startDelegations();
   if (!are_bound) {
     return fail(ErrorCode::kUnavailable, "cannot bind a listen address");
   }
@@ -72,6 +74,8 @@
   awaitSignal();
   core_.quotas = &quotas_;
   core_.server_rates = &server_rates_;
+  core_.paths = &paths_;
+  core_.delegations = &delegations_;
   core_.occupancy = &occupancy_;
   core_.crash_detector = &crash_detector_;
   quotas_.start();
@@ -118,12 +122,27 @@
          (core_.rollouts == nullptr || core_.rollouts->hasRecords());
 }
 
-void Gateway::acceptCaller(reactor::Connection::Socket socket) {
+// Returns false if the address can't be bound.
+bool Gateway::startDelegations() {
+  if (core_.settings.listen.delegation) {
+    delegation_listener_ = std::make_unique<reactor::Listener>(
+        core_.reactor, *core_.settings.listen.delegation,
+        [this](reactor::Connection::Socket socket) { accept(std::move(socket), &delegations_); });
+    if (!delegation_listener_->isListening()) {
+      return false;
+    }
+  }
+  delegations_.start(delegation_listener_ == nullptr ? 0 : delegation_listener_->port());
+  return true;
+}
+
+void Gateway::accept(reactor::Connection::Socket socket, Delegations* delegations) {
   if (connections_.size() >= core_.settings.connections_at_most) {
     return;  // closes the socket unread
   }
   auto connection = std::make_shared<CallerConnection>(
-      core_, pool_, std::move(socket), [this](CallerConnection* closed) { connections_.erase(closed); });
+      core_, pool_, std::move(socket), [this](CallerConnection* closed) { connections_.erase(closed); },
+      delegations);
   connections_.emplace(connection.get(), connection);
   connection->start();
 }
@@ -216,6 +235,9 @@
   }
   core_.rejects_requests = true;
   caller_listener_->close();
+  if (delegation_listener_ != nullptr) {
+    delegation_listener_->close();
+  }
   std::vector<std::shared_ptr<CallerConnection>> idle;
   for (const auto& [pointer, connection] : connections_) {
     if (!connection->isServing()) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -15,7 +15,9 @@
 #include "gateway/core.h"
 #include "gateway/crash_detector.h"
 #include "gateway/crash_exchange.h"
+#include "gateway/delegations.h"
 #include "gateway/occupancy_exchange.h"
+#include "gateway/path_prober.h"
 #include "gateway/peer_directory.h"
 #include "gateway/peer_exchange.h"
 #include "gateway/quota_exchange.h"
@@ -56,7 +58,9 @@
 
  private:
   void startPeers();
-  void acceptCaller(reactor::Connection::Socket socket);
+  bool startDelegations();
+  // `delegations`: null for a caller's connection.
+  void accept(reactor::Connection::Socket socket, Delegations* delegations);
   reactor::SimpleHttpResponse handleReadiness() const;
   reactor::SimpleHttpResponse handleMetrics();
   void awaitSignal();
@@ -71,6 +75,8 @@
   PeerExchange peers_;
   QuotaExchange quotas_;
   ServerRates server_rates_;
+  PathProber paths_;
+  Delegations delegations_;
   OccupancyExchange occupancy_;
   CrashExchange crash_exchange_;
   CrashDetector crash_detector_;
@@ -82,6 +88,7 @@
   CacheStoreWatch cache_stores_;
   boost::asio::signal_set signals_;
   std::unique_ptr<reactor::Listener> caller_listener_;
+  std::unique_ptr<reactor::Listener> delegation_listener_;
   std::unique_ptr<reactor::SimpleHttpServer> readiness_server_;
   std::unique_ptr<reactor::SimpleHttpServer> metrics_server_;
   absl::flat_hash_map<CallerConnection*, std::shared_ptr<CallerConnection>> connections_;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -48,6 +48,8 @@
   switch (end) {
     case AttemptOutcome::kNeverSent:
       return "never_sent";
+    case AttemptOutcome::kDeclined:
+      return "declined";
     case AttemptOutcome::kRefused:
       return "refused";
     case AttemptOutcome::kUnknown:
@@ -87,6 +89,8 @@
                               "Answers in which a server's demands on its callers changed.")),
       rate_decisions_(counters(registry_, "quincewick_server_rate_decisions_total",
                                "Requests for servers that named a rate, by whether it let them go there.")),
+      delegated_(counters(registry_, "quincewick_delegated_requests_total",
+                          "Requests handed to other gateways, by what came of them.")),
       forecast_(prometheus::BuildHistogram()
                     .Name("quincewick_first_piece_forecast_error_seconds")
                     .Help("How far first pieces came from their forecasts, by route.")
@@ -102,6 +106,8 @@
       outdated_decisions_(
           counter(registry_, "quincewick_outdated_decisions_total",
                   "Requests decided by a configuration that was confirmed longer ago than its bound.")),
+      services_cut_off_(counter(registry_, "quincewick_services_cut_off_total",
+                                "Times that no server of a service could be reached.")),
       server_crashes_(counter(registry_, "quincewick_server_ends_total",
                               "Servers that ended while requests of this gateway were there.")),
       crashes_unreported_(counter(registry_, "quincewick_server_ends_untold_total",
@@ -157,6 +163,23 @@
   back_pressure_.Add({{"what", std::string(change)}}).Increment();
 }
 
+void GatewayMetrics::countDelegated(DelegationOutcome outcome) {
+  const auto name = [outcome] {
+    switch (outcome) {
+      case DelegationOutcome::kServed:
+        return "served";
+      case DelegationOutcome::kDeclined:
+        return "declined";
+      case DelegationOutcome::kNotRun:
+        return "not_run";
+      case DelegationOutcome::kUnknown:
+        break;
+    }
+    return "unknown";
+  };
+  delegated_.Add({{"outcome", name()}}).Increment();
+}
+
 void GatewayMetrics::countRateDecision(bool is_granted) {
   rate_decisions_.Add({{"granted", is_granted ? "true" : "false"}}).Increment();
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -14,6 +14,7 @@
 
 #include "forwarding/attempt_ledger.h"
 #include "forwarding/site_configuration.h"
+#include "gateway/delegation_messages.h"
 #include "staged_rollout/response_stats.h"
 
 namespace quincewick::gateway {
@@ -43,6 +44,10 @@
   void countBackPressure(std::string_view change);
   // The owner of a server's rate limit decided on a request.
   void countRateDecision(bool is_granted);
+  // A service's servers can't be reached from this gateway any more.
+  void countServiceCutOff() { services_cut_off_->Increment(); }
+  // Another gateway responded to a request that this one handed on.
+  void countDelegated(DelegationOutcome outcome);
   void countServerCrash() { server_crashes_->Increment(); }
   // A server crash was not reported to peers because too many others were pending.
   void countUnreportedCrash() { crashes_unreported_->Increment(); }
@@ -85,6 +90,7 @@
   prometheus::Family<prometheus::Counter>& rows_refused_;
   prometheus::Family<prometheus::Counter>& back_pressure_;
   prometheus::Family<prometheus::Counter>& rate_decisions_;
+  prometheus::Family<prometheus::Counter>& delegated_;
   prometheus::Family<prometheus::Histogram>& forecast_;
   prometheus::Counter* retries_;
   prometheus::Counter* streams_resumed_;
@@ -92,6 +98,7 @@
   prometheus::Counter* datagrams_refused_;
   prometheus::Counter* store_went_back_;
   prometheus::Counter* outdated_decisions_;
+  prometheus::Counter* services_cut_off_;
   prometheus::Counter* server_crashes_;
   prometheus::Counter* crashes_unreported_;
   prometheus::Counter* to_base_;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -37,7 +37,8 @@
           .add("callers", &GatewayListenSettings::callers, Presence::kRequired)
           .add("readiness", &GatewayListenSettings::readiness, Presence::kRequired)
           .add("peers", &GatewayListenSettings::peers, Presence::kOptional)
-          .add("metrics", &GatewayListenSettings::metrics, Presence::kOptional));
+          .add("metrics", &GatewayListenSettings::metrics, Presence::kOptional)
+          .add("delegation", &GatewayListenSettings::delegation, Presence::kOptional));
   return *schema;
 }
 
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -20,6 +20,8 @@
   Address readiness;
   std::optional<Address> peers;    // between the gateways of a site: UDP, and TCP for the row relay
   std::optional<Address> metrics;  // Prometheus' text format
+  // TCP: takes requests of gateways that can't reach their servers. Unset: takes none.
+  std::optional<Address> delegation;
 
   friend bool operator==(const GatewayListenSettings&, const GatewayListenSettings&) = default;
 };
--- a/src/peer/envelope.h
+++ b/src/peer/envelope.h
@@ -22,6 +22,7 @@
   kCrashes = 8,
   kStagedRollouts = 9,
   kServerRates = 10,
+  kDelegations = 11,
 };
 
 // How a message travels. It is part of what the MAC covers, so none can be passed off as another.
--- a/tests/gateway/partitioned_gateway_test.cc
+++ b/tests/gateway/partitioned_gateway_test.cc
@@ -1,5 +1,5 @@
-// Guards against callers of a gateway without a path to the servers who are served worse than others: while new
-// connections to all servers failed there, 0 of 120 first tries were served, elsewhere 635 of 644.
+// Guards against callers of a gateway without a path to the servers who are served worse than others: while
+// new connections to all servers failed there, 0 of 120 first tries were served, elsewhere 635 of 644.
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/in.h>
@@ -57,26 +57,27 @@
 constexpr size_t kServers = 4;
 constexpr size_t kRequests = 30;
 
-// Four servers. Gateways that read the store at its second address find `dead` in place of the servers. They have
-// a zone of their own, since a zone's gateways follow one reader.
+// Four servers. Gateways that read the store at its second address find `dead` in place of the servers. They
+// have a zone of their own, since a zone's gateways follow one reader.
 struct PartitionSite : Fixture {
   explicit PartitionSite(const Address& dead) {
     for (size_t server = 0; server < kServers; ++server) {
       site.addServer(absl::StrCat("i-", server), [](const Seen& seen) {
         const std::string* const id = findField(seen.head.fields, "Quincewick-Attempt-Id");
-        return Script{answerOf(200,
-                               {{"Quincewick-Response-Signature", "s"},
-                                {"Quincewick-Attempt-Id", id == nullptr ? "" : *id}},
-                               "id: 1\ndata: served\n\n")};
+        return Script{answerOf(
+            200,
+            {{"Quincewick-Response-Signature", "s"}, {"Quincewick-Attempt-Id", id == nullptr ? "" : *id}},
+            "id: 1\ndata: served\n\n")};
       });
     }
     site.replaceServersAtSecond(dead);
   }
 
   GatewaySettings settingsOf(const std::string& id, bool is_partitioned) const {
-    GatewaySettings result = RunningGateway::settings(
-        id, is_partitioned ? site.secondStoreAddress() : site.storeAddress(), site);
+    GatewaySettings result =
+        RunningGateway::settings(id, is_partitioned ? site.secondStoreAddress() : site.storeAddress(), site);
     result.zone = ZoneName(is_partitioned ? "y" : "z");
+    result.listen.delegation = Address{"127.0.0.1", 0};
     return result;
   }
 };
