Send requests to brittle servers under permits, so that they reject no more than they stand

The cause: gateways send whatever the load, and engines let 144 requests wait; once they let fewer wait, what gateways are used to leaving there is rejected at once. Nothing knew how many rejections a server stands. Class: waiting at servers that nobody bounds.

Now a request to a server that says so needs a permit, of which there are as many as rejections that it stands; one that isn't accepted yet may be rejected, so a permit is free on acceptance or 1.05 s after a rejection.

--- a/src/gateway/back_pressure_notes.cc
+++ b/src/gateway/back_pressure_notes.cc
@@ -2,6 +2,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include "gateway/permit_exchange.h"
+
 namespace quincewick::gateway {
 namespace {
 
@@ -75,6 +77,7 @@
   }
   if (facts.max_rejections || ends_limit) {
     recordMaxRejections(core, server, facts.max_rejections, now);
+    core.permits->noteStatement(server, facts.max_rejections);
   }
   if (facts.is_leaving) {
     recordLeaving(core, server, now);
--- a/src/gateway/core.h
+++ b/src/gateway/core.h
@@ -34,6 +34,7 @@
 class Delegations;
 class OccupancyExchange;
 class PathProber;
+class PermitExchange;
 class QuotaExchange;
 class RolloutExchange;
 class ServerRates;
@@ -82,6 +83,7 @@
   ServerRates* server_rates = nullptr;      // the same
   CrashDetector* crash_detector = nullptr;  // the same
   PathProber* paths = nullptr;              // the same
+  PermitExchange* permits = nullptr;        // the same
   Delegations* delegations = nullptr;       // the same
   RolloutExchange* rollouts = nullptr;      // null: the site has no staged rollouts
   bool is_stopping = false;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -48,6 +48,7 @@
   core_.timers.cancel(deadline_timer_);
   core_.timers.cancel(crash_timer_);
   core_.timers.cancel(offer_timer_);
+  core_.timers.cancel(permit_timer_);
   releaseQuota();
   releaseServer();
   --core_.requests_under_way;
@@ -95,9 +96,7 @@
     return;
   }
   if (!chooseTarget()) {
-    if (!isHeldBackByPath() || !delegate()) {
-      giveUp(false, kNoServer);
-    }
+    onNoServer();
     return;
   }
   if (engine_ && core_.settings.placement.reserve_slots) {
@@ -107,6 +106,14 @@
   }
 }
 
+void Exchange::onNoServer() {
+  if (!without_permit_.empty()) {
+    awaitPermit();
+  } else if (!isHeldBackByPath() || !delegate()) {
+    giveUp(false, kNoServer);
+  }
+}
+
 bool Exchange::maySend() {
   const absl::Time now = reactor::steadyNow();
   if (deadline_ - now < kMinTimeToSend) {
@@ -158,7 +165,7 @@
 
 void Exchange::sendToChosenServer() {
   const absl::Time now = reactor::steadyNow();
-  const bool has_waited = engine_ || rate_grant_;
+  const bool has_waited = engine_ || rate_grant_ || has_permit_;
   if (has_waited && !maySend()) {
     return;
   }
@@ -172,6 +179,10 @@
     requestRate();
     return;
   }
+  if (needsPermit()) {
+    requestPermit();
+    return;
+  }
   if (ledger_.isNextRetry() && !mayRepeat(now)) {
     releaseServer();
     server_ = nullptr;
@@ -218,7 +229,7 @@
 }
 
 bool Exchange::choosePlainServer(const Servers& servers, absl::Time now) {
-  server_ = forwarding::chooseServer(servers, tried_, core_.settings.zone, now, core_.random);
+  server_ = forwarding::chooseServer(servers, excludedServers(), core_.settings.zone, now, core_.random);
   return server_ != nullptr;
 }
 
@@ -293,6 +304,7 @@
   is_at_server_ = true;
   core_.crash_detector->noteSent(identity_);
   noteRolloutSent();
+  noteUnaccepted();
   attempt_ = pool_.start(server_, std::move(request), this);
 }
 
@@ -303,6 +315,7 @@
 
 void Exchange::onNeverSent() {
   const auto self = shared_from_this();
+  endUnaccepted(quota::PermitEnd::kNeverSent);
   if (delegate_) {
     noteDelegateFailed();
   }
@@ -340,6 +353,7 @@
 void Exchange::releaseServer() {
   settleRollout();
   releaseRate();
+  releasePermit();
   if (std::exchange(is_at_server_, false)) {
     core_.crash_detector->noteOver(identity_);
   }
@@ -364,6 +378,7 @@
   }
   const bool was_sent = ledger_.isNextRetry();
   core_.timers.cancel(offer_timer_);
+  core_.timers.cancel(permit_timer_);
   noteRolloutEnd(RolloutExchange::AttemptOutcome::kFailed);
   attempt_.reset();
   releaseServer();
@@ -431,6 +446,7 @@
   core_.timers.cancel(deadline_timer_);
   core_.timers.cancel(crash_timer_);
   core_.timers.cancel(offer_timer_);
+  core_.timers.cancel(permit_timer_);
   releaseQuota();
   settleRollout();
   const absl::Time now = reactor::steadyNow();
@@ -478,7 +494,8 @@
   const bool may_break_off = route_ == nullptr || route_->kind != RepeatKind::kOnce ||
                              pending_quota_.has_value() || pending_reservation_.has_value() ||
                              pending_rate_.has_value() || crash_timer_ != reactor::TimerQueue::Key() ||
-                             offer_timer_ != reactor::TimerQueue::Key();
+                             offer_timer_ != reactor::TimerQueue::Key() || pending_permit_.has_value() ||
+                             permit_timer_ != reactor::TimerQueue::Key();
   if (may_break_off) {
     attempt_.reset();
     releaseServer();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -16,6 +16,7 @@
 #include "gateway/core.h"
 #include "gateway/delegations.h"
 #include "gateway/occupancy_exchange.h"
+#include "gateway/permit_exchange.h"
 #include "gateway/quota_exchange.h"
 #include "gateway/response_sink.h"
 #include "gateway/rollout_exchange.h"
@@ -74,6 +75,18 @@
   void requestRate();
   void onRateDecision(const RateDecision& decision);
   void releaseRate();
+  double permitShare() const;
+  bool needsPermit() const;
+  void requestPermit();
+  void onPermitResult(const PermitResult& result);
+  void awaitPermit();
+  void noteUnaccepted();
+  void endUnaccepted(quota::PermitEnd how);
+  void releasePermit();
+  void onPermitLost();
+  // Servers of earlier attempts, and those without a free permit.
+  std::vector<uint64_t> excludedServers() const;
+  void onNoServer();
   absl::Duration retryAfter() const;
   void sendToChosenServer();
   // Takes one retry from the site's retry budget; false if none is left.
@@ -184,8 +197,20 @@
   std::optional<uint64_t> pending_rate_;  // request to the owner of the server's rate limit
   uint32_t rate_turn_ = 0;                // counts these requests
   bool has_rate_decision_ = false;
-  uint32_t rates_requested_ = 0;         // for this attempt
-  std::optional<RateGrant> rate_grant_;  // held until the request is sent
+  uint32_t rates_requested_ = 0;            // for this attempt
+  std::optional<RateGrant> rate_grant_;     // held until the request is sent
+  std::optional<uint64_t> pending_permit_;  // request to the holders of the server's permits
+  uint32_t permit_turn_ = 0;                // counts these requests
+  bool has_permit_result_ = false;
+  uint32_t permits_requested_ = 0;         // since the last wait
+  bool has_permit_ = false;                // a permit was granted, or is unneeded
+  bool skips_permit_ = false;              // sent without one
+  bool is_permit_unavailable_ = false;     // the last result said so
+  std::optional<uint64_t> permit_;         // held until the request is sent
+  std::optional<uint64_t> unaccepted_;     // sent, and not yet accepted by the server
+  std::vector<uint64_t> without_permit_;   // servers without a free permit, passed over until the next wait
+  reactor::TimerQueue::Key permit_timer_;  // set while the request waits for a permit
+  absl::Time permit_wait_ends_ = absl::InfiniteFuture();  // finite once the wait has begun
   std::unique_ptr<Attempt> attempt_;
   bool is_at_server_ = false;  // sent, and not known to have ended there
   absl::Time attempt_began_;
--- a/src/gateway/exchange_delegation.cc
+++ b/src/gateway/exchange_delegation.cc
@@ -190,7 +190,9 @@
   if (!is_refused_here && !forwarding::promisesNotRun(status)) {
     return DelegationOutcome::kUnknown;
   }
-  return ledger_.isNextRetry() ? DelegationOutcome::kNotRun : DelegationOutcome::kDeclined;
+  // Permits are the site's: another gateway finds none either.
+  const bool was_refused = ledger_.isNextRetry() || !without_permit_.empty();
+  return was_refused ? DelegationOutcome::kNotRun : DelegationOutcome::kDeclined;
 }
 
 }  // namespace quincewick::gateway
--- a/src/gateway/exchange_placement.cc
+++ b/src/gateway/exchange_placement.cc
@@ -22,8 +22,9 @@
   request.output_tokens = facts_.output_tokens;
   request.allowed_first_piece = route_->target_latency.value_or(absl::InfiniteDuration());
   const std::vector<forwarding::CacheStoreTraits> cache_stores = core_.liveCacheStores();
+  const std::vector<uint64_t> excluded = excludedServers();
   const auto choose = [&](WeightsVersion least) {
-    return core_.placement.choose(request, servers, core_.directory, cache_stores, tried_, least, now);
+    return core_.placement.choose(request, servers, core_.directory, cache_stores, excluded, least, now);
   };
   engine_ = choose(core_.weights.preferred(facts_.model, now));
   if (!engine_) {
@@ -82,7 +83,7 @@
   if (chooseTarget()) {
     reserveSlot();
   } else {
-    giveUp(false, kNoServer);
+    onNoServer();
   }
 }
 
--- a/src/gateway/exchange_rate.cc
+++ b/src/gateway/exchange_rate.cc
@@ -62,6 +62,9 @@
   if (retry_after_of_delegate_) {
     return std::max(kRetryAfter, *retry_after_of_delegate_);
   }
+  if (!without_permit_.empty() || core_.permits->isBrittle(service_)) {
+    return std::max(kRetryAfter, core_.permits->retryAfter(service_));
+  }
   const absl::Time now = reactor::steadyNow();
   const absl::Time free_at = forwarding::firstAvailableAt(core_.directory.ofService(service_), now);
   return free_at == absl::InfiniteFuture() ? kRetryAfter : std::max(kRetryAfter, free_at - now);
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -53,6 +53,9 @@
   if (delegate_) {
     return;  // what the server says of itself is the delegate's to note
   }
+  if (verdict_ != Verdict::kRefused && !forwarding::promisesNotRun(head.status)) {
+    endUnaccepted(quota::PermitEnd::kAccepted);
+  }
   if (facts.weights_version && !facts_.model.empty()) {
     if (ServerDirectory::noteVersion(*server_, facts_.model, *facts.weights_version)) {
       core_.unreported_versions.push_back({server_->identity_hash, facts_.model, *facts.weights_version});
@@ -199,6 +202,7 @@
         endDelegatedRefusal();
         return;
       }
+      endUnaccepted(quota::PermitEnd::kMaybeRejected);
       ServerDirectory::noteFailure(*server_, kRefusalWeight, now);
       endAttempt(AttemptOutcome::kRefused);
       return;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -39,6 +39,7 @@
       quotas_(core_, peer_directory_, peers_, peer::PeerModule::kLimits, toleranceOf(core_.settings.bounds),
               [this](const quota::LimitName& name) { return limitOfTenant(core_, name); }),
       server_rates_(core_, peer_directory_, peers_),
+      permits_(core_, peer_directory_, peers_),
       paths_(core_),
       delegations_(core_, peer_directory_, peers_, paths_),
       occupancy_(core_, peer_directory_, peers_),
@@ -74,12 +75,14 @@
   awaitSignal();
   core_.quotas = &quotas_;
   core_.server_rates = &server_rates_;
+  core_.permits = &permits_;
   core_.paths = &paths_;
   core_.delegations = &delegations_;
   core_.occupancy = &occupancy_;
   core_.crash_detector = &crash_detector_;
   quotas_.start();
   server_rates_.start();
+  permits_.start();
   occupancy_.start();
   crash_exchange_.start([this] { return follower_.isZoneReader(); });
   if (core_.settings.rollout_share > 0) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -20,6 +20,7 @@
 #include "gateway/path_prober.h"
 #include "gateway/peer_directory.h"
 #include "gateway/peer_exchange.h"
+#include "gateway/permit_exchange.h"
 #include "gateway/quota_exchange.h"
 #include "gateway/rollout_controller.h"
 #include "gateway/rollout_exchange.h"
@@ -75,6 +76,7 @@
   PeerExchange peers_;
   QuotaExchange quotas_;
   ServerRates server_rates_;
+  PermitExchange permits_;
   PathProber paths_;
   Delegations delegations_;
   OccupancyExchange occupancy_;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -89,6 +89,8 @@
                               "Answers in which a server's demands on its callers changed.")),
       rate_decisions_(counters(registry_, "quincewick_server_rate_decisions_total",
                                "Requests for servers that named a rate, by whether it let them go there.")),
+      permit_decisions_(counters(registry_, "quincewick_permit_decisions_total",
+                                 "Requests for permits of brittle servers, by whether one was granted.")),
       delegated_(counters(registry_, "quincewick_delegated_requests_total",
                           "Requests handed to other gateways, by what came of them.")),
       forecast_(prometheus::BuildHistogram()
@@ -163,6 +165,10 @@
   back_pressure_.Add({{"what", std::string(change)}}).Increment();
 }
 
+void GatewayMetrics::countPermitDecision(bool is_granted) {
+  permit_decisions_.Add({{"granted", is_granted ? "true" : "false"}}).Increment();
+}
+
 void GatewayMetrics::countDelegated(DelegationOutcome outcome) {
   const auto name = [outcome] {
     switch (outcome) {
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -44,6 +44,8 @@
   void countBackPressure(std::string_view change);
   // The owner of a server's rate limit decided on a request.
   void countRateDecision(bool is_granted);
+  // The holders of a brittle server's permits decided on a request.
+  void countPermitDecision(bool is_granted);
   // A service's servers can't be reached from this gateway any more.
   void countServiceCutOff() { services_cut_off_->Increment(); }
   // Another gateway responded to a request that this one handed on.
@@ -90,6 +92,7 @@
   prometheus::Family<prometheus::Counter>& rows_refused_;
   prometheus::Family<prometheus::Counter>& back_pressure_;
   prometheus::Family<prometheus::Counter>& rate_decisions_;
+  prometheus::Family<prometheus::Counter>& permit_decisions_;
   prometheus::Family<prometheus::Counter>& delegated_;
   prometheus::Family<prometheus::Histogram>& forecast_;
   prometheus::Counter* retries_;
--- a/src/peer/envelope.h
+++ b/src/peer/envelope.h
@@ -23,6 +23,7 @@
   kStagedRollouts = 9,
   kServerRates = 10,
   kDelegations = 11,
+  kRejectionPermits = 12,
 };
 
 // How a message travels. It is part of what the MAC covers, so none can be passed off as another.
--- a/tests/forwarding/partitioned_site_test.cc
+++ b/tests/forwarding/partitioned_site_test.cc
@@ -275,7 +275,7 @@
 // Guards against callers of gateways without a path to the servers who are served worse than others: 0 of 120
 // first tries, elsewhere 635 of 644.
 TEST_CASE("from 3 s after any share of gateways is cut off its callers are served as those of the others") {
-  rc::check([] {
+  CHECK(rc::check([] {
     SiteSettings settings;
     settings.gateways = *rc::gen::inRange<size_t>(2, 30);
     settings.zones = *rc::gen::inRange<size_t>(1, 5);
@@ -310,7 +310,7 @@
     }
     RC_ASSERT(site.runs == site.accepted);
     RC_ASSERT(site.most_hops <= 1);
-  });
+  }));
 }
 
 TEST_CASE("of 300 gateways all but one are cut off: the others find it within 3 s") {
--- a/tests/gateway/gateway_settings_test.cc
+++ b/tests/gateway/gateway_settings_test.cc
@@ -18,6 +18,7 @@
                                           {"{{zone}}", "a"},
                                           {"{{region}}", "r"},
                                           {"{{ip}}", "10.1.0.30"},
+                                          {"{{portRange.1}}", "7355"},
                                           {"{{portRange.0}}", "7340"},
                                           {"{{#bootstrap}}", ""},
                                           {"{{/bootstrap}}", ""},
@@ -56,6 +57,7 @@
   REQUIRE(parsed.ok());
   CHECK(parsed.value->gateway_id == NodeId("front-a-1"));
   CHECK(parsed.value->listen.peers == Address{"10.1.0.30", 7340});
+  CHECK(parsed.value->listen.delegation == Address{"10.1.0.30", 7355});
   CHECK(parsed.value->store == Address{"10.200.1.7", 8784});
   CHECK(parsed.value->bounds.configuration_in_force == absl::Milliseconds(3500));
   CHECK(parsed.value->bounds.weights_in_force == absl::Milliseconds(7500));
