Soak: cut a zone's path to all back ends in three ways, and make back ends brittle

Resets, new connections refused while open ones live, and silence; a service's back ends say that they are brittle and let fewer requests wait 3 s later. A promise: a brittle back end rejects no more in a second than it stands.

--- a/tests/soak/back_ends.cc
+++ b/tests/soak/back_ends.cc
@@ -38,6 +38,7 @@
   void silence() { is_silent_ = true; }
   void reset() {
     if (std::exchange(is_open_, false)) {
+      takesRoom(false);
       recordAbort();
       connection_->abort();
     }
@@ -51,7 +52,16 @@
     reader_.take(bytes);
     serveNext();
   }
-  void onEnd(reactor::EndKind /*kind*/) override { is_open_ = false; }
+  void onEnd(reactor::EndKind /*kind*/) override {
+    takesRoom(false);
+    is_open_ = false;
+  }
+
+  void takesRoom(bool takes) {
+    if (std::exchange(takes_room_, takes) != takes) {
+      back_end_.in_progress_ += takes ? 1 : -1;
+    }
+  }
 
   void serveNext() {
     if (!is_busy_ && is_open_ && reader_.status() == reactor::ReadStatus::kDone) {
@@ -81,11 +91,17 @@
       respond(503, {{"Quincewick-Not-Executed", "1"}}, "");
       return;
     }
+    if (back_end_.in_progress_ >= back_end_.announcements_.room) {
+      record().is_rejected_for_room = true;
+      respond(503, {{"Quincewick-Not-Executed", "1"}}, "");
+      return;
+    }
     if (back_end_.request_faults_.refuses && back_end_.drawFault()) {
       respond(503, {{"Quincewick-Not-Executed", "1"}}, "");
       return;
     }
     record().ran = true;
+    takesRoom(true);
     const absl::Duration work =
         kMinWork + absl::Milliseconds(static_cast<int64_t>(back_end_.random_() % kWorkSpreadMs));
     const bool is_stream = head.target.starts_with("/stream") || head.target.starts_with("/resumed");
@@ -184,12 +200,17 @@
     if (announcements.back_off_period) {
       fields.push_back({"Retry-After", absl::StrCat(absl::ToDoubleSeconds(*announcements.back_off_period))});
     }
+    if (announcements.max_rejections) {
+      fields.push_back({"Server-Brittle", absl::StrCat(*announcements.max_rejections)});
+    }
+    record().announced_max_rejections = announcements.max_rejections;
     record().announced_leaving = announcements.is_leaving;
     record().advertised_rate = announcements.rate;
     record().requested_back_off = announcements.back_off_period;
   }
 
   void finishRequest() {
+    takesRoom(false);
     is_busy_ = false;
     reader_.next();
     reader_.take({});
@@ -197,6 +218,7 @@
   }
 
   void closeMidResponse() {
+    takesRoom(false);
     recordAbort();
     is_open_ = false;
     connection_->closeWhenSent();
@@ -227,6 +249,7 @@
   bool is_open_ = true;
   bool is_busy_ = false;
   bool is_silent_ = false;
+  bool takes_room_ = false;
   std::string attempt_;
   size_t arrival_index_ = 0;
 };
@@ -242,29 +265,55 @@
       started_(started),
       gateways_(std::move(gateways)),
       random_(seed) {
+  listeners_.resize(gateways_.size());
+  ports_.resize(gateways_.size());
+  cuts_.resize(gateways_.size(), PathCut::kNone);
   for (size_t gateway = 0; gateway < gateways_.size(); ++gateway) {
-    listeners_.push_back(std::make_unique<reactor::Listener>(
-        reactor_, Address{"127.0.0.1", ports.empty() ? uint16_t{0} : ports[gateway]},
-        [this, gateway](reactor::Connection::Socket socket) { accept(gateway, std::move(socket)); }));
+    listen(gateway, ports.empty() ? uint16_t{0} : ports[gateway]);
+    ports_[gateway] = listeners_[gateway]->port();
+  }
+}
+
+void BackEnd::listen(size_t gateway, uint16_t port) {
+  listeners_[gateway] = std::make_unique<reactor::Listener>(
+      reactor_, Address{"127.0.0.1", port},
+      [this, gateway](reactor::Connection::Socket socket) { accept(gateway, std::move(socket)); });
+}
+
+void BackEnd::cutPath(size_t gateway, PathCut cut) {
+  if (has_crashed_) {
+    return;
+  }
+  const bool was_listening = cuts_[gateway] == PathCut::kNone || cuts_[gateway] == PathCut::kSilent;
+  const bool listens = cut == PathCut::kNone || cut == PathCut::kSilent;
+  cuts_[gateway] = cut;
+  if (cut == PathCut::kReset) {
+    resetConnections(gateway);
+  } else if (cut == PathCut::kSilent) {
+    silenceConnections(gateway);
+  }
+  if (was_listening && !listens) {
+    listeners_[gateway]->close();
+  } else if (!was_listening && listens) {
+    listen(gateway, ports_[gateway]);
   }
 }
 
 BackEnd::~BackEnd() = default;
 
 Address BackEnd::addressFor(size_t gateway) const {
-  return {"127.0.0.1", listeners_[gateway]->port()};
+  return {"127.0.0.1", ports_[gateway]};
 }
 
 std::vector<uint16_t> BackEnd::ports() const {
-  std::vector<uint16_t> ports;
-  for (const auto& listener : listeners_) {
-    ports.push_back(listener->port());
-  }
-  return ports;
+  return ports_;
 }
 
 void BackEnd::accept(size_t gateway, reactor::Connection::Socket socket) {
   connections_.push_back(std::make_shared<GatewayConnection>(*this, gateway, std::move(socket)));
+  if (cuts_[gateway] == PathCut::kSilent) {
+    connections_.back()->silence();
+  }
   connections_.back()->start();
 }
 
@@ -285,6 +334,7 @@
 }
 
 void BackEnd::crash() {
+  has_crashed_ = true;
   for (const auto& connection : connections_) {
     connection->reset();
   }
--- a/tests/soak/back_ends.h
+++ b/tests/soak/back_ends.h
@@ -5,6 +5,7 @@
 #include <absl/time/time.h>
 
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -34,7 +35,10 @@
   bool is_leaving = false;
   std::optional<double> rate;
   std::optional<absl::Duration> back_off_period;  // it refuses all requests and asks for this back-off period
-  bool is_malformed = false;                      // sends unparsable values instead of all of the above
+  // It says that it crashes beyond this number of rejections a second.
+  std::optional<uint32_t> max_rejections;
+  size_t room = SIZE_MAX;     // requests in progress; it rejects others
+  bool is_malformed = false;  // sends unparsable values instead of all of the above
 };
 
 // One incarnation of a back end.
@@ -60,6 +64,9 @@
   // Resets the gateway's connections, or stops all traffic on them for good.
   void resetConnections(size_t gateway);
   void silenceConnections(size_t gateway);
+  // How a gateway's path to the back end is cut.
+  enum class PathCut : uint8_t { kNone, kReset, kRefused, kSilent };
+  void cutPath(size_t gateway, PathCut cut);
   // Resets all connections and closes the listeners.
   void crash();
 
@@ -67,6 +74,7 @@
   class GatewayConnection;
   void accept(size_t gateway, reactor::Connection::Socket socket);
   bool drawFault() { return random_() % 2 == 0; }
+  void listen(size_t gateway, uint16_t port);
 
   boost::asio::io_context& reactor_;
   reactor::TimerQueue& timers_;
@@ -79,6 +87,10 @@
   RequestFaults request_faults_;
   Announcements announcements_;
   std::vector<std::unique_ptr<reactor::Listener>> listeners_;
+  std::vector<uint16_t> ports_;
+  std::vector<PathCut> cuts_;
+  size_t in_progress_ = 0;
+  bool has_crashed_ = false;
   std::vector<std::shared_ptr<GatewayConnection>> connections_;
 };
 
--- a/tests/soak/back_pressure_promises.cc
+++ b/tests/soak/back_pressure_promises.cc
@@ -56,6 +56,34 @@
   return result;
 }
 
+}  // namespace
+
+// Requests of gateways that were undisturbed for the settling time.
+PromiseResult checkRejections(const History& history, const Bounds& bounds) {
+  PromiseResult result{"a brittle back end rejects no more in a second than it stands", 0, {}};
+  absl::btree_map<std::string, std::vector<const Arrival*>> rejected;
+  for (const Arrival& arrival : history.arrivals) {
+    if (arrival.is_rejected_for_room && arrival.announced_max_rejections) {
+      rejected[incarnationName(arrival)].push_back(&arrival);
+    }
+  }
+  for (const auto& [name, arrivals] : rejected) {
+    for (const Arrival* first : arrivals) {
+      ++result.checks;
+      const auto count = std::count_if(arrivals.begin(), arrivals.end(), [&](const Arrival* other) {
+        return other->at >= first->at && other->at < first->at + absl::Seconds(1) &&
+               !isDisturbed(history, other->gateway, other->at - bounds.settling_time, other->at, false);
+      });
+      if (static_cast<size_t>(count) > *first->announced_max_rejections) {
+        addViolation(result, absl::StrCat(name, " rejected ", count), first->attempt);
+      }
+    }
+  }
+  return result;
+}
+
+namespace {
+
 PromiseResult checkBackOffPeriods(const History& history, const Bounds& bounds,
                                   const ArrivalsByPair& arrivals_by_pair) {
   PromiseResult result{"a back end at rest is left alone", 0, {}};
--- a/tests/soak/back_pressure_promises.h
+++ b/tests/soak/back_pressure_promises.h
@@ -7,6 +7,8 @@
 
 namespace quincewick::soak {
 
+// Doesn't depend on timing.
+PromiseResult checkRejections(const History& history, const Bounds& bounds);
 // All of these checks depend on timing.
 std::vector<PromiseResult> checkBackPressure(const History& history, const Bounds& bounds);
 
--- a/tests/soak/history.cc
+++ b/tests/soak/history.cc
@@ -366,6 +366,7 @@
       checkServices(history, arrivals),   checkPlannedStops(history, bounds, arrivals),
       checkRetryBudget(history, bounds),  checkProcesses(history, bounds),
       checkPermanentRoutes(history),      checkFences(history),
+      checkRejections(history, bounds),
   };
   if (timed) {
     results.push_back(checkLeaving(history, bounds));
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -57,6 +57,8 @@
   // When the response head was sent, and what it reported about the back end.
   absl::Time head_sent = absl::InfiniteFuture();
   bool announced_leaving = false;
+  std::optional<uint32_t> announced_max_rejections;
+  bool is_rejected_for_room = false;
   std::optional<double> advertised_rate;
   std::optional<absl::Duration> requested_back_off;
 };
@@ -146,6 +148,7 @@
   double rate_overshoot = 1.5;
   double rate_constant = 5;
   size_t requests_per_back_off = 2;
+  absl::Duration brittle_delay = absl::Seconds(3);  // a brittle back end rejects none for room before
   uint64_t memory_bytes = uint64_t{64} << 20;
   uint64_t descriptors = 1024;
 };
--- a/tests/soak/processes.cc
+++ b/tests/soak/processes.cc
@@ -51,8 +51,8 @@
   file << "gateway_id: \"" << endpoints.id << "\"\nzone: \"" << endpoints.zone << "\"\nregion: \"r\"\n"
        << "listen: {callers: \"" << printAddress(endpoints.callers) << "\", readiness: \""
        << printAddress(endpoints.readiness) << "\", peers: \"" << printAddress(endpoints.peers)
-       << "\", metrics: \"" << printAddress(endpoints.metrics) << "\"}\nstore: \""
-       << printAddress(endpoints.store) << "\"\n"
+       << "\", delegation: \"" << printAddress(endpoints.delegation) << "\", metrics: \""
+       << printAddress(endpoints.metrics) << "\"}\nstore: \"" << printAddress(endpoints.store) << "\"\n"
        << "site_is_new: " << (is_new ? "true" : "false") << "\n"
        << "bounds: {key_revocation: " << absl::FormatDuration(bounds_.key_revocation)
        << ", configuration_in_force: " << absl::FormatDuration(bounds_.configuration_in_force)
--- a/tests/soak/processes.h
+++ b/tests/soak/processes.h
@@ -21,6 +21,7 @@
   Address readiness;
   Address peers;
   Address metrics;
+  Address delegation;
   Address store;
 };
 
--- a/tests/soak/run.cc
+++ b/tests/soak/run.cc
@@ -73,6 +73,7 @@
       endpoints.readiness = ports_.next();
       endpoints.peers = ports_.next();
       endpoints.metrics = ports_.next();
+      endpoints.delegation = ports_.next();
       endpoints.store = store_->addressFor(index);
       all_endpoints.push_back(endpoints);
       gateway_ids_.push_back(endpoints.id);
@@ -234,6 +235,14 @@
       case FaultKind::kHolderRefused:
         injectHolderFault(fault);
         return;
+      case FaultKind::kPathReset:
+      case FaultKind::kPathRefused:
+      case FaultKind::kPathSilent:
+        cutPaths(fault, gateway);
+        return;
+      case FaultKind::kBackEndBrittle:
+        makeBrittle(fault);
+        return;
       case FaultKind::kRouteChanges:
         traffic_.has_new_route = !traffic_.has_new_route;
         putConfiguration();
@@ -376,6 +385,49 @@
     }
   }
 
+  // Gateways of a zone use the addresses of its reader, so the whole zone is cut off.
+  void cutPaths(const Fault& fault, size_t gateway) {
+    const auto cut = fault.kind == FaultKind::kPathReset     ? BackEnd::PathCut::kReset
+                     : fault.kind == FaultKind::kPathRefused ? BackEnd::PathCut::kRefused
+                                                             : BackEnd::PathCut::kSilent;
+    const auto set = [this, zone = gateway % kZones](BackEnd::PathCut how) {
+      for (size_t other = zone; other < settings_.gateways; other += kZones) {
+        for (const auto& back_end : back_ends_) {
+          back_end->cutPath(other, how);
+        }
+      }
+    };
+    for (size_t other = gateway % kZones; other < settings_.gateways; other += kZones) {
+      recordDisturbance(gateway_ids_[other], fault.duration);
+    }
+    set(cut);
+    runAfter(fault.duration, [set] { set(BackEnd::PathCut::kNone); });
+  }
+
+  // All back ends of a service say so; after the delay they let fewer requests wait.
+  void makeBrittle(const Fault& fault) {
+    const BackEnd* const chosen = backEnd(fault.target);
+    if (chosen == nullptr) {
+      return;
+    }
+    std::vector<BackEnd*> back_ends;
+    for (BackEnd* const back_end : serving_) {
+      if (back_end->service() == chosen->service()) {
+        back_ends.push_back(back_end);
+      }
+    }
+    const auto set = [back_ends](std::optional<uint32_t> max_rejections, size_t room) {
+      for (BackEnd* const back_end : back_ends) {
+        back_end->announcements().max_rejections = max_rejections;
+        back_end->announcements().room = room;
+      }
+    };
+    const uint32_t max_rejections = 2 + fault.target % 5;
+    set(max_rejections, SIZE_MAX);
+    runAfter(settings_.bounds.brittle_delay, [set, max_rejections] { set(max_rejections, 1); });
+    runAfter(settings_.bounds.brittle_delay + fault.duration, [set] { set(std::nullopt, SIZE_MAX); });
+  }
+
   void startAnnouncement(BackEnd& back_end, const Fault& fault) {
     const auto set = [&back_end, fault](bool on) { setAnnouncement(back_end.announcements(), fault, on); };
     set(true);
--- a/tests/soak/schedule.cc
+++ b/tests/soak/schedule.cc
@@ -12,21 +12,51 @@
 namespace quincewick::soak {
 namespace {
 
-constexpr std::array kFaultNames = {"stop",          "kill",          "freeze",          "reload",
-                                    "kill-many",     "store-refuses", "store-silent",    "store-down",
-                                    "store-slow",    "store-loses",   "store-forgets",   "back-end-leaves",
-                                    "back-end-goes", "back-end-dies", "refuses",         "fails",
-                                    "answers-lost",  "answers-cut",   "reset",           "silent",
-                                    "route",         "key",           "restarts",        "row-spoiled",
-                                    "row-old",       "names-rate",    "rests",           "says-leaving",
-                                    "speaks-ill",    "weights-named", "store-goes-back", "holder-killed",
-                                    "holder-frozen", "holder-refused"};
+constexpr std::array kFaultNames = {"stop",
+                                    "kill",
+                                    "freeze",
+                                    "reload",
+                                    "kill-many",
+                                    "store-refuses",
+                                    "store-silent",
+                                    "store-down",
+                                    "store-slow",
+                                    "store-loses",
+                                    "store-forgets",
+                                    "back-end-leaves",
+                                    "back-end-goes",
+                                    "back-end-dies",
+                                    "refuses",
+                                    "fails",
+                                    "answers-lost",
+                                    "answers-cut",
+                                    "reset",
+                                    "silent",
+                                    "route",
+                                    "key",
+                                    "restarts",
+                                    "row-spoiled",
+                                    "row-old",
+                                    "names-rate",
+                                    "rests",
+                                    "says-leaving",
+                                    "speaks-ill",
+                                    "weights-named",
+                                    "store-goes-back",
+                                    "holder-killed",
+                                    "holder-frozen",
+                                    "holder-refused",
+                                    "path-reset",
+                                    "path-refused",
+                                    "path-silent",
+                                    "brittle"};
 constexpr size_t kKindCount = kFaultNames.size();
-static_assert(static_cast<size_t>(FaultKind::kHolderRefused) + 1 == kKindCount);
+static_assert(static_cast<size_t>(FaultKind::kBackEndBrittle) + 1 == kKindCount);
 // Kinds added later are drawn by separate generators, so that a seed's earlier faults don't change.
 constexpr size_t kFirstKindsEnd = static_cast<size_t>(FaultKind::kKeyRemoved) + 1;
 constexpr size_t kSecondKindsEnd = static_cast<size_t>(FaultKind::kRowOutdated) + 1;
 constexpr size_t kThirdKindsEnd = static_cast<size_t>(FaultKind::kBackEndSendsMalformed) + 1;
+constexpr size_t kFourthKindsEnd = static_cast<size_t>(FaultKind::kHolderRefused) + 1;
 
 // Mean interval between faults. Some repeat up to three times, 0.5 s to 2 s apart.
 constexpr absl::Duration kMeanInterval = absl::Milliseconds(400);
@@ -37,6 +67,7 @@
 constexpr uint32_t kTargetRange = 60;
 constexpr uint64_t kThirdSeedMask = 0x5bd1e995;  // gives a seed's generators different sequences
 constexpr uint64_t kFourthSeedMask = 0x27d4eb2f;
+constexpr uint64_t kFifthSeedMask = 0x165667b1;
 
 // Draws faults of the kinds in [first_kind, end_kind), without repetitions, from a separate generator.
 void drawLaterKinds(std::mt19937_64 random, size_t first_kind, size_t end_kind, absl::Duration last,
@@ -88,9 +119,11 @@
   drawLaterKinds(std::mt19937_64(seed ^ kThirdSeedMask), kSecondKindsEnd, kThirdKindsEnd, last, longest,
                  schedule);
   if (draws_restores) {
-    drawLaterKinds(std::mt19937_64(seed ^ kFourthSeedMask), kThirdKindsEnd, kKindCount, last, longest,
+    drawLaterKinds(std::mt19937_64(seed ^ kFourthSeedMask), kThirdKindsEnd, kFourthKindsEnd, last, longest,
                    schedule);
   }
+  drawLaterKinds(std::mt19937_64(seed ^ kFifthSeedMask), kFourthKindsEnd, kKindCount, last, longest,
+                 schedule);
   std::stable_sort(schedule.begin(), schedule.end(),
                    [](const Fault& one, const Fault& other) { return one.at < other.at; });
   return schedule;
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -47,6 +47,10 @@
   kHolderKilled,             // like kKill, for the gateway that gave the last order
   kHolderFrozen,
   kHolderRefused,
+  kPathReset,       // a gateway's connections to all back ends are reset, and new ones are refused
+  kPathRefused,     // new ones are refused, while open ones live on
+  kPathSilent,      // they carry no data, nor do new ones
+  kBackEndBrittle,  // a service's back ends say that they are brittle, and later let fewer requests wait
 };
 
 struct Fault {
