Soak: don't leave the back ends' sockets open in gateways

Gateways inherited the listening sockets of the back ends that stood when they were started, so connections to a back end that had crashed or was cut off hung in a queue that nobody read, instead of being refused.

--- a/tests/soak/back_ends.cc
+++ b/tests/soak/back_ends.cc
@@ -294,6 +294,7 @@
   }
   if (was_listening && !listens) {
     listeners_[gateway]->close();
+    closed_listeners_.push_back(std::move(listeners_[gateway]));
   } else if (!was_listening && listens) {
     listen(gateway, ports_[gateway]);
   }
@@ -339,7 +340,9 @@
     connection->reset();
   }
   for (const auto& listener : listeners_) {
-    listener->close();
+    if (listener != nullptr) {
+      listener->close();
+    }
   }
 }
 
--- a/tests/soak/back_ends.h
+++ b/tests/soak/back_ends.h
@@ -87,6 +87,7 @@
   RequestFaults request_faults_;
   Announcements announcements_;
   std::vector<std::unique_ptr<reactor::Listener>> listeners_;
+  std::vector<std::unique_ptr<reactor::Listener>> closed_listeners_;  // their last callbacks may still come
   std::vector<uint16_t> ports_;
   std::vector<PathCut> cuts_;
   size_t in_progress_ = 0;
--- a/tests/soak/processes.cc
+++ b/tests/soak/processes.cc
@@ -71,6 +71,8 @@
     const int descriptor = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     dup2(descriptor, STDOUT_FILENO);
     dup2(descriptor, STDERR_FILENO);
+    // A gateway that held the back ends' listening sockets would keep them open after they are closed here.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
     execl(program_.c_str(), program_.c_str(), "serve", "--settings", settings.c_str(), nullptr);
     _exit(kExecFailed);
   }
