--- a/src/forwarding/path_monitor.cc
+++ b/src/forwarding/path_monitor.cc
@@ -84,9 +84,8 @@
 }
 
 bool PathMonitor::isAnyInDoubt() const {
-  return std::any_of(paths_.begin(), paths_.end(), [](const auto& entry) {
-    return entry.second.is_in_doubt || entry.second.is_cut_off;
-  });
+  return std::any_of(paths_.begin(), paths_.end(),
+                     [](const auto& entry) { return entry.second.is_in_doubt || entry.second.is_cut_off; });
 }
 
 }  // namespace quincewick::forwarding
--- a/src/quota/shared_permits.cc
+++ b/src/quota/shared_permits.cc
@@ -26,9 +26,11 @@
   return std::clamp<size_t>(max_rejections / kPermitsPerPart, 1, kMaxParts);
 }
 
+// One permit of the first holder's part is left to it for the time after a start.
 uint32_t SharedPermits::shareAt(size_t place, uint32_t max_rejections) {
   const auto parts = static_cast<uint32_t>(partsFor(max_rejections));
-  return max_rejections / parts + (place < max_rejections % parts ? 1 : 0);
+  const uint32_t part = max_rejections / parts + (place < max_rejections % parts ? 1 : 0);
+  return place == 0 && max_rejections > 1 ? part - 1 : part;
 }
 
 void SharedPermits::onHeartbeat(bool is_isolated, absl::Time now) {
@@ -143,7 +145,8 @@
   const bool is_told = max_rejections > 0;
   const std::vector<size_t> places =
       holders_.placesOf(subjectOf(server), is_told ? partsFor(max_rejections) : kMaxParts, self_);
-  const bool may_have_granted = !site_is_new_ && now - first_heartbeat_ < kQuarantine;
+  const absl::Duration quarantine = is_told ? kQuarantine : kRejectionWindow;
+  const bool may_have_granted = !site_is_new_ && now - first_heartbeat_ < quarantine;
   if (places.empty() || may_have_granted) {
     return 0;
   }
--- a/src/quota/shared_permits.h
+++ b/src/quota/shared_permits.h
@@ -95,7 +95,8 @@
   static constexpr absl::Duration kLease = absl::Seconds(1);
   // How long a permit is kept after a rejection was known: a second, and a margin for differing clocks.
   static constexpr absl::Duration kRejectionWindow = absl::Milliseconds(1050);
-  // A holder that has started gives out its part after this time: kLease + kRejectionWindow.
+  // A holder that has started gives out its part after this time: kLease + kRejectionWindow. Where nobody
+  // knows the server, the first holder lets one request find out after kRejectionWindow.
   static constexpr absl::Duration kQuarantine = absl::Milliseconds(2050);
 
   // Holders of the permits of a server that stands so many rejections.
