Don't try every server in turn where no other gateway can take the request

A request that reached no server was tried at all servers of its service, 250 ms each where connections hang, though four are the limit, also where there is no other gateway. Found by reading the change; the tests of partitioned gateways (refused, hanging, none reached) pass as before.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -341,9 +341,8 @@
     complete("caller_left");
     return;
   }
-  const bool reached_no_server =
-      end == AttemptOutcome::kNeverSent && ledger_.execution() == Execution::kNotRun;
-  if (!is_cut && (ledger_.mayRetry() || (reached_no_server && declined_by_.empty()))) {
+  const bool may_delegate = end == AttemptOutcome::kNeverSent && mayStillDelegate();
+  if (!is_cut && (ledger_.mayRetry() || may_delegate)) {
     tryNext();
     return;
   }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -93,6 +93,7 @@
   bool mayRepeat(absl::Time now);
   bool prefersDelegate() const;
   bool isHeldBackByPath() const;
+  bool mayStillDelegate() const;
   // Hands the request to another gateway, waits for one to offer, or ends it. Returns false if none takes it.
   bool delegate();
   bool awaitOffer();
--- a/src/gateway/exchange_delegation.cc
+++ b/src/gateway/exchange_delegation.cc
@@ -37,6 +37,12 @@
   });
 }
 
+// Whether another gateway may take the request although no attempt of it reached a server.
+bool Exchange::mayStillDelegate() const {
+  return !terms_ && declined_by_.empty() && ledger_.execution() == Execution::kNotRun &&
+         !core_.delegations->isHopeless(service_);
+}
+
 bool Exchange::delegate() {
   if (terms_ || core_.delegations == nullptr) {
     return false;
