Soak tests: count the new promise and the new kinds of faults

The counts of promises (18, 10) and of kinds that are drawn (29) were stated as numbers. They are 19, 11 and 33 now, the new kinds are named, and a planted fault breaks the new promise: 3 rejections in 999 ms where 2 are stood. The case on restores leaves out the restores' kinds alone, so it compares more faults than before.

--- a/tests/soak/history_test.cc
+++ b/tests/soak/history_test.cc
@@ -77,8 +77,8 @@
 
 TEST_CASE_METHOD(CleanHistory, "a clean history keeps all promises") {
   CHECK(broken().empty());
-  CHECK(checkPromises(history, Bounds(), true).size() == 18);
-  CHECK(checkPromises(history, Bounds(), false).size() == 10);
+  CHECK(checkPromises(history, Bounds(), true).size() == 19);
+  CHECK(checkPromises(history, Bounds(), false).size() == 11);
 }
 
 TEST_CASE_METHOD(CleanHistory, "a second execution of a request that may run once is a violation") {
@@ -246,6 +246,24 @@
   CHECK(broken().empty());
 }
 
+TEST_CASE_METHOD(CleanHistory, "more rejections in a second than a brittle back end stands are a violation") {
+  const auto add = [this](absl::Duration at) {
+    Arrival arrival = history.arrivals[1];
+    arrival.at = kStart + at;
+    arrival.attempt = "further";
+    arrival.ran = false;
+    arrival.announced_max_rejections = 2;
+    arrival.is_rejected_for_room = true;
+    history.arrivals.push_back(arrival);
+  };
+  add(absl::ZeroDuration());
+  add(absl::Milliseconds(500));
+  add(absl::Milliseconds(1000));
+  CHECK(broken().empty());
+  add(absl::Milliseconds(999));
+  CHECK(breaks("a brittle back end rejects no more in a second than it stands"));
+}
+
 TEST_CASE_METHOD(
     CleanHistory,
     "more arrivals than a rate allows are a violation, summed over the gateways that received it") {
--- a/tests/soak/schedule_test.cc
+++ b/tests/soak/schedule_test.cc
@@ -1,6 +1,7 @@
 #include "schedule.h"
 
 #include <rapidcheck.h>
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include <set>
@@ -29,7 +30,11 @@
       kinds.insert(fault.kind);
     }
   }
-  CHECK(kinds.size() == static_cast<size_t>(FaultKind::kBackEndSendsMalformed) + 1);
+  const size_t first_kinds = static_cast<size_t>(FaultKind::kBackEndSendsMalformed) + 1;
+  const std::set<FaultKind> later_kinds = {FaultKind::kPathReset, FaultKind::kPathRefused,
+                                           FaultKind::kPathSilent, FaultKind::kBackEndBrittle};
+  CHECK(kinds.size() == first_kinds + later_kinds.size());
+  CHECK(std::includes(kinds.begin(), kinds.end(), later_kinds.begin(), later_kinds.end()));
 }
 
 // Existing seeds and schedules must keep producing the same faults.
@@ -38,7 +43,7 @@
   for (uint64_t seed = 1; seed < 40; ++seed) {
     Schedule usual;
     for (const Fault& fault : drawSchedule(seed, absl::Seconds(30), true)) {
-      if (fault.kind > FaultKind::kBackEndSendsMalformed) {
+      if (fault.kind > FaultKind::kBackEndSendsMalformed && fault.kind <= FaultKind::kHolderRefused) {
         kinds.insert(fault.kind);
       } else {
         usual.push_back(fault);
