--- a/tests/soak/schedule_test.cc
+++ b/tests/soak/schedule_test.cc
@@ -1,9 +1,9 @@
 #include "schedule.h"
 
 #include <rapidcheck.h>
+
 #include <algorithm>
 #include <catch2/catch.hpp>
-
 #include <set>
 
 namespace quincewick::soak {
