--- a/src/forwarding/path_monitor.h
+++ b/src/forwarding/path_monitor.h
@@ -1,10 +1,10 @@
 // Whether this gateway can open connections to the servers of each service. One server that fails is the
 // directory's matter; here it is about a gateway that is partitioned from all of them.
 //
-// A service is cut off once connection attempts to several of its servers (to all, if it has few) have failed and
-// none has succeeded in between. It is reachable again after several successes over some time, so that a path
-// that comes and goes doesn't move requests to and fro. Only new connections count: those that are open may live
-// on while new ones fail. Does no I/O; `now` never goes back.
+// A service is cut off once connection attempts to several of its servers (to all, if it has few) have failed
+// and none has succeeded in between. It is reachable again after several successes over some time, so that a
+// path that comes and goes doesn't move requests to and fro. Only new connections count: those that are open
+// may live on while new ones fail. Does no I/O; `now` never goes back.
 #pragma once
 
 #include <absl/container/flat_hash_map.h>
@@ -24,10 +24,11 @@
   // Servers of a service that have to fail before it counts as cut off.
   static constexpr size_t kServersForVerdict = 4;
 
-  // A connection attempt to a server of the service succeeded. Returns whether the service is reachable again.
+  // A connection attempt to a server of the service succeeded. Returns whether the service is reachable
+  // again.
   bool noteConnected(const ServiceName& service, absl::Time now);
-  // One failed. `server`: its identity hash; `servers`: how many the service has. Returns whether the service is
-  // now cut off.
+  // One failed. `server`: its identity hash; `servers`: how many the service has. Returns whether the service
+  // is now cut off.
   bool noteFailed(const ServiceName& service, uint64_t server, size_t servers, absl::Time now);
   // An unanswered connection attempt or a broken connection: the path needs to be checked.
   void noteDoubt(const ServiceName& service, absl::Time now);
--- a/src/forwarding/request_facts.h
+++ b/src/forwarding/request_facts.h
@@ -38,9 +38,9 @@
   bool is_other_server = false;
   std::optional<std::string> server_id;
   std::optional<WeightsVersion> weights_version;
-  std::optional<absl::Duration> idle_limit;    // how long the server keeps an idle connection
-  std::optional<double> rate_limit;            // requests a second from all gateways together
-  bool is_leaving = false;                     // the server says that it drains
+  std::optional<absl::Duration> idle_limit;  // how long the server keeps an idle connection
+  std::optional<double> rate_limit;          // requests a second from all gateways together
+  bool is_leaving = false;                   // the server says that it drains
   // The server crashes once it has to reject more requests than this in a second; nothing: it doesn't say so.
   std::optional<uint32_t> max_rejections;
   std::optional<absl::Duration> back_off;      // requested by a server that rejected the request
--- a/tests/gateway/brittle_server_test.cc
+++ b/tests/gateway/brittle_server_test.cc
@@ -1,5 +1,5 @@
-// Guards against servers that fall over under the requests that they have to reject: brittle servers fell over 20
-// times where 3 were allowed, for nothing read how many rejections a server stands.
+// Guards against servers that fall over under the requests that they have to reject: brittle servers fell
+// over 20 times where 3 were allowed, for nothing read how many rejections a server stands.
 #include <catch2/catch.hpp>
 #include <thread>
 
@@ -21,10 +21,8 @@
       site.addServer(id, [this, id](const Seen& /*seen*/) {
         const std::lock_guard lock(mutex);
         rejected[id].push_back(std::chrono::steady_clock::now());
-        return Script{answerOf(503,
-                               {{"Quincewick-Not-Executed", "1"},
-                                {"Server-Brittle", absl::StrCat(kMaxRejections)}},
-                               "")};
+        return Script{answerOf(
+            503, {{"Quincewick-Not-Executed", "1"}, {"Server-Brittle", absl::StrCat(kMaxRejections)}}, "")};
       });
     }
   }
@@ -64,7 +62,8 @@
   }
 }
 
-TEST_CASE_METHOD(BrittleSite, "gateways together get no more requests rejected by a brittle server than it stands") {
+TEST_CASE_METHOD(BrittleSite,
+                 "gateways together get no more requests rejected by a brittle server than it stands") {
   const RunningGateway one(RunningGateway::settings("a", site.storeAddress(), site));
   const RunningGateway two(RunningGateway::settings("b", site.storeAddress(), site));
   awaitPeer(one);
--- a/tests/gateway/stand_in_site.h
+++ b/tests/gateway/stand_in_site.h
@@ -283,9 +283,9 @@
       if (is_asked_for && room > 0) {
         --room;
         absl::StrAppend(&rows, rows.empty() ? "" : ",", R"({"table":")", parameter(head.target, "table"),
-                        R"(","key":")", key, R"(","value":")", absl::Base64Escape(valueFor(parameter(head.target, "table"), row.value, is_second)),
-                        R"(","ver":)",
-                        row.version, "}");
+                        R"(","key":")", key, R"(","value":")",
+                        absl::Base64Escape(valueFor(parameter(head.target, "table"), row.value, is_second)),
+                        R"(","ver":)", row.version, "}");
       }
     }
     if (head.target.starts_with("/v1/rows-feed")) {
