--- a/src/forwarding/delegate_finder.cc
+++ b/src/forwarding/delegate_finder.cc
@@ -98,7 +98,7 @@
 }
 
 void DelegateFinder::noteRefusal(const ServiceName& service, const NodeId& from,
-                                 const std::vector<NodeId>& referrals, absl::Time /*now*/) {
+                                 const std::vector<NodeId>& referrals) {
   Search& search = searches_[service];
   search.offers.erase(from);
   for (const NodeId& id : referrals) {
--- a/src/forwarding/delegate_finder.h
+++ b/src/forwarding/delegate_finder.h
@@ -43,8 +43,7 @@
                                     absl::Time now, absl::BitGenRef random);
   void noteOffer(const ServiceName& service, const NodeId& from, const DelegateOffer& offer, absl::Time now);
   // The gateway doesn't reach the service either. `referrals`: those that it knows to offer.
-  void noteRefusal(const ServiceName& service, const NodeId& from, const std::vector<NodeId>& referrals,
-                   absl::Time now);
+  void noteRefusal(const ServiceName& service, const NodeId& from, const std::vector<NodeId>& referrals);
   // A request was declined there or could not be sent: the gateway gets none for a while.
   void noteDeclined(const ServiceName& service, const NodeId& delegate, absl::Time now);
   // A request starts or ends there.
--- a/src/forwarding/path_monitor.cc
+++ b/src/forwarding/path_monitor.cc
@@ -32,11 +32,11 @@
   return true;
 }
 
-bool PathMonitor::noteFailed(const ServiceName& service, uint64_t server, size_t servers, absl::Time now) {
+bool PathMonitor::noteFailed(const ServiceName& service, uint64_t server, size_t servers) {
   Path& path = paths_[service];
+  path.is_in_doubt = true;
   path.failed.insert(server);
   path.successes = 0;
-  noteDoubt(service, now);
   const size_t needed = std::clamp<size_t>(servers, 1, kServersForVerdict);
   if (path.is_cut_off || path.failed.size() < needed) {
     return false;
@@ -45,7 +45,7 @@
   return true;
 }
 
-void PathMonitor::noteDoubt(const ServiceName& service, absl::Time /*now*/) {
+void PathMonitor::noteDoubt(const ServiceName& service) {
   paths_[service].is_in_doubt = true;
 }
 
--- a/src/forwarding/path_monitor.h
+++ b/src/forwarding/path_monitor.h
@@ -29,9 +29,9 @@
   bool noteConnected(const ServiceName& service, absl::Time now);
   // One failed. `server`: its identity hash; `servers`: how many the service has. Returns whether the service
   // is now cut off.
-  bool noteFailed(const ServiceName& service, uint64_t server, size_t servers, absl::Time now);
+  bool noteFailed(const ServiceName& service, uint64_t server, size_t servers);
   // An unanswered connection attempt or a broken connection: the path needs to be checked.
-  void noteDoubt(const ServiceName& service, absl::Time now);
+  void noteDoubt(const ServiceName& service);
 
   bool isCutOff(const ServiceName& service) const;
   std::vector<ServiceName> cutOffServices() const;
--- a/src/gateway/delegations.cc
+++ b/src/gateway/delegations.cc
@@ -63,7 +63,7 @@
       finder_.noteOffer(message.service, from, {message.port, message.room}, now);
       break;
     case DelegationMessageKind::kRefusal:
-      finder_.noteRefusal(message.service, from, message.referrals, now);
+      finder_.noteRefusal(message.service, from, message.referrals);
       break;
   }
   return outcome::success();
--- a/src/gateway/path_prober.cc
+++ b/src/gateway/path_prober.cc
@@ -41,7 +41,7 @@
   unreached_[server->identity_hash] = server;
   const forwarding::ServiceName& service = server->entry.service;
   const size_t servers = core_.directory.ofService(service).size();
-  if (monitor_.noteFailed(service, server->identity_hash, servers, now)) {
+  if (monitor_.noteFailed(service, server->identity_hash, servers)) {
     core_.metrics.countServiceCutOff();
     core_.log.event("service_cut_off", now)
         .with("service", service.value())
@@ -51,7 +51,7 @@
 }
 
 void PathProber::noteDoubt(const forwarding::Server& server) {
-  monitor_.noteDoubt(server.entry.service, reactor::steadyNow());
+  monitor_.noteDoubt(server.entry.service);
   wake();
 }
 
@@ -63,7 +63,7 @@
   const absl::Time now = reactor::steadyNow();
   const auto proven = proven_at_.find(service);
   if (proven == proven_at_.end() || now - proven->second > kProofValidity) {
-    monitor_.noteDoubt(service, now);
+    monitor_.noteDoubt(service);
     wake();
   }
 }
--- a/tests/forwarding/partitioned_site_test.cc
+++ b/tests/forwarding/partitioned_site_test.cc
@@ -150,7 +150,7 @@
       if (is_reached) {
         gateways_[index].paths.noteConnected(kService, now_);
       } else {
-        gateways_[index].paths.noteFailed(kService, server, settings_.servers, now_);
+        gateways_[index].paths.noteFailed(kService, server, settings_.servers);
       }
       done(is_reached);
     });
@@ -178,7 +178,7 @@
       if (offers) {
         gateways_[asker].finder.noteOffer(kService, idOf(index), {1, 100}, now_);
       } else {
-        gateways_[asker].finder.noteRefusal(kService, idOf(index), referrals, now_);
+        gateways_[asker].finder.noteRefusal(kService, idOf(index), referrals);
       }
     });
   }
@@ -338,28 +338,28 @@
   PathMonitor paths;
   const absl::Time now = absl::FromUnixSeconds(1000);
   for (int failure = 0; failure < 10; ++failure) {
-    CHECK_FALSE(paths.noteFailed(kService, 1, 8, now));
+    CHECK_FALSE(paths.noteFailed(kService, 1, 8));
   }
   CHECK(paths.servicesToProbe(now).size() == 1);
   paths.noteConnected(kService, now);
   CHECK(paths.servicesToProbe(now).empty());
   for (uint64_t server = 1; server < PathMonitor::kServersForVerdict; ++server) {
-    CHECK_FALSE(paths.noteFailed(kService, server, 8, now));
+    CHECK_FALSE(paths.noteFailed(kService, server, 8));
   }
-  CHECK(paths.noteFailed(kService, PathMonitor::kServersForVerdict, 8, now));
+  CHECK(paths.noteFailed(kService, PathMonitor::kServersForVerdict, 8));
   CHECK(paths.isCutOff(kService));
 }
 
 TEST_CASE("a service that is cut off returns after several successes over some time") {
   PathMonitor paths;
   absl::Time now = absl::FromUnixSeconds(1000);
-  paths.noteFailed(kService, 1, 1, now);
+  paths.noteFailed(kService, 1, 1);
   REQUIRE(paths.isCutOff(kService));
   CHECK_FALSE(paths.noteConnected(kService, now));
   CHECK_FALSE(paths.noteConnected(kService, now));
   CHECK_FALSE(paths.noteConnected(kService, now));
   now += absl::Milliseconds(300);
-  paths.noteFailed(kService, 1, 1, now);
+  paths.noteFailed(kService, 1, 1);
   CHECK_FALSE(paths.noteConnected(kService, now));
   now += absl::Milliseconds(150);
   CHECK_FALSE(paths.noteConnected(kService, now));
