Let a stream go on through the same gateway where its server broke off

A delegate through which a stream broke off after its head got nothing more for a second, though it may have been the server: where it is the only one that reaches the service the stream was cut.

--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -258,7 +258,10 @@
   const auto self = shared_from_this();
   noteRolloutEnd(RolloutExchange::AttemptOutcome::kFailed);
   if (delegate_) {
-    noteDelegateFailed();
+    // After the head it may have been the server that broke off.
+    if (response_head_.status == 0) {
+      noteDelegateFailed();
+    }
   } else {
     ServerDirectory::noteFailure(*server_, kBrokenWeight, reactor::steadyNow());
     core_.crash_detector->onAttemptBroken(server_, identity_);
--- a/tests/gateway/partitioned_gateway_test.cc
+++ b/tests/gateway/partitioned_gateway_test.cc
@@ -131,6 +131,40 @@
   checkServedAsElsewhere(true);
 }
 
+// Guards against a resumed stream that runs from its beginning again: the delegate dropped the last event's
+// id.
+TEST_CASE("a stream that breaks off goes on through another gateway after the last event") {
+  const DeadAddress dead(false);
+  PartitionSite fixture(dead.address());
+  for (const char* const id : {"i-0", "i-1", "i-2", "i-3"}) {
+    fixture.site.addServer(id, [](const Seen& seen) {
+      const std::string* const last = findField(seen.head.fields, "Last-Event-Id");
+      const std::string head = printResponseHead(200, "OK",
+                                                 {{"Quincewick-Response-Signature", "s"},
+                                                  {"Quincewick-Attempt-Id", "attempt-1"},
+                                                  {"Transfer-Encoding", "chunked"}});
+      Script script;
+      if (last != nullptr && *last == "1") {
+        script.answer = head + printChunk("id: 2\ndata: two\n\n") + std::string(kLastChunk);
+      } else {
+        script.answer = head + printChunk("id: 1\ndata: one\n\n");
+        script.closes = true;
+      }
+      return script;
+    });
+  }
+  const RunningGateway partitioned(fixture.settingsOf("a", true));
+  const RunningGateway other(fixture.settingsOf("b", false));
+  awaitPeer(partitioned);
+  awaitPeer(other);
+  const std::string answer = partitioned.ask("/resumed/a", kKey);
+  CHECK(has(answer, "data: one"));
+  CHECK(has(answer, "data: two"));
+  const std::vector<Seen> seen = fixture.site.seen();
+  REQUIRE(seen.size() == 2);
+  CHECK(findField(seen[1].head.fields, "Last-Event-Id") != nullptr);
+}
+
 TEST_CASE("requests that no gateway can send to a server are rejected as not run, with a time to return") {
   const DeadAddress dead(false);
   const PartitionSite fixture(dead.address());
