Log and count servers' answers whose end is inferred from their connection's end

Change: the connection tells with the head how the body's end will be known; such an end is logged (end_inferred, with the bytes of an unfinished event) and counted. No decision depends on it yet.

--- a/src/gateway/back_end_connection.cc
+++ b/src/gateway/back_end_connection.cc
@@ -177,14 +177,14 @@
     idle_limit_ = std::max(*facts.idle_limit - kIdleMargin, kMinIdleLimit);
   }
   is_head_delivered_ = true;
-  listener_->onResponseHead(reader_.head(), facts);
+  listener_->onResponseHead(reader_.head(), facts, reader_.endOfBody());
   return true;
 }
 
 void BackEndConnection::finish() {
   AttemptListener* const listener = std::exchange(listener_, nullptr);
-  const bool reusable = reader_.keepsAlive() && !reader_.bodyEndsAtClose() && reader_.unreadBytes() == 0 &&
-                        isOpen() && connection_->unsentBytes() == 0;
+  const bool reusable = reader_.keepsAlive() && reader_.endOfBody() == reactor::EndOfBody::kProven &&
+                        reader_.unreadBytes() == 0 && isOpen() && connection_->unsentBytes() == 0;
   if (reusable) {
     idle_since_ = reactor::steadyNow();
     pool_.returnIdle(shared_from_this());
--- a/src/gateway/back_end_pool.h
+++ b/src/gateway/back_end_pool.h
@@ -31,7 +31,9 @@
   virtual void onSending() = 0;
   // Nothing was sent: no connection was established, or the server takes no requests any more.
   virtual void onNeverSent() = 0;
-  virtual void onResponseHead(const HttpHead& head, const forwarding::ResponseFacts& facts) = 0;
+  // `end`: how the end of the body will be known.
+  virtual void onResponseHead(const HttpHead& head, const forwarding::ResponseFacts& facts,
+                              reactor::EndOfBody end) = 0;
   virtual void onResponseBody(std::string bytes) = 0;
   virtual void onResponseEnd() = 0;
   // After the request was sent, the connection ended or carried no valid response to it.
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -41,7 +41,8 @@
  private:
   void onSending() override;
   void onNeverSent() override;
-  void onResponseHead(const HttpHead& head, const forwarding::ResponseFacts& facts) override;
+  void onResponseHead(const HttpHead& head, const forwarding::ResponseFacts& facts,
+                      reactor::EndOfBody end) override;
   void onResponseBody(std::string bytes) override;
   void onResponseEnd() override;
   void onResponseBroken() override;
@@ -131,6 +132,7 @@
   void reserveStarted();
   void forwardHead();
   void recordServerResult(absl::Time now);
+  void noteInferredEnd();
   void forwardBufferedBody();
   void bufferOrForward(std::string bytes);
   void onDeadline();
@@ -220,6 +222,7 @@
   Verdict verdict_ = Verdict::kBroken;
   HttpHead response_head_;
   std::optional<uint64_t> response_length_;
+  reactor::EndOfBody response_end_ = reactor::EndOfBody::kProven;
   std::string buffered_body_;  // of a response that is forwarded once complete
   bool is_buffering_ = true;
   bool has_failure_ = false;  // the last response is a failure that may be forwarded
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -44,9 +44,11 @@
   return Verdict::kForward;
 }
 
-void Exchange::onResponseHead(const HttpHead& head, const forwarding::ResponseFacts& facts) {
+void Exchange::onResponseHead(const HttpHead& head, const forwarding::ResponseFacts& facts,
+                              reactor::EndOfBody end) {
   const absl::Time now = reactor::steadyNow();
   response_head_ = head;
+  response_end_ = end;
   verdict_ = delegate_ ? judgeDelegated(head, facts) : judge(head, facts);
   const std::string* const length = findField(head.fields, "Content-Length");
   response_length_ = length == nullptr ? std::nullopt : parseUnsigned(*length);
@@ -193,9 +195,22 @@
   }
 }
 
+// The server may have broken off: its connection's end is all that is known.
+void Exchange::noteInferredEnd() {
+  core_.metrics.countInferredEnd();
+  core_.log.event("end_inferred", reactor::steadyNow())
+      .with("request", facts_.attempt_id)
+      .with("server", server_->entry.id)
+      .with("status", response_head_.status)
+      .with("unfinished_bytes", static_cast<int64_t>(events_.remainder().size()));
+}
+
 void Exchange::onResponseEnd() {
   const auto self = shared_from_this();
   const absl::Time now = reactor::steadyNow();
+  if (response_end_ == reactor::EndOfBody::kInferred) {
+    noteInferredEnd();
+  }
   switch (verdict_) {
     case Verdict::kRefused:
       if (delegate_) {
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -101,6 +101,9 @@
       streams_resumed_(
           counter(registry_, "quincewick_streams_resumed_total", "Streams that went on elsewhere.")),
       responses_truncated_(counter(registry_, "quincewick_streams_cut_total", "Answers broken off midway.")),
+      ends_inferred_(
+          counter(registry_, "quincewick_ends_inferred_total",
+                  "Servers' answers that ended with their connection, without a length or chunks.")),
       datagrams_refused_(counter(registry_, "quincewick_datagrams_refused_total",
                                  "Messages of peers that were forged or can't be read.")),
       store_went_back_(counter(registry_, "quincewick_store_went_back_total",
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -34,6 +34,8 @@
   void countRetry() { retries_->Increment(); }
   void countResumed() { streams_resumed_->Increment(); }
   void countTruncated() { responses_truncated_->Increment(); }
+  // A response ended with its connection, without a length or chunks.
+  void countInferredEnd() { ends_inferred_->Increment(); }
   void countRefusedDatagram() { datagrams_refused_->Increment(); }
   void countStoreWentBack() { store_went_back_->Increment(); }
   // A request goes to a variant of its service's rollout, as the traffic splitter chose it.
@@ -98,6 +100,7 @@
   prometheus::Counter* retries_;
   prometheus::Counter* streams_resumed_;
   prometheus::Counter* responses_truncated_;
+  prometheus::Counter* ends_inferred_;
   prometheus::Counter* datagrams_refused_;
   prometheus::Counter* store_went_back_;
   prometheus::Counter* outdated_decisions_;
--- a/src/reactor/message_reader.cc
+++ b/src/reactor/message_reader.cc
@@ -176,8 +176,10 @@
   return !unread_.empty() || parser_->visit([](auto& collector) { return collector.got_some(); });
 }
 
-bool MessageReader::bodyEndsAtClose() const {
-  return parser_->visit([](auto& collector) { return collector.head_complete && collector.need_eof(); });
+EndOfBody MessageReader::endOfBody() const {
+  return parser_->visit([](auto& collector) {
+    return collector.head_complete && collector.need_eof() ? EndOfBody::kInferred : EndOfBody::kProven;
+  });
 }
 
 std::optional<uint64_t> MessageReader::contentLength() const {
--- a/src/reactor/message_reader.h
+++ b/src/reactor/message_reader.h
@@ -27,6 +27,12 @@
   kBodyTooLarge,    // over MessageLimits::body_bytes
 };
 
+// How it is known that a body ended where it did.
+enum class EndOfBody : uint8_t {
+  kProven,    // by its length or last chunk, or because the message has no body
+  kInferred,  // from the end of the connection: the sender may have stopped earlier than it meant to
+};
+
 class MessageReader {
  public:
   MessageReader(MessageKind kind, const MessageLimits& limits);
@@ -51,8 +57,9 @@
   std::string takeBody();
   // Whether any byte of the current message was received.
   bool started() const;
-  // Whether the body is delimited by the close of the connection: neither Content-Length nor chunked.
-  bool bodyEndsAtClose() const;
+  // kInferred for a body that is delimited by the close of the connection: neither Content-Length nor
+  // chunked.
+  EndOfBody endOfBody() const;
   // The value of Content-Length; nullopt for chunked bodies and those delimited by the close.
   std::optional<uint64_t> contentLength() const;
   // Whether the message lets the connection be used again.
--- a/tests/reactor/message_reader_test.cc
+++ b/tests/reactor/message_reader_test.cc
@@ -61,7 +61,7 @@
 TEST_CASE("a response without a length is complete only when its connection closes in order") {
   MessageReader reader(MessageKind::kResponse, {});
   CHECK(reader.take("HTTP/1.1 200 OK\r\n\r\nabc") == ReadStatus::kNeedsMore);
-  CHECK(reader.bodyEndsAtClose());
+  CHECK(reader.endOfBody() == EndOfBody::kInferred);
   CHECK(reader.takeEnd() == ReadStatus::kDone);
   MessageReader cut(MessageKind::kResponse, {});
   cut.take("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc");
--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -140,7 +140,7 @@
     }
     onBody(reader_.takeBody());
     if (reader_.status() == reactor::ReadStatus::kDone) {
-      keeps_open_ = reader_.keepsAlive() && !reader_.bodyEndsAtClose();
+      keeps_open_ = reader_.keepsAlive() && reader_.endOfBody() == reactor::EndOfBody::kProven;
       finish(RequestOutcome::kCompleted);
     }
   }
