Reproduce streams that their server broke off and that end as complete

The site with a gateway that is cut off from the servers moves to a header of its own, its checks unchanged.

--- a/tests/gateway/partitioned_gateway_test.cc
+++ b/tests/gateway/partitioned_gateway_test.cc
@@ -1,87 +1,14 @@
 // Guards against callers of a gateway without a path to the servers who are served worse than others: while
 // new connections to all servers failed there, 0 of 120 first tries were served, elsewhere 635 of 644.
-#include <arpa/inet.h>
-#include <fcntl.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <catch2/catch.hpp>
 
-#include "running_gateway.h"
+#include "partition_site.h"
 
 namespace quincewick::gateway {
 namespace {
 
-// An address of this machine at which no connection is established.
-class DeadAddress {
- public:
-  // `hangs`: connection attempts are never answered; otherwise they are refused.
-  explicit DeadAddress(bool hangs) : socket_(socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    REQUIRE(bind(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
-    socklen_t size = sizeof(address);
-    REQUIRE(getsockname(socket_, reinterpret_cast<sockaddr*>(&address), &size) == 0);
-    port_ = ntohs(address.sin_port);
-    if (hangs) {
-      REQUIRE(listen(socket_, 0) == 0);
-      // A full queue of new connections drops further attempts.
-      for (int& filler : fillers_) {
-        filler = socket(AF_INET, SOCK_STREAM, 0);
-        fcntl(filler, F_SETFL, O_NONBLOCK);
-        connect(filler, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-      }
-    }
-  }
-  ~DeadAddress() {
-    close(socket_);
-    for (const int filler : fillers_) {
-      if (filler >= 0) {
-        close(filler);
-      }
-    }
-  }
-  DeadAddress(const DeadAddress&) = delete;
-  DeadAddress& operator=(const DeadAddress&) = delete;
-
-  Address address() const { return {"127.0.0.1", port_}; }
-
- private:
-  int socket_;
-  uint16_t port_ = 0;
-  std::array<int, 4> fillers_ = {-1, -1, -1, -1};
-};
-
-constexpr size_t kServers = 4;
 constexpr size_t kRequests = 30;
 
-// Four servers. Gateways that read the store at its second address find `dead` in place of the servers. They
-// have a zone of their own, since a zone's gateways follow one reader.
-struct PartitionSite : Fixture {
-  explicit PartitionSite(const Address& dead) {
-    for (size_t server = 0; server < kServers; ++server) {
-      site.addServer(absl::StrCat("i-", server), [](const Seen& seen) {
-        const std::string* const id = findField(seen.head.fields, "Quincewick-Attempt-Id");
-        return Script{answerOf(
-            200,
-            {{"Quincewick-Response-Signature", "s"}, {"Quincewick-Attempt-Id", id == nullptr ? "" : *id}},
-            "id: 1\ndata: served\n\n")};
-      });
-    }
-    site.replaceServersAtSecond(dead);
-  }
-
-  GatewaySettings settingsOf(const std::string& id, bool is_partitioned) const {
-    GatewaySettings result =
-        RunningGateway::settings(id, is_partitioned ? site.secondStoreAddress() : site.storeAddress(), site);
-    result.zone = ZoneName(is_partitioned ? "y" : "z");
-    result.listen.delegation = Address{"127.0.0.1", 0};
-    return result;
-  }
-};
-
 // Requests of which the response is the server's. Each has an id of its own.
 size_t servedOf(const RunningGateway& gateway, const std::string& target) {
   size_t served = 0;
--- a/tests/gateway/running_gateway.h
+++ b/tests/gateway/running_gateway.h
@@ -46,17 +46,25 @@
   RunningGateway(const RunningGateway&) = delete;
   RunningGateway& operator=(const RunningGateway&) = delete;
 
+  // What a caller received until its connection ended.
+  struct Received {
+    std::string bytes;
+    bool was_reset = false;  // the connection was reset, not closed in order
+  };
+
   // Sends bytes on a new connection and returns what is received until it ends.
-  std::string ask(const std::string& bytes) const { return askAt(gateway_.callersPort(), bytes); }
+  std::string ask(const std::string& bytes) const { return askAt(gateway_.callersPort(), bytes).bytes; }
+  Received askUntilEnd(const std::string& bytes) const { return askAt(gateway_.callersPort(), bytes); }
 
   // The result of the readiness check.
   bool isReady() const {
     const std::string question = "GET /ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
-    return askAt(gateway_.readinessPort(), question).find(" 200 ") != std::string::npos;
+    return askAt(gateway_.readinessPort(), question).bytes.find(" 200 ") != std::string::npos;
   }
   // The metrics in Prometheus' text format.
   std::string metrics() const {
-    return askAt(gateway_.metricsPort(), "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    return askAt(gateway_.metricsPort(), "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+        .bytes;
   }
   void stopGracefully() { gateway_.stopGracefully(); }
 
@@ -91,7 +99,7 @@
   }
 
  private:
-  static std::string askAt(uint16_t port, const std::string& bytes) {
+  static Received askAt(uint16_t port, const std::string& bytes) {
     boost::asio::io_context reactor;
     boost::asio::ip::tcp::socket socket(reactor);
     socket.connect(boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), port));
@@ -99,7 +107,7 @@
     boost::asio::write(socket, boost::asio::buffer(bytes), error);
     std::string answer;
     boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
-    return answer;
+    return {answer, error == boost::asio::error::connection_reset};
   }
 
   void awaitReady() const {
