Tell a stream that was broken off from a complete one by its events, not by its connection's end

Cause: the orderly end of a connection was taken for the end of a message and passed on as if it were proven. A process that ends has its sockets closed in order. Class: the end of a message is inferred from the end of a connection and passed on as proven. An answer that is no stream and has neither length nor chunks is passed on in this framing. An end that isn't proven no longer clears a request in the crash register. Why it works: no byte of an unfinished event is ever sent, and complete() is reached only if no such byte is left.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -137,22 +137,22 @@
 }
 
 void CallerConnection::sendHead(int status, const std::string& reason, HeaderFields fields,
-                                std::optional<uint64_t> length) {
+                                const BodyFraming& framing) {
   if (core_.is_stopping) {
     keeps_alive_ = false;
   }
   is_chunked_ = false;
   const bool has_body = status != kNoContent && status != kNotModified;
-  if (length && has_body) {
-    fields.push_back({"Content-Length", absl::StrCat(*length)});
+  if (framing.length && has_body) {
+    fields.push_back({"Content-Length", absl::StrCat(*framing.length)});
   } else if (has_body && !is_bodyless_) {
-    is_chunked_ = !reader_.head().is_http_1_0;
+    is_chunked_ = !framing.ends_at_close && !reader_.head().is_http_1_0;
     keeps_alive_ = keeps_alive_ && is_chunked_;
     if (is_chunked_) {
       fields.push_back({"Transfer-Encoding", "chunked"});
     }
   }
-  is_end_detectable_ = is_chunked_ || length.has_value();
+  is_end_detectable_ = is_chunked_ || framing.length.has_value();
   if (!keeps_alive_) {
     fields.push_back({"Connection", "close"});
   }
@@ -218,7 +218,7 @@
   keeps_alive_ = false;
   is_bodyless_ = false;
   core_.log.event("bad_input", reactor::steadyNow()).with("status", status);
-  sendHead(status, std::string(reasonOf(status)), {}, 0);
+  sendHead(status, std::string(reasonOf(status)), {}, {.length = 0});
   close(true);
 }
 
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -36,7 +36,7 @@
   bool isServing() const { return exchange_ != nullptr; }
 
   void sendHead(int status, const std::string& reason, HeaderFields fields,
-                std::optional<uint64_t> length) override;
+                const BodyFraming& framing) override;
   void sendBody(std::string_view bytes) override;
   void finish() override;
   void truncate() override;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -242,7 +242,7 @@
   has_failure_ = false;
   is_buffering_ = true;
   buffered_body_.clear();
-  events_ = {};
+  events_ = forwarding::EventSplitter(last_event_.has_value());
   is_prompt_read_ = false;
   attempt_last_piece_ = absl::InfinitePast();
   attempt_pieces_ = 0;
@@ -422,7 +422,7 @@
     if (forwarding::promisesNotRun(status)) {
       fields.push_back({"Retry-After", absl::StrFormat("%.2f", absl::ToDoubleSeconds(retry_after))});
     }
-    sink_->sendHead(status, std::string(reasonOf(status)), std::move(fields), body.size());
+    sink_->sendHead(status, std::string(reasonOf(status)), std::move(fields), {.length = body.size()});
     sink_->sendBody(body);
   }
   core_.metrics.countRefusal(status, why);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -131,8 +131,13 @@
   void onPromptRead();
   void reserveStarted();
   void forwardHead();
+  BodyFraming framingForCaller() const;
   void recordServerResult(absl::Time now);
   void noteInferredEnd();
+  // Whether the response is a stream of events.
+  bool isEventStream() const;
+  // Whether a stream's end shows that its server broke it off.
+  bool isBrokenOff() const;
   void forwardBufferedBody();
   void bufferOrForward(std::string bytes);
   void onDeadline();
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -1,4 +1,6 @@
 // Handles servers' responses and forwards them to the caller.
+#include <absl/strings/match.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -23,6 +25,11 @@
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
 constexpr int kFirstServerError = 500;
+constexpr absl::string_view kEventStreamType = "text/event-stream";
+
+bool isSuccess(const HttpHead& head) {
+  return head.status >= kFirstSuccess && head.status < kFirstRedirect;
+}
 
 }  // namespace
 
@@ -30,8 +37,7 @@
   if (facts.is_not_run || facts.is_other_server) {
     return Verdict::kRefused;
   }
-  const bool is_success = head.status >= kFirstSuccess && head.status < kFirstRedirect;
-  if (is_success && !facts.is_signed) {
+  if (isSuccess(head) && !facts.is_signed) {
     return Verdict::kBroken;
   }
   if (forwarding::promisesNotRun(head.status)) {
@@ -73,8 +79,7 @@
   if (verdict_ == Verdict::kRefused || verdict_ == Verdict::kBroken) {
     return;
   }
-  const bool is_success = response_head_.status >= kFirstSuccess && response_head_.status < kFirstRedirect;
-  if (route_->kind == RepeatKind::kStream && is_success) {
+  if (isEventStream()) {
     forwardEvents(bytes);
   } else {
     bufferOrForward(std::move(bytes));
@@ -84,6 +89,21 @@
   }
 }
 
+// A response without a type is taken for what its route gives.
+bool Exchange::isEventStream() const {
+  const std::string* const type = findField(response_head_.fields, "Content-Type");
+  return route_->kind == RepeatKind::kStream && isSuccess(response_head_) &&
+         (type == nullptr || absl::StartsWithIgnoreCase(*type, kEventStreamType));
+}
+
+bool Exchange::isBrokenOff() const {
+  if (!isEventStream() || head_.method == "HEAD") {
+    return false;
+  }
+  const bool has_proof = response_end_ == reactor::EndOfBody::kProven || events_.hadEvent();
+  return events_.isInsideEvent() || !has_proof;
+}
+
 // Forwards only complete events, each once: an event that a server truncated never reaches the caller.
 void Exchange::forwardEvents(std::string_view bytes) {
   std::string out;
@@ -171,12 +191,19 @@
   if (terms_) {
     fields.push_back(core_.delegations->sealOutcome(*terms_, DelegationOutcome::kServed));
   }
-  const bool is_stream = route_->kind == RepeatKind::kStream;
-  std::optional<uint64_t> length = is_stream ? std::nullopt : response_length_;
-  if (is_buffering_ && !is_stream) {
-    length = head_.method == "HEAD" ? response_length_ : std::optional<uint64_t>(buffered_body_.size());
+  sink_->sendHead(response_head_.status, response_head_.reason, std::move(fields), framingForCaller());
+}
+
+// A stream is sent in chunks whatever its server's framing, so that the caller sees if it is truncated.
+BodyFraming Exchange::framingForCaller() const {
+  if (isEventStream()) {
+    return {};
   }
-  sink_->sendHead(response_head_.status, response_head_.reason, std::move(fields), length);
+  if (response_end_ == reactor::EndOfBody::kInferred) {
+    return {.length = std::nullopt, .ends_at_close = true};
+  }
+  const bool is_length_known = is_buffering_ && head_.method != "HEAD";
+  return {.length = is_length_known ? std::optional<uint64_t>(buffered_body_.size()) : response_length_};
 }
 
 void Exchange::bufferOrForward(std::string bytes) {
@@ -234,11 +261,15 @@
     case Verdict::kForward:
       break;
   }
+  if (isBrokenOff()) {
+    onResponseBroken();
+    return;
+  }
   recordServerResult(now);
   if (engine_ && first_piece_ != absl::InfiniteFuture()) {
     core_.placement.noteServed(now - first_piece_);
   }
-  if (response_head_.status >= kFirstSuccess && response_head_.status < kFirstRedirect) {
+  if (isSuccess(response_head_) && response_end_ == reactor::EndOfBody::kProven) {
     core_.crash_detector->noteServed(identity_);
   }
   forwardBufferedBody();
@@ -262,8 +293,8 @@
   if (sink_ == nullptr) {
     return;
   }
-  const std::string& remaining =
-      route_->kind == RepeatKind::kStream && buffered_body_.empty() ? events_.remainder() : buffered_body_;
+  // What remains of a stream that wasn't broken off are comments and empty lines.
+  const std::string& remaining = isEventStream() ? events_.remainder() : buffered_body_;
   if (!remaining.empty()) {
     sink_->sendBody(remaining);
   }
--- a/src/gateway/response_sink.h
+++ b/src/gateway/response_sink.h
@@ -10,6 +10,14 @@
 
 namespace quincewick::gateway {
 
+// How the caller is told where the body ends.
+struct BodyFraming {
+  std::optional<uint64_t> length;  // in bytes, if known; otherwise the body is sent in chunks
+  // The body ends with the connection, as the server's does: a length or a last chunk would state that it is
+  // whole, which isn't known.
+  bool ends_at_close = false;
+};
+
 class ResponseSink {
  public:
   ResponseSink() = default;
@@ -17,9 +25,8 @@
   ResponseSink& operator=(const ResponseSink&) = delete;
   virtual ~ResponseSink() = default;
 
-  // `length`: body length in bytes, if known; otherwise the body is sent chunked.
   virtual void sendHead(int status, const std::string& reason, HeaderFields fields,
-                        std::optional<uint64_t> length) = 0;
+                        const BodyFraming& framing) = 0;
   virtual void sendBody(std::string_view bytes) = 0;
   // The response is complete.
   virtual void finish() = 0;
--- a/tests/gateway/broken_off_test.cc
+++ b/tests/gateway/broken_off_test.cc
@@ -73,6 +73,7 @@
   return script;
 }
 
+constexpr const char* kByteOrderMark = "\xEF\xBB\xBF";
 constexpr const char* kOneAndAHalf = "id: 1\ndata: one\n\nid: 2\nda";
 
 TEST_CASE("broken off: a stream whose connection ends inside an event isn't framed as complete") {
@@ -176,6 +177,11 @@
          (framing == Framing::kClose || (framing == Framing::kLength && cut == whole.size())));
     return has_end && endsWithEvent(cut);
   }
+  // Whether the first server's answer states that the stream has no event.
+  bool isEmpty() const {
+    return ending == Ending::kAsFramed && framing != Framing::kClose &&
+           (cut == 0 || whole.substr(0, cut) == kByteOrderMark);
+  }
 };
 
 DrawnStream drawStream() {
@@ -192,7 +198,7 @@
     drawn.events.push_back(event);
   }
   if (*rc::gen::arbitrary<bool>()) {
-    drawn.events[0].insert(0, "\xEF\xBB\xBF");  // byte-order mark
+    drawn.events[0].insert(0, kByteOrderMark);
   }
   for (const std::string& event : drawn.events) {
     drawn.whole += event;
@@ -284,6 +290,10 @@
     return;
   }
   RC_ASSERT(drawn.whole.starts_with(received.body));
+  if (drawn.isEmpty()) {
+    RC_ASSERT(received.is_complete && received.body.size() == drawn.cut);
+    return;
+  }
   RC_ASSERT(received.body.empty() || drawn.endsWithEvent(received.body.size()));
   if (received.is_complete) {
     RC_ASSERT(received.body == drawn.whole || (drawn.looksComplete() && received.body.size() == drawn.cut));
