Let a stream go on elsewhere only from a known position

Cause: any resumable stream whose head had been forwarded was resumed, whether or not its position was known. Change: it is resumed only if the last forwarded event has an id; comments don't count. Test: "resumed: a stream goes on elsewhere only after an event with an id" failed before (2 of 3 checks) and passes; the property of broken_off_test too (100 cases).

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -336,7 +336,8 @@
   ledger_.noteOutcome(end);
   has_failure_ = end == AttemptOutcome::kFailed && !is_head_forwarded_ &&
                  !forwarding::promisesNotRun(response_head_.status);
-  const bool is_cut = is_head_forwarded_ && !(route_->kind == RepeatKind::kStream && route_->is_resumable);
+  const bool can_go_on = route_->kind == RepeatKind::kStream && route_->is_resumable && is_position_known_;
+  const bool is_cut = is_head_forwarded_ && !can_go_on;
   if (is_done_ || sink_ == nullptr) {
     complete("caller_left");
     return;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -236,6 +236,7 @@
   // The response to the caller.
   bool is_head_forwarded_ = false;
   std::optional<uint64_t> last_event_;
+  bool is_position_known_ = true;  // the last forwarded event has an id, or none was forwarded
   absl::Time first_piece_ = absl::InfiniteFuture();  // when the first piece was forwarded
   absl::Time last_piece_ = absl::InfinitePast();
   absl::Duration longest_pause_ = absl::ZeroDuration();  // longest gap between pieces
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -114,6 +114,9 @@
     if (event.id) {
       last_event_ = event.id;
     }
+    if (event.has_fields) {
+      is_position_known_ = event.id.has_value();
+    }
     out += event.bytes;
   }
   if (out.empty()) {
@@ -216,6 +219,7 @@
     verdict_ = Verdict::kForward;  // too long to buffer, so no other verdict is possible
     bytes = std::exchange(buffered_body_, std::string());
     forwardHead();
+    is_position_known_ = false;
   }
   if (sink_ != nullptr) {
     sink_->sendBody(bytes);
