Keep an error's body out of a stream that goes on

What callers saw (by reading and test): a second server that answered a resumed stream with 410 had its error page appended to the events, and the last chunk behind it. Cause: every status that is forwarded as it is was added to the response whose head had been sent. Change: once the head has been forwarded, only a stream of events may follow; anything else is a failed attempt. Test: "resumed: an error of the second server is no part of the stream that goes on there" failed before (2 of 2 checks) and passes; gateway_test: 95 of 95 cases, 2,872 assertions.

--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -40,6 +40,9 @@
   if (isSuccess(head) && !facts.is_signed) {
     return Verdict::kBroken;
   }
+  if (is_head_forwarded_ && !isEventStream()) {
+    return Verdict::kFailed;  // only events may follow those that the caller has
+  }
   if (forwarding::promisesNotRun(head.status)) {
     return Verdict::kFailed;  // not confirmed by the server, so it can't be forwarded as "not run"
   }
