Soak: streams with neither a length nor chunks, whole and broken off; no beginning of a store's answer counts as whole

Cause: no test and no fault of the soak had a server that breaks off within an event and closes in order, so that the incident's fault could not be seen. A test settles the same cause elsewhere: answers of the store and reports are JSON objects, of which no strict beginning is read.

--- a/tests/platform_dialect/platform_dialect_test.cc
+++ b/tests/platform_dialect/platform_dialect_test.cc
@@ -236,6 +236,23 @@
   CHECK(rows.value().clock == absl::Milliseconds(51230));
 }
 
+// Guards against a body that ended with its connection too early and is taken for a whole one.
+TEST_CASE("no beginning of an answer of the store or of a report is taken for the whole") {
+  const std::string rows =
+      R"({"rows":[{"table":"t","key":"k","value":"AA==","ver":6}],"more":false,"ver":9,"now_ms":51230})";
+  const std::string report =
+      R"({"stage":"colocated","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"sequence":2,)"
+      R"("queued":1,"running":12,"kvUsed":1,"kvTotal":9,"handles":0})";
+  REQUIRE(dialect().readRowsResponse(rows).has_value());
+  REQUIRE(dialect().readReport(report).has_value());
+  for (size_t size = 0; size < rows.size(); ++size) {
+    CHECK(dialect().readRowsResponse(rows.substr(0, size)).has_error());
+  }
+  for (size_t size = 0; size < report.size(); ++size) {
+    CHECK(dialect().readReport(report.substr(0, size)).has_error());
+  }
+}
+
 // Covers each platform header that a caller may not set and the few that it may.
 TEST_CASE("of the platform headers only those that describe the request are passed on from a caller") {
   const std::vector<std::string> described = {"Quincewick-Attempt-Id", "Quincewick-Model",
--- a/tests/soak/back_ends.cc
+++ b/tests/soak/back_ends.cc
@@ -145,29 +145,47 @@
     const std::string signature = absl::StrCat(back_end_.id_, ".", attempt_, ".", arrival_index_);
     record().signature = signature;
     record().status = 200;
-    sendHead(200, {{kSignatureHeader, signature},
-                   {"Transfer-Encoding", "chunked"},
-                   {"Content-Type", "text/event-stream"}});
+    is_unframed_ = back_end_.request_faults_.truncates_responses && back_end_.drawFault();
+    HeaderFields fields = {{kSignatureHeader, signature}, {"Content-Type", "text/event-stream"}};
+    if (is_unframed_) {
+      fields.push_back({"Connection", "close"});
+    } else {
+      fields.push_back({"Transfer-Encoding", "chunked"});
+    }
+    sendHead(200, std::move(fields));
     sendEvent(first);
   }
 
   void sendEvent(int number) {
     if (number > kEventsPerStream) {
-      connection_->send(kLastChunk);
-      finishRequest();
+      finishStream();
       return;
     }
     const bool is_cut = back_end_.request_faults_.truncates_responses && number > 2 && back_end_.drawFault();
     const std::string event = absl::StrCat("id: ", number, "\ndata: ", attempt_, " ", number, "\n\n");
     if (is_cut) {
-      connection_->send(printChunk(event.substr(0, event.size() / 2)));
+      sendPart(event.substr(0, event.size() / 2));
       closeMidResponse();
       return;
     }
-    connection_->send(printChunk(event));
+    sendPart(event);
     runAfter(kEventInterval, [this, number] { sendEvent(number + 1); });
   }
 
+  void sendPart(const std::string& bytes) { connection_->send(is_unframed_ ? bytes : printChunk(bytes)); }
+
+  // An unframed stream ends with its connection, as one that is broken off does.
+  void finishStream() {
+    if (!is_unframed_) {
+      connection_->send(kLastChunk);
+      finishRequest();
+      return;
+    }
+    takesRoom(false);
+    is_open_ = false;
+    connection_->closeWhenSent();
+  }
+
   void respond(int status, HeaderFields fields, const std::string& body) {
     fields.push_back({"Content-Length", absl::StrCat(body.size())});
     sendHead(status, std::move(fields));
@@ -250,6 +268,7 @@
   bool is_busy_ = false;
   bool is_silent_ = false;
   bool takes_room_ = false;
+  bool is_unframed_ = false;  // the stream has neither a length nor chunks
   std::string attempt_;
   size_t arrival_index_ = 0;
 };
