Log the software version of each attempt's server, and which earlier attempt a request goes on with

Change: software in attempt_ended and request; resumes and after_event in request. Resumes is read as a fact of the request; no decision depends on it yet.

--- a/src/forwarding/request_facts.h
+++ b/src/forwarding/request_facts.h
@@ -23,6 +23,8 @@
   std::string attempt_id;  // identifies the caller's attempt, given by the caller; empty: none given
   std::optional<absl::Duration> deadline;
   std::optional<std::string> last_event_id;
+  // The request goes on with the stream that this earlier attempt of the caller began.
+  std::optional<std::string> resumed_attempt;
   std::optional<std::string> key;  // the caller's bearer key
   ModelName model;                 // empty: no prompt is declared
   std::vector<PromptPart> prompt;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -302,6 +302,7 @@
   request.wants_fresh_connection = !route_->mayRunAgain();
   tried_.push_back(server_->identity_hash);
   is_at_server_ = true;
+  attempt_software_ = server_->entry.software;
   core_.crash_detector->noteSent(identity_);
   noteRolloutSent();
   noteUnaccepted();
@@ -327,6 +328,7 @@
   core_.log.event("attempt_ended", reactor::steadyNow())
       .with("request", facts_.attempt_id)
       .with("server", server_->entry.id)
+      .with("software", attempt_software_.value())
       .with("same_as", forwarding::printIdentity(identity_))
       .with("end", static_cast<int64_t>(end))
       .with("status", response_head_.status)
@@ -459,10 +461,15 @@
       .with("outcome", outcome)
       .with("status", response_head_.status)
       .with("server", server_ == nullptr ? "" : server_->entry.id)
+      .with("software", attempt_software_.value())
       .with("tries", static_cast<int64_t>(tried_.size()))
       .with("configuration", configurationVersion())
       .with("configuration_age_ms", configuration_age_)
       .with("took_ms", now - began_);
+  if (facts_.resumed_attempt || facts_.last_event_id) {
+    line.with("resumes", facts_.resumed_attempt.value_or(""))
+        .with("after_event", facts_.last_event_id.value_or(""));
+  }
   if (is_quota_decided_) {
     line.with("keeper", quota_owner_.value()).with("quota_ms", quota_wait_);
   }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -220,7 +220,8 @@
   reactor::TimerQueue::Key permit_timer_;  // set while the request waits for a permit
   absl::Time permit_wait_ends_ = absl::InfiniteFuture();  // finite once the wait has begun
   std::unique_ptr<Attempt> attempt_;
-  bool is_at_server_ = false;  // sent, and not known to have ended there
+  bool is_at_server_ = false;         // sent, and not known to have ended there
+  SoftwareVersion attempt_software_;  // of its server when the request was sent; empty: unknown
   absl::Time attempt_began_;
   absl::Duration predicted_first_piece_;  // from arrival to the first piece, for the first attempt
   bool yields_ = false;                   // predicted to miss its target latency: runs at lower priority
