Reproduce streams that hold events of two software versions, in one answer and over a caller's attempts

Six cases on loopback, with two servers of each of two versions: within one answer, through another gateway, and taken up at another gateway.

--- /dev/null
+++ b/tests/gateway/software_versions_test.cc
@@ -0,0 +1,209 @@
+// Guards against streams that hold events from servers of two software versions, which don't fit together: a
+// gateway went on with a stream at any server, and so did callers that took theirs up again.
+#include <absl/strings/numbers.h>
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "partition_site.h"
+
+namespace quincewick::gateway {
+namespace {
+
+constexpr int kEvents = 3;  // of a whole stream
+
+std::string valueOf(const HttpHead& head, const char* name) {
+  const std::string* const value = findField(head.fields, name);
+  return value == nullptr ? "" : *value;
+}
+
+// Sends the events that follow the last one that the request names, with the version in each. An attempt that
+// begins a stream or goes on with one breaks off after one event while `breaks_off` says so.
+Script serveStream(const Seen& seen, const std::string& software, bool breaks_off) {
+  int last = 0;
+  const int first = absl::SimpleAtoi(valueOf(seen.head, "Last-Event-Id"), &last) ? last + 1 : 1;
+  Script script{printResponseHead(200, "OK",
+                                  {{"Quincewick-Response-Signature", "s"},
+                                   {"Quincewick-Attempt-Id", valueOf(seen.head, "Quincewick-Attempt-Id")},
+                                   {"Content-Type", "text/event-stream"},
+                                   {"Transfer-Encoding", "chunked"}})};
+  for (int id = first; id <= kEvents; ++id) {
+    script.answer += printChunk(absl::StrCat("id: ", id, "\ndata: ", software, "\n\n"));
+    if (breaks_off) {
+      script.closes = true;
+      return script;
+    }
+  }
+  script.answer += kLastChunk;
+  return script;
+}
+
+// Four servers, two of each of two versions.
+struct VersionedSite : Fixture {
+  std::atomic<bool> breaks_off = false;
+
+  VersionedSite() {
+    for (const char* const software : {"v1", "v2"}) {
+      for (const int number : {1, 2}) {
+        const std::string id = absl::StrCat("i-", software, "-", number);
+        site.addServer(
+            id,
+            [this, version = std::string(software)](const Seen& seen) {
+              return serveStream(seen, version, breaks_off);
+            },
+            "[]", software);
+      }
+    }
+  }
+
+  GatewaySettings settingsOf(const std::string& id) const {
+    GatewaySettings result = RunningGateway::settings(id, site.storeAddress(), site);
+    result.bounds.retry_ratio = 2;
+    return result;
+  }
+};
+
+// A caller's stream over all of its attempts.
+struct CallerStream {
+  std::string first_attempt;
+  int last_event = 0;
+  std::set<std::string> versions;
+  std::vector<int> events;
+};
+
+// Sends one attempt. Returns the response.
+std::string attempt(const RunningGateway& gateway, CallerStream& stream, const std::string& id,
+                    const std::string& body) {
+  HeaderFields fields = {{"Host", "h"},
+                         {"Connection", "close"},
+                         {"Authorization", "Bearer key"},
+                         {"Quincewick-Attempt-Id", id},
+                         {"Quincewick-Deadline-Ms", "5000"},
+                         {"Content-Length", absl::StrCat(body.size())}};
+  if (stream.last_event > 0) {
+    fields.push_back({"Last-Event-Id", absl::StrCat(stream.last_event)});
+    fields.push_back({"Resumes", stream.first_attempt});
+  }
+  const std::string answer = gateway.ask(printRequestHead("POST", "/resumed/a", fields) + body);
+  for (size_t place = answer.find("id: "); place != std::string::npos;
+       place = answer.find("id: ", place + 1)) {
+    const int event = std::stoi(answer.substr(place + 4));
+    const size_t data = answer.find("data: ", place) + 6;
+    stream.versions.insert(answer.substr(data, answer.find('\n', data) - data));
+    stream.events.push_back(event);
+    stream.last_event = event;
+    if (stream.first_attempt.empty()) {
+      stream.first_attempt = id;
+    }
+  }
+  return answer;
+}
+
+TEST_CASE("one answer: a stream goes on at the version that began it") {
+  VersionedSite fixture;
+  fixture.breaks_off = true;
+  const RunningGateway gateway(fixture.settingsOf("a"));
+  size_t gone_on = 0;
+  for (int number = 0; number < 20; ++number) {
+    CallerStream stream;
+    attempt(gateway, stream, absl::StrCat("attempt-", number), absl::StrCat("body ", number));
+    CAPTURE(number);
+    CHECK(stream.versions.size() == 1);
+    gone_on += stream.events.size() > 1 ? 1 : 0;
+  }
+  CHECK(gone_on == 20);  // the other server of the version is there
+}
+
+TEST_CASE("taken up: a stream goes on at the version that began it") {
+  VersionedSite fixture;
+  const RunningGateway one(fixture.settingsOf("a"));
+  const RunningGateway two(fixture.settingsOf("b"));
+  awaitPeer(one);
+  awaitPeer(two);
+  size_t gone_on = 0;
+  for (int number = 0; number < 20; ++number) {
+    const std::string body = absl::StrCat("body ", number);
+    CallerStream stream;
+    fixture.breaks_off = true;
+    attempt(one, stream, absl::StrCat("first-", number), body);
+    fixture.breaks_off = false;
+    const std::string answer = attempt(two, stream, absl::StrCat("second-", number), body);
+    CAPTURE(number, answer);
+    CHECK(stream.versions.size() == 1);
+    gone_on += stream.last_event == kEvents ? 1 : 0;
+  }
+  CHECK(gone_on == 20);
+}
+
+TEST_CASE("taken up: a stream of which nobody knows the version goes on nowhere") {
+  VersionedSite fixture;
+  const RunningGateway gateway(fixture.settingsOf("a"));
+  for (const char* const last_event : {"1", "x"}) {
+    const std::string answer = gateway.ask(
+        "/resumed/a",
+        {{"Authorization", "Bearer key"}, {"Last-Event-Id", last_event}, {"Resumes", "never-seen"}});
+    CHECK(has(answer, "HTTP/1.1 503"));
+    CHECK(has(answer, "Retry-After: "));
+  }
+  CHECK(fixture.site.seen().empty());
+}
+
+TEST_CASE("taken up: a tenant can't go on with the stream of another") {
+  VersionedSite fixture;
+  const RunningGateway gateway(fixture.settingsOf("a"));
+  fixture.breaks_off = true;
+  CallerStream stream;
+  attempt(gateway, stream, "first", "body");
+  REQUIRE_FALSE(stream.events.empty());
+  fixture.breaks_off = false;
+  const std::string answer = gateway.ask(
+      "/resumed/a", {{"Authorization", "Bearer limited"}, {"Last-Event-Id", "1"}, {"Resumes", "first"}});
+  CHECK(has(answer, "HTTP/1.1 503"));
+}
+
+TEST_CASE("one answer: a stream whose version has no server left ends visibly") {
+  Fixture fixture;
+  for (const char* const software : {"v1", "v2"}) {
+    fixture.site.addServer(
+        absl::StrCat("i-", software),
+        [version = std::string(software)](const Seen& seen) { return serveStream(seen, version, true); },
+        "[]", software);
+  }
+  const RunningGateway gateway(fixture.site);
+  CallerStream stream;
+  const std::string answer = attempt(gateway, stream, "first", "body");
+  CHECK(stream.events == std::vector<int>{1});
+  CHECK_FALSE(answer.ends_with(kLastChunk));
+}
+
+// The delegate knows the version and has to keep to it.
+TEST_CASE("one answer: a stream goes on through another gateway at the version that began it") {
+  const DeadAddress dead(false);
+  VersionedSite fixture;
+  fixture.site.replaceServersAtSecond(dead.address());
+  GatewaySettings cut_off = fixture.settingsOf("a");
+  cut_off.store = fixture.site.secondStoreAddress();
+  cut_off.zone = ZoneName("y");
+  GatewaySettings reaching = fixture.settingsOf("b");
+  for (GatewaySettings* const settings : {&cut_off, &reaching}) {
+    settings->listen.delegation = Address{"127.0.0.1", 0};
+  }
+  const RunningGateway origin(cut_off);
+  const RunningGateway delegate(reaching);
+  awaitPeer(origin);
+  awaitPeer(delegate);
+  fixture.breaks_off = true;
+  size_t gone_on = 0;
+  for (int number = 0; number < 20; ++number) {
+    CallerStream stream;
+    attempt(origin, stream, absl::StrCat("attempt-", number), absl::StrCat("body ", number));
+    CAPTURE(number);
+    CHECK(stream.versions.size() == 1);
+    gone_on += stream.events.size() > 1 ? 1 : 0;
+  }
+  CHECK(gone_on == 20);
+}
+
+}  // namespace
+}  // namespace quincewick::gateway
