Bind an answer to the software version of its first event

What callers saw: streams that held events of two software versions; here within one answer, where the gateway itself went on with a stream that its server broke off. Cause: choosing a server for a further attempt ignored software versions (with rollouts on, it took the base, whatever version began the stream). Class: state that is spread over several servers is taken to be interchangeable because their service is. Change: with the first forwarded event the answer is bound to its server's version, which must be proven by an entry of the very incarnation; further attempts choose among servers of this version that a rollout, if any, allows. None left: the answer is truncated. Through another gateway the constraint goes in the sealed request and the version comes back in the sealed outcome, in a second version of these messages that is used for resumable streams only. Why it works: a server answers 421 to a request for another incarnation, so the bytes come from the one whose entry names the version.

--- a/src/forwarding/server_directory.cc
+++ b/src/forwarding/server_directory.cc
@@ -62,6 +62,10 @@
   return std::nullopt;
 }
 
+std::optional<SoftwareVersion> Server::provenSoftware() const {
+  return software_proof == SoftwareProof::kListed ? std::optional(entry.software) : std::nullopt;
+}
+
 bool Server::isLeaving() const {
   return !is_listed || entry.is_draining || back_pressure->isLeaving();
 }
@@ -92,6 +96,7 @@
   }
   const std::vector<LoadedModel> listed = std::exchange(entry.models, server.entry.models);
   const bool was_draining = server.entry.is_draining;
+  noteListedSoftware(server, entry);
   // An entry without a start time belongs to the known incarnation.
   entry.started = server.entry.started;
   server.entry = std::move(entry);
@@ -104,13 +109,25 @@
   return EntryEffect::kKnown;
 }
 
+void ServerDirectory::noteListedSoftware(Server& server, const ServerEntry& entry) {
+  const bool is_same_start = entry.started != absl::InfinitePast() && entry.started == server.entry.started;
+  if (server.software_proof == SoftwareProof::kCarriedOver) {
+    server.software_proof = is_same_start ? SoftwareProof::kListed : SoftwareProof::kCarriedOver;
+  } else if (server.entry.software != entry.software) {
+    server.software_proof = SoftwareProof::kContradictory;
+  }
+}
+
 void ServerDirectory::noteRestart(const Server& earlier, absl::Time started,
                                   std::vector<LoadedModel> models) {
   ServerEntry entry = earlier.entry;
   entry.started = started;
   entry.is_draining = false;
   entry.models = std::move(models);
-  upsert(std::move(entry));
+  const std::string id = entry.id;
+  if (upsert(std::move(entry)) == EntryEffect::kRestarted) {
+    find(id)->software_proof = SoftwareProof::kCarriedOver;
+  }
 }
 
 void ServerDirectory::setReadable(const std::string& id, bool is_readable) {
--- a/src/forwarding/server_directory.h
+++ b/src/forwarding/server_directory.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,13 @@
   uint64_t prefill_tokens = 0;  // prompt tokens of these requests that are still to be processed
 };
 
+// Whether the software version in a server's entry is that of its incarnation.
+enum class SoftwareProof : uint8_t {
+  kListed,         // an entry of this incarnation states it
+  kCarriedOver,    // from the entry of an earlier incarnation, until this one's is read
+  kContradictory,  // entries of this incarnation stated different versions
+};
+
 struct Server {
   ServerEntry entry;
   EngineNumber slot{};
@@ -45,6 +53,7 @@
   bool is_listed = true;
   // False while its entry exists but cannot be parsed: it may announce that the server leaves.
   bool is_readable = true;
+  SoftwareProof software_proof = SoftwareProof::kListed;
   ServerLoad own;
   ServerLoad peers;  // sum of what this node's peers reported: of its zone, or on a small site all of them
   ServerLoad other_zones;
@@ -77,6 +86,8 @@
     return own.prefill_tokens + peers.prefill_tokens + other_zones.prefill_tokens;
   }
   double failureScore(absl::Time now) const;
+  // The version of the server's software, or nullopt if it isn't proven.
+  std::optional<SoftwareVersion> provenSoftware() const;
   // The version of the model's weights that the server has, or nullopt if unknown.
   std::optional<WeightsVersion> versionOf(const ModelName& model) const;
   // Whether the server is leaving or has left, so that no new request may reach it.
@@ -152,6 +163,7 @@
   std::vector<EngineNumber> takeFreedSlots();
 
  private:
+  static void noteListedSoftware(Server& server, const ServerEntry& entry);
   EngineNumber takeSlot();
   void add(ServerEntry entry);
   bool isOutdated(const ServerEntry& entry) const;
--- a/src/gateway/delegation_messages.cc
+++ b/src/gateway/delegation_messages.cc
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr uint8_t kVersion = 1;
+constexpr uint8_t kVersionWithSoftware = 2;  // of requests; earlier builds reject it
 constexpr uint32_t kMaxNameBytes = 255;
 constexpr uint32_t kMaxBodyBytes = 4U << 20;
 constexpr uint32_t kMaxFields = 1000;
@@ -41,6 +42,7 @@
   return milliseconds == kNoDeadlineMs ? absl::InfiniteDuration() : absl::Milliseconds(milliseconds);
 }
 
+// All that earlier builds know of an outcome.
 struct ArchivedOutcome {
   uint8_t outcome = 0;
 
@@ -50,6 +52,35 @@
   }
 };
 
+struct ArchivedReport {
+  uint8_t outcome = 0;
+  SoftwareVersion software;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(outcome);
+    archiveText(archive, software);
+  }
+};
+
+Result<DelegationOutcome> outcomeFrom(uint8_t number) {
+  const auto outcome = static_cast<DelegationOutcome>(number);
+  if (outcome < DelegationOutcome::kServed || outcome > DelegationOutcome::kUnknown) {
+    return fail(ErrorCode::kInvalidArgument, "delegation outcome is unknown");
+  }
+  return outcome;
+}
+
+template <class Archive>
+void archiveSoftware(Archive& archive, DelegatedRequest& request) {
+  bool is_bound = request.software.has_value();
+  SoftwareVersion software = request.software.value_or(SoftwareVersion());
+  archive(is_bound);
+  archiveText(archive, software);
+  request.asks_for_software = true;
+  request.software = is_bound ? std::optional(software) : std::nullopt;
+}
+
 }  // namespace
 
 template <class Archive>
@@ -82,7 +113,11 @@
 
 template <class Archive>
 void serialize(Archive& archive, DelegatedRequest& request) {
-  archiveVersion(archive);
+  uint8_t version = request.asks_for_software ? kVersionWithSoftware : kVersion;
+  archive(version);
+  if (version != kVersion && version != kVersionWithSoftware) {
+    throw cereal::Exception("unknown message version");
+  }
   std::string service = request.service.value();
   uint32_t elapsed_ms = millisecondsOf(request.elapsed);
   uint32_t left_ms = millisecondsOf(request.time_left);
@@ -96,6 +131,9 @@
   request.service = forwarding::ServiceName(std::move(service));
   request.elapsed = durationOf(elapsed_ms);
   request.time_left = durationOf(left_ms);
+  if (version == kVersionWithSoftware) {
+    archiveSoftware(archive, request);
+  }
 }
 
 std::string encodeDelegationMessage(const DelegationMessage& message) {
@@ -132,17 +170,21 @@
   return decoded;
 }
 
-std::string encodeDelegationOutcome(DelegationOutcome outcome) {
-  return encodeArchive(ArchivedOutcome{static_cast<uint8_t>(outcome)});
+std::string encodeDelegationReport(const DelegationReport& report) {
+  const auto outcome = static_cast<uint8_t>(report.outcome);
+  return report.software ? encodeArchive(ArchivedReport{outcome, *report.software})
+                         : encodeArchive(ArchivedOutcome{outcome});
 }
 
-Result<DelegationOutcome> decodeDelegationOutcome(std::string_view bytes) {
-  BOOST_OUTCOME_TRY(archived, decodeArchive<ArchivedOutcome>(bytes));
-  const auto outcome = static_cast<DelegationOutcome>(archived.outcome);
-  if (outcome < DelegationOutcome::kServed || outcome > DelegationOutcome::kUnknown) {
-    return fail(ErrorCode::kInvalidArgument, "delegation outcome is unknown");
+Result<DelegationReport> decodeDelegationReport(std::string_view bytes) {
+  const Result<ArchivedReport> with_software = decodeArchive<ArchivedReport>(bytes);
+  if (with_software.has_value()) {
+    BOOST_OUTCOME_TRY(outcome, outcomeFrom(with_software.value().outcome));
+    return DelegationReport{outcome, with_software.value().software};
   }
-  return outcome;
+  BOOST_OUTCOME_TRY(archived, decodeArchive<ArchivedOutcome>(bytes));
+  BOOST_OUTCOME_TRY(outcome, outcomeFrom(archived.outcome));
+  return DelegationReport{outcome, std::nullopt};
 }
 
 }  // namespace quincewick::gateway
--- a/src/gateway/delegation_messages.h
+++ b/src/gateway/delegation_messages.h
@@ -4,6 +4,7 @@
 #include <absl/time/time.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -44,10 +45,12 @@
   std::string target;
   HeaderFields fields;  // as the caller sent them, without hop-by-hop fields
   std::string body;
-  forwarding::ServiceName service;  // chosen by the origin
-  absl::Duration elapsed;           // since the origin received the request
-  absl::Duration time_left;         // until the origin's deadline; infinite: none
-  std::string last_event_id;        // of a stream that is resumed; empty: as the caller sent it
+  forwarding::ServiceName service;          // chosen by the origin
+  absl::Duration elapsed;                   // since the origin received the request
+  absl::Duration time_left;                 // until the origin's deadline; infinite: none
+  std::string last_event_id;                // of a stream that is resumed; empty: as the caller sent it
+  bool asks_for_software = false;           // the outcome is to name the server's software version
+  std::optional<SoftwareVersion> software;  // of the servers that may get it; asks_for_software is set then
 };
 
 std::string encodeDelegatedRequest(const DelegatedRequest& request);
@@ -62,8 +65,15 @@
   kUnknown = 4,   // it may have run
 };
 
-std::string encodeDelegationOutcome(DelegationOutcome outcome);
+// The outcome as it is sealed in the response.
+struct DelegationReport {
+  DelegationOutcome outcome = DelegationOutcome::kUnknown;
+  // Of the server whose response it is, if the request asked for it and it is proven.
+  std::optional<SoftwareVersion> software;
+};
+
+std::string encodeDelegationReport(const DelegationReport& report);
 // Decodes untrusted bytes. Errors: kInvalidArgument.
-Result<DelegationOutcome> decodeDelegationOutcome(std::string_view bytes);
+Result<DelegationReport> decodeDelegationReport(std::string_view bytes);
 
 }  // namespace quincewick::gateway
--- a/src/gateway/delegations.cc
+++ b/src/gateway/delegations.cc
@@ -144,8 +144,8 @@
   return result;
 }
 
-std::optional<DelegationOutcome> Delegations::outcomeOf(const HttpHead& head, const NodeId& delegate,
-                                                        Sequence sequence) {
+std::optional<DelegationReport> Delegations::reportOf(const HttpHead& head, const NodeId& delegate,
+                                                      Sequence sequence) {
   const std::string* const field = findField(head.fields, kDelegationOutcomeField);
   std::string sealed;
   if (field == nullptr || !absl::Base64Unescape(*field, &sealed)) {
@@ -157,8 +157,8 @@
   if (!is_from_delegate) {
     return std::nullopt;
   }
-  const auto outcome = decodeDelegationOutcome(envelope.value().payload);
-  return outcome.has_value() ? std::optional(outcome.value()) : std::nullopt;
+  const auto report = decodeDelegationReport(envelope.value().payload);
+  return report.has_value() ? std::optional(report.value()) : std::nullopt;
 }
 
 Result<OpenedDelegation> Delegations::open(std::string_view body) {
@@ -181,14 +181,15 @@
     opened.head.fields.push_back({std::string(kLastEventField), std::move(request.last_event_id)});
   }
   opened.body = std::move(request.body);
-  opened.terms = {envelope.sender, envelope.sequence, request.service, request.elapsed, request.time_left};
+  opened.terms = {envelope.sender,   envelope.sequence,         request.service, request.elapsed,
+                  request.time_left, request.asks_for_software, request.software};
   return opened;
 }
 
-HeaderField Delegations::sealOutcome(const DelegationTerms& terms, DelegationOutcome outcome) {
+HeaderField Delegations::sealReport(const DelegationTerms& terms, const DelegationReport& report) {
   const auto sealed =
       directory_.authenticator()->seal(peer::Channel::kResponse, terms.origin, peer::PeerModule::kDelegations,
-                                       encodeDelegationOutcome(outcome), terms.request);
+                                       encodeDelegationReport(report), terms.request);
   return {std::string(kDelegationOutcomeField), absl::Base64Escape(sealed.bytes)};
 }
 
--- a/src/gateway/delegations.h
+++ b/src/gateway/delegations.h
@@ -39,6 +39,8 @@
   forwarding::ServiceName service;
   absl::Duration elapsed;
   absl::Duration time_left;
+  bool asks_for_software = false;
+  std::optional<SoftwareVersion> software;  // of the servers that may get the request; nothing: any
 };
 
 struct OpenedDelegation {
@@ -58,11 +60,11 @@
   std::optional<Delegate> choose(const forwarding::ServiceName& service, const std::vector<NodeId>& excluded);
   // Whether no gateway that was asked takes requests for the service.
   bool isHopeless(const forwarding::ServiceName& service) const;
-  // Seals the request for the delegate. `sequence`: set to what `outcomeOf` needs. Nothing if it is too long.
+  // Seals the request for the delegate. `sequence`: set to what `reportOf` needs. Nothing if it is too long.
   std::optional<AttemptRequest> seal(const Delegate& delegate, const DelegatedRequest& request,
                                      Sequence& sequence);
   // What the response says; nothing if it isn't the delegate's response to that request.
-  std::optional<DelegationOutcome> outcomeOf(const HttpHead& head, const NodeId& delegate, Sequence sequence);
+  std::optional<DelegationReport> reportOf(const HttpHead& head, const NodeId& delegate, Sequence sequence);
   void noteStarted(const NodeId& delegate) { finder_.noteStarted(delegate); }
   void noteEnded(const NodeId& delegate) { finder_.noteEnded(delegate); }
   void noteDeclined(const forwarding::ServiceName& service, const NodeId& delegate);
@@ -73,7 +75,7 @@
   bool mayTake(const forwarding::ServiceName& service) const;
   void noteTaken() { ++taken_; }
   void noteTakenEnded() { --taken_; }
-  HeaderField sealOutcome(const DelegationTerms& terms, DelegationOutcome outcome);
+  HeaderField sealReport(const DelegationTerms& terms, const DelegationReport& report);
 
  private:
   Result<void> receive(const NodeId& from, std::string_view payload);
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -27,6 +27,10 @@
 constexpr absl::Duration kMaxCrashWait = absl::Seconds(1);
 constexpr std::string_view kCrashesServers = "ends_servers";
 
+std::string softwareText(const std::optional<SoftwareVersion>& software) {
+  return software ? software->value() : "";
+}
+
 }  // namespace
 
 Exchange::Exchange(Core& core, BackEndPool& pool, HttpHead head, std::string body, ResponseSink* sink,
@@ -218,6 +222,9 @@
   const absl::Time now = reactor::steadyNow();
   engine_.reset();
   server_ = nullptr;
+  if (begun_software_) {
+    return chooseServerOfStream(now);
+  }
   return core_.rollouts != nullptr ? chooseServerByVersion(now)
                                    : chooseServerAmong(core_.directory.ofService(service_), now);
 }
@@ -233,11 +240,17 @@
   return server_ != nullptr;
 }
 
+// Whether the request is a stream that another server may go on with.
+bool Exchange::mayGoOnElsewhere() const {
+  return route_->kind == RepeatKind::kStream && route_->is_resumable;
+}
+
 // State of an attempt that starts.
 void Exchange::resetAttempt() {
   attempt_began_ = reactor::steadyNow();
   rates_requested_ = 0;
   verdict_ = Verdict::kBroken;
+  attempt_software_.reset();
   response_head_ = HttpHead();
   has_failure_ = false;
   is_buffering_ = true;
@@ -302,7 +315,7 @@
   request.wants_fresh_connection = !route_->mayRunAgain();
   tried_.push_back(server_->identity_hash);
   is_at_server_ = true;
-  attempt_software_ = server_->entry.software;
+  attempt_software_ = server_->provenSoftware();
   core_.crash_detector->noteSent(identity_);
   noteRolloutSent();
   noteUnaccepted();
@@ -328,7 +341,7 @@
   core_.log.event("attempt_ended", reactor::steadyNow())
       .with("request", facts_.attempt_id)
       .with("server", server_->entry.id)
-      .with("software", attempt_software_.value())
+      .with("software", softwareText(attempt_software_))
       .with("same_as", forwarding::printIdentity(identity_))
       .with("end", static_cast<int64_t>(end))
       .with("status", response_head_.status)
@@ -338,8 +351,8 @@
   ledger_.noteOutcome(end);
   has_failure_ = end == AttemptOutcome::kFailed && !is_head_forwarded_ &&
                  !forwarding::promisesNotRun(response_head_.status);
-  const bool can_go_on = route_->kind == RepeatKind::kStream && route_->is_resumable && is_position_known_;
-  const bool is_cut = is_head_forwarded_ && !can_go_on;
+  const bool is_bound = begun_software_.has_value() || !is_stream_begun_;
+  const bool is_cut = is_head_forwarded_ && !(mayGoOnElsewhere() && is_position_known_ && is_bound);
   if (is_done_ || sink_ == nullptr) {
     complete("caller_left");
     return;
@@ -420,7 +433,7 @@
       fields.push_back(core_.dialect->attemptField(facts_.attempt_id));
     }
     if (terms_) {
-      fields.push_back(core_.delegations->sealOutcome(*terms_, outcomeOfRejection(status)));
+      fields.push_back(core_.delegations->sealReport(*terms_, {outcomeOfRejection(status), std::nullopt}));
     }
     if (forwarding::promisesNotRun(status)) {
       fields.push_back({"Retry-After", absl::StrFormat("%.2f", absl::ToDoubleSeconds(retry_after))});
@@ -461,7 +474,7 @@
       .with("outcome", outcome)
       .with("status", response_head_.status)
       .with("server", server_ == nullptr ? "" : server_->entry.id)
-      .with("software", attempt_software_.value())
+      .with("software", softwareText(attempt_software_))
       .with("tries", static_cast<int64_t>(tried_.size()))
       .with("configuration", configurationVersion())
       .with("configuration_age_ms", configuration_age_)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -112,6 +112,9 @@
   bool chooseEngine(const Servers& servers, absl::Time now);
   bool chooseServerByVersion(absl::Time now);
   bool chooseSoftware();
+  bool chooseServerOfStream(absl::Time now);
+  bool mayGoOnElsewhere() const;
+  void noteStreamBegun();
   double promptFraction() const;
   bool mayStillUseServer() const;
   void noteRolloutSent();
@@ -182,6 +185,9 @@
   double quota_cost_ = 0;      // granted amount, in the limit's unit
   NodeId quota_owner_;         // node that granted it
 
+  // Software version of the server that began the stream. All further attempts go to servers of this version.
+  std::optional<SoftwareVersion> begun_software_;
+  bool is_stream_begun_ = false;  // an event was forwarded
   // Software version of the servers that this attempt may use, if the site stages rollouts.
   std::optional<SoftwareVersion> software_;
   Servers servers_of_software_;
@@ -220,8 +226,8 @@
   reactor::TimerQueue::Key permit_timer_;  // set while the request waits for a permit
   absl::Time permit_wait_ends_ = absl::InfiniteFuture();  // finite once the wait has begun
   std::unique_ptr<Attempt> attempt_;
-  bool is_at_server_ = false;         // sent, and not known to have ended there
-  SoftwareVersion attempt_software_;  // of its server when the request was sent; empty: unknown
+  bool is_at_server_ = false;                        // sent, and not known to have ended there
+  std::optional<SoftwareVersion> attempt_software_;  // of its server when the request was sent, if proven
   absl::Time attempt_began_;
   absl::Duration predicted_first_piece_;  // from arrival to the first piece, for the first attempt
   bool yields_ = false;                   // predicted to miss its target latency: runs at lower priority
--- a/src/gateway/exchange_delegation.cc
+++ b/src/gateway/exchange_delegation.cc
@@ -88,6 +88,8 @@
   request.elapsed = now - began_;
   request.time_left = deadline_ - now;
   request.last_event_id = last_event_ ? absl::StrCat(*last_event_) : "";
+  request.asks_for_software = mayGoOnElsewhere();
+  request.software = begun_software_;
   std::optional<AttemptRequest> sealed = core_.delegations->seal(chosen, request, delegated_sequence_);
   if (!sealed) {
     return false;
@@ -116,12 +118,13 @@
 }
 
 Exchange::Verdict Exchange::judgeDelegated(const HttpHead& head, const forwarding::ResponseFacts& facts) {
-  const auto outcome = core_.delegations->outcomeOf(head, *delegate_, delegated_sequence_);
-  if (!outcome) {
+  const auto report = core_.delegations->reportOf(head, *delegate_, delegated_sequence_);
+  if (!report) {
     return Verdict::kBroken;
   }
-  core_.metrics.countDelegated(*outcome);
-  switch (*outcome) {
+  core_.metrics.countDelegated(report->outcome);
+  attempt_software_ = report->software;
+  switch (report->outcome) {
     case DelegationOutcome::kServed: {
       const Verdict verdict = judge(head, facts);
       return verdict == Verdict::kRefused ? Verdict::kBroken : verdict;
@@ -166,6 +169,7 @@
 // is sent to a second server after it may have run is the origin's decision.
 void Exchange::beginDelegated() {
   began_ -= terms_->elapsed;
+  begun_software_ = terms_->software;
   const auto has_service = [this](const forwarding::ServiceShare& share) {
     return share.service == terms_->service;
   };
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -119,6 +119,7 @@
     }
     if (event.has_fields) {
       is_position_known_ = event.id.has_value();
+      noteStreamBegun();
     }
     out += event.bytes;
   }
@@ -133,6 +134,16 @@
   }
 }
 
+// Binds the answer to the software version of its first event.
+void Exchange::noteStreamBegun() {
+  if (std::exchange(is_stream_begun_, true)) {
+    return;
+  }
+  if (!begun_software_) {
+    begun_software_ = attempt_software_;
+  }
+}
+
 // Prefill is done, and the request has a slot.
 void Exchange::onPromptRead() {
   server_->own.prefill_tokens -= std::min(server_->own.prefill_tokens, counted_.prefill_tokens);
@@ -195,7 +206,9 @@
     }
   }
   if (terms_) {
-    fields.push_back(core_.delegations->sealOutcome(*terms_, DelegationOutcome::kServed));
+    const std::optional<SoftwareVersion> none;
+    fields.push_back(core_.delegations->sealReport(
+        *terms_, {DelegationOutcome::kServed, terms_->asks_for_software ? attempt_software_ : none}));
   }
   sink_->sendHead(response_head_.status, response_head_.reason, std::move(fields), framingForCaller());
 }
--- a/src/gateway/exchange_rollout.cc
+++ b/src/gateway/exchange_rollout.cc
@@ -2,6 +2,7 @@
 #include <absl/random/distributions.h>
 
 #include <utility>
+#include <vector>
 
 #include "gateway/exchange.h"
 #include "gateway/peer_digest.h"
@@ -46,6 +47,16 @@
   return chooseServerAmong(servers_of_software_, now);
 }
 
+// The servers of the version that began the stream: what two versions write doesn't fit together.
+bool Exchange::chooseServerOfStream(absl::Time now) {
+  servers_of_software_ = core_.directory.ofService(service_);
+  std::erase_if(servers_of_software_, [this](const auto& server) {
+    const bool is_allowed = core_.rollouts == nullptr || core_.rollouts->mayUse(*server);
+    return !is_allowed || server->provenSoftware() != begun_software_;
+  });
+  return chooseServerAmong(servers_of_software_, now);
+}
+
 // The rollout may have advanced while the owner of the engine's occupancy was queried.
 bool Exchange::mayStillUseServer() const {
   return core_.rollouts == nullptr || core_.rollouts->mayUse(*server_);
--- a/tests/forwarding/server_directory_test.cc
+++ b/tests/forwarding/server_directory_test.cc
@@ -192,6 +192,32 @@
 }
 
 // In a store outage, an entry lapses and reappears unchanged.
+// Guards against streams that go on at another software version because a server's own is taken from an
+// earlier incarnation's entry.
+TEST_CASE("a software version is proven by an entry of the very incarnation that states it alone") {
+  ServerDirectory directory;
+  ServerEntry first = entry("a");
+  first.software = SoftwareVersion("v1");
+  first.started = absl::UnixEpoch() + absl::Seconds(1);
+  directory.upsert(first);
+  CHECK(directory.find("a")->provenSoftware() == SoftwareVersion("v1"));
+
+  directory.noteRestart(*directory.find("a"), absl::UnixEpoch() + absl::Seconds(2), {});
+  CHECK_FALSE(directory.find("a")->provenSoftware());
+  directory.upsert(first);  // the entry is late
+  CHECK_FALSE(directory.find("a")->provenSoftware());
+
+  ServerEntry second = first;
+  second.started = absl::UnixEpoch() + absl::Seconds(2);
+  second.software = SoftwareVersion("v2");
+  directory.upsert(second);
+  CHECK(directory.find("a")->provenSoftware() == SoftwareVersion("v2"));
+
+  second.software = SoftwareVersion("v3");
+  directory.upsert(second);
+  CHECK_FALSE(directory.find("a")->provenSoftware());
+}
+
 TEST_CASE("a server that announced its leaving is eligible again only as a later incarnation") {
   ServerDirectory directory;
   ServerEntry first = entry("a");
