Let a stream that a caller takes up go on only at the software version that began it

Cause: Resumes was read by nothing, and no gateway kept which version began a stream. Class: state that is spread over several servers is taken to be interchangeable because their service is. A request that takes a stream up is bound to the recorded version and service; without a record it is rejected at once with 503 and Retry-After. No proof, no resumption. Why it works: a record comes from nothing but a forwarded event of a proven version, so whoever finds one may trust it, whatever is dead, cut off or late. Test: the three cases "taken up: *" failed before (22 of 32 checks) and pass.

--- a/src/gateway/core.h
+++ b/src/gateway/core.h
@@ -38,6 +38,7 @@
 class QuotaExchange;
 class RolloutExchange;
 class ServerRates;
+class StreamOriginExchange;
 
 struct Core {
   Core(GatewaySettings own_settings, std::unique_ptr<forwarding::Dialect> own_dialect, int log_descriptor);
@@ -78,14 +79,15 @@
   forwarding::StoreHistory store_history;
   // The store's clock minus this node's, from its last response; empty before the first one.
   std::optional<absl::Duration> store_clock_offset;
-  QuotaExchange* quotas = nullptr;          // set by the gateway before it accepts callers
-  OccupancyExchange* occupancy = nullptr;   // the same
-  ServerRates* server_rates = nullptr;      // the same
-  CrashDetector* crash_detector = nullptr;  // the same
-  PathProber* paths = nullptr;              // the same
-  PermitExchange* permits = nullptr;        // the same
-  Delegations* delegations = nullptr;       // the same
-  RolloutExchange* rollouts = nullptr;      // null: the site has no staged rollouts
+  QuotaExchange* quotas = nullptr;                 // set by the gateway before it accepts callers
+  OccupancyExchange* occupancy = nullptr;          // the same
+  ServerRates* server_rates = nullptr;             // the same
+  CrashDetector* crash_detector = nullptr;         // the same
+  PathProber* paths = nullptr;                     // the same
+  PermitExchange* permits = nullptr;               // the same
+  Delegations* delegations = nullptr;              // the same
+  StreamOriginExchange* stream_origins = nullptr;  // the same
+  RolloutExchange* rollouts = nullptr;             // null: the site has no staged rollouts
   bool is_stopping = false;
   bool rejects_requests = false;  // late in the shutdown: new requests get 503
   bool has_server_list = false;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -53,6 +53,7 @@
   core_.timers.cancel(crash_timer_);
   core_.timers.cancel(offer_timer_);
   core_.timers.cancel(permit_timer_);
+  cancelFindOrigin();
   releaseQuota();
   releaseServer();
   --core_.requests_under_way;
@@ -77,6 +78,14 @@
   ledger_ = forwarding::AttemptLedger(route_->mayRunAgain(), route_->max_attempts);
   setDeadline();
   chooseService();
+  if (isTakenUp()) {
+    findOrigin();
+  } else {
+    acceptForService();
+  }
+}
+
+void Exchange::acceptForService() {
   core_.budget.noteRequest(service_);
   if (core_.crash_detector->verdictOn(identity_) == forwarding::CrashVerdict::kReject) {
     rejectForCrashes();
@@ -240,11 +249,6 @@
   return server_ != nullptr;
 }
 
-// Whether the request is a stream that another server may go on with.
-bool Exchange::mayGoOnElsewhere() const {
-  return route_->kind == RepeatKind::kStream && route_->is_resumable;
-}
-
 // State of an attempt that starts.
 void Exchange::resetAttempt() {
   attempt_began_ = reactor::steadyNow();
@@ -462,6 +466,7 @@
   core_.timers.cancel(crash_timer_);
   core_.timers.cancel(offer_timer_);
   core_.timers.cancel(permit_timer_);
+  cancelFindOrigin();
   releaseQuota();
   settleRollout();
   const absl::Time now = reactor::steadyNow();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -12,6 +12,7 @@
 #include "forwarding/attempt_ledger.h"
 #include "forwarding/event_splitter.h"
 #include "forwarding/request_identity.h"
+#include "forwarding/stream_origin_messages.h"
 #include "gateway/back_end_pool.h"
 #include "gateway/core.h"
 #include "gateway/delegations.h"
@@ -65,6 +66,8 @@
   void releaseQuota();
   void setDeadline();
   void chooseService();
+  // Counts the request for its service and goes on with the tenant's limit.
+  void acceptForService();
   void identify();
   void tryNext();
   bool maySend();
@@ -114,6 +117,13 @@
   bool chooseSoftware();
   bool chooseServerOfStream(absl::Time now);
   bool mayGoOnElsewhere() const;
+  bool isTakenUp() const;
+  // Finds the version that began the stream that the caller takes up, then goes on with acceptForService.
+  void findOrigin();
+  void onOriginFound(const std::optional<forwarding::StreamOrigin>& origin);
+  void cancelFindOrigin();
+  forwarding::StreamKey streamKey() const;
+  std::optional<forwarding::StreamOrigin> onlyListedOrigin() const;
   void noteStreamBegun();
   double promptFraction() const;
   bool mayStillUseServer() const;
@@ -187,7 +197,8 @@
 
   // Software version of the server that began the stream. All further attempts go to servers of this version.
   std::optional<SoftwareVersion> begun_software_;
-  bool is_stream_begun_ = false;  // an event was forwarded
+  bool is_stream_begun_ = false;            // an event was forwarded
+  std::optional<uint64_t> pending_origin_;  // lookup of the stream that the caller takes up
   // Software version of the servers that this attempt may use, if the site stages rollouts.
   std::optional<SoftwareVersion> software_;
   Servers servers_of_software_;
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -134,16 +134,6 @@
   }
 }
 
-// Binds the answer to the software version of its first event.
-void Exchange::noteStreamBegun() {
-  if (std::exchange(is_stream_begun_, true)) {
-    return;
-  }
-  if (!begun_software_) {
-    begun_software_ = attempt_software_;
-  }
-}
-
 // Prefill is done, and the request has a slot.
 void Exchange::onPromptRead() {
   server_->own.prefill_tokens -= std::min(server_->own.prefill_tokens, counted_.prefill_tokens);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -42,6 +42,7 @@
       permits_(core_, peer_directory_, peers_),
       paths_(core_),
       delegations_(core_, peer_directory_, peers_, paths_),
+      stream_origins_(core_, peer_directory_, peers_),
       occupancy_(core_, peer_directory_, peers_),
       crash_exchange_(core_, peer_directory_, peers_),
       crash_detector_(core_, crash_exchange_),
@@ -78,11 +79,13 @@
   core_.permits = &permits_;
   core_.paths = &paths_;
   core_.delegations = &delegations_;
+  core_.stream_origins = &stream_origins_;
   core_.occupancy = &occupancy_;
   core_.crash_detector = &crash_detector_;
   quotas_.start();
   server_rates_.start();
   permits_.start();
+  stream_origins_.start();
   occupancy_.start();
   crash_exchange_.start([this] { return follower_.isZoneReader(); });
   if (core_.settings.rollout_share > 0) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -27,6 +27,7 @@
 #include "gateway/row_relay.h"
 #include "gateway/server_rates.h"
 #include "gateway/site_follower.h"
+#include "gateway/stream_origin_exchange.h"
 #include "gateway/weight_loader.h"
 #include "reactor/connection.h"
 #include "reactor/simple_http_server.h"
@@ -79,6 +80,7 @@
   PermitExchange permits_;
   PathProber paths_;
   Delegations delegations_;
+  StreamOriginExchange stream_origins_;
   OccupancyExchange occupancy_;
   CrashExchange crash_exchange_;
   CrashDetector crash_detector_;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -93,6 +93,8 @@
                                  "Requests for permits of brittle servers, by whether one was granted.")),
       delegated_(counters(registry_, "quincewick_delegated_requests_total",
                           "Requests handed to other gateways, by what came of them.")),
+      stream_lookups_(counters(registry_, "quincewick_stream_lookups_total",
+                               "Streams that callers take up, by whether their software version is known.")),
       forecast_(prometheus::BuildHistogram()
                     .Name("quincewick_first_piece_forecast_error_seconds")
                     .Help("How far first pieces came from their forecasts, by route.")
@@ -172,6 +174,10 @@
   permit_decisions_.Add({{"granted", is_granted ? "true" : "false"}}).Increment();
 }
 
+void GatewayMetrics::countStreamLookup(bool is_found) {
+  stream_lookups_.Add({{"found", is_found ? "true" : "false"}}).Increment();
+}
+
 void GatewayMetrics::countDelegated(DelegationOutcome outcome) {
   const auto name = [outcome] {
     switch (outcome) {
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -52,6 +52,8 @@
   void countServiceCutOff() { services_cut_off_->Increment(); }
   // Another gateway responded to a request that this one handed on.
   void countDelegated(DelegationOutcome outcome);
+  // The software version of a stream that a caller takes up was looked up.
+  void countStreamLookup(bool is_found);
   void countServerCrash() { server_crashes_->Increment(); }
   // A server crash was not reported to peers because too many others were pending.
   void countUnreportedCrash() { crashes_unreported_->Increment(); }
@@ -96,6 +98,7 @@
   prometheus::Family<prometheus::Counter>& rate_decisions_;
   prometheus::Family<prometheus::Counter>& permit_decisions_;
   prometheus::Family<prometheus::Counter>& delegated_;
+  prometheus::Family<prometheus::Counter>& stream_lookups_;
   prometheus::Family<prometheus::Histogram>& forecast_;
   prometheus::Counter* retries_;
   prometheus::Counter* streams_resumed_;
--- a/src/peer/envelope.h
+++ b/src/peer/envelope.h
@@ -24,6 +24,7 @@
   kServerRates = 10,
   kDelegations = 11,
   kRejectionPermits = 12,
+  kStreamOrigins = 13,
 };
 
 // How a message travels. It is part of what the MAC covers, so none can be passed off as another.
