Soak: back ends of two software versions, callers that take up streams that broke off; keep records past an attempt's deadline

Cause: the soak had one version and no caller who took a stream up. Change: records live 10 s longer; a lookup's wait for the store ends after 0.5 s, and 16 at most wait. New promise: a stream holds events of one software version, read from the events.

--- a/src/gateway/exchange_stream.cc
+++ b/src/gateway/exchange_stream.cc
@@ -12,6 +12,8 @@
 
 constexpr std::string_view kOriginUnknown = "stream_origin_unknown";
 constexpr absl::Duration kUnknownOriginRetryAfter = absl::Seconds(1);
+// Callers may give each attempt a deadline of its own.
+constexpr absl::Duration kTakeUpMargin = absl::Seconds(10);
 constexpr int kUnavailable = 503;
 
 }  // namespace
@@ -95,9 +97,9 @@
   }
   const bool is_recorded = begun_software_ && mayGoOnElsewhere() && !terms_;
   if (is_recorded) {
-    const absl::Duration left =
-        began_ + facts_.deadline.value_or(absl::InfiniteDuration()) - reactor::steadyNow();
-    core_.stream_origins->record({streamKey(), {service_, *begun_software_}}, left);
+    const absl::Time deadline = began_ + facts_.deadline.value_or(absl::InfiniteDuration());
+    const absl::Duration lifetime = deadline + kTakeUpMargin - reactor::steadyNow();
+    core_.stream_origins->record({streamKey(), {service_, *begun_software_}}, lifetime);
   }
 }
 
--- a/src/gateway/stream_origin_exchange.cc
+++ b/src/gateway/stream_origin_exchange.cc
@@ -18,6 +18,7 @@
 constexpr absl::Duration kMemberInterval = absl::Milliseconds(250);
 constexpr absl::Duration kBatchDelay = absl::Milliseconds(50);
 constexpr absl::Duration kStoreReadTimeout = absl::Milliseconds(500);
+constexpr size_t kMaxReads = 16;
 constexpr size_t kMaxRowsPerWrite = 100;
 constexpr size_t kMaxUnstored = 1000;
 // Rows of the table: a later record displaces an earlier one in its place, so that the table stays bounded
@@ -123,8 +124,18 @@
   if (waiting == waiting_.end()) {
     return;
   }
+  if (reads_under_way_ >= kMaxReads) {
+    core_.log.event("stream_not_read", reactor::steadyNow()).with("request", waiting->second.key.attempt_id);
+    answer(number, std::nullopt);
+    return;
+  }
+  ++reads_under_way_;
+  // Reads wait for each other: the caller waits no longer than for one.
+  core_.timers.schedule(reactor::steadyNow() + kStoreReadTimeout,
+                        [this, number] { answer(number, std::nullopt); });
   reader_.read(kTable, rowKeyOf(waiting->second.key), 1, kStoreReadTimeout,
                [this, number](StoreStatus status, const forwarding::StoreRows& rows) {
+                 --reads_under_way_;
                  const auto asking = waiting_.find(number);
                  if (asking == waiting_.end()) {
                    return;
--- a/src/gateway/stream_origin_exchange.h
+++ b/src/gateway/stream_origin_exchange.h
@@ -61,6 +61,7 @@
   forwarding::StreamOrigins origins_;
   absl::btree_map<uint64_t, Waiting> waiting_;          // lookups by number
   absl::btree_map<std::string, std::string> unstored_;  // values of rows that wait to be written, by key
+  size_t reads_under_way_ = 0;
   bool is_writing_ = false;
   std::optional<size_t> peers_known_;  // at the last update of the members; nothing: not all were read yet
   reactor::TimerQueue::Key timer_;
--- a/tests/soak/back_ends.cc
+++ b/tests/soak/back_ends.cc
@@ -3,6 +3,7 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
+#include <functional>
 #include <utility>
 
 #include "reactor/message_reader.h"
@@ -162,7 +163,8 @@
       return;
     }
     const bool is_cut = back_end_.request_faults_.truncates_responses && number > 2 && back_end_.drawFault();
-    const std::string event = absl::StrCat("id: ", number, "\ndata: ", attempt_, " ", number, "\n\n");
+    const std::string event =
+        absl::StrCat("id: ", number, "\ndata: ", attempt_, " ", number, " ", back_end_.software_, "\n\n");
     if (is_cut) {
       sendPart(event.substr(0, event.size() / 2));
       closeMidResponse();
@@ -281,6 +283,7 @@
       history_(history),
       id_(std::move(id)),
       service_(std::move(service)),
+      software_(std::hash<std::string>()(id_) % 2 == 0 ? "v1" : "v2"),
       started_(started),
       gateways_(std::move(gateways)),
       random_(seed) {
--- a/tests/soak/back_ends.h
+++ b/tests/soak/back_ends.h
@@ -54,6 +54,8 @@
 
   const std::string& id() const { return id_; }
   const std::string& service() const { return service_; }
+  // One of two versions, the same after each start under this id.
+  const std::string& software() const { return software_; }
   // Start time by the wall clock.
   absl::Time started() const { return started_; }
   RequestFaults& request_faults() { return request_faults_; }
@@ -81,6 +83,7 @@
   History& history_;
   std::string id_;
   std::string service_;
+  std::string software_;
   absl::Time started_;
   std::vector<std::string> gateways_;
   std::mt19937_64 random_;
--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -1,9 +1,11 @@
 #include "callers.h"
 
+#include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "reactor/connection.h"
@@ -19,6 +21,7 @@
 constexpr absl::Duration kPauseAfterFailure = absl::Milliseconds(150);
 constexpr absl::Duration kDeadline = absl::Seconds(4);
 constexpr absl::Duration kRequestTimeout = absl::Seconds(6);
+constexpr int kMaxTakeUps = 3;          // of one stream
 constexpr uint64_t kAbandonOneIn = 40;  // a caller abandons one in this many requests early
 
 const char* pathOf(RequestKind kind) {
@@ -159,15 +162,23 @@
     }
   }
 
-  // Parses an event of the form "id: 3\ndata: ATTEMPT 3".
+  // Parses an event of the form "id: 3\ndata: ATTEMPT 3 VERSION".
   void onEvent(const std::string& event) {
     const std::vector<std::string> lines = absl::StrSplit(event, '\n');
     int id = 0;
     const bool is_read =
         lines.size() == 2 && absl::SimpleAtoi(lines[0].substr(std::min<size_t>(4, lines[0].size())), &id);
     record().events.push_back(id);
-    const bool is_own = is_read && lines[1] == absl::StrCat("data: ", record().attempt, " ", id);
+    const std::string expected = absl::StrCat("data: ", record().attempt, " ", id, " ");
+    const bool is_own = is_read && absl::StartsWith(lines[1], expected);
     record().has_foreign_event = record().has_foreign_event || !is_own;
+    if (is_own) {
+      const std::string version = lines[1].substr(expected.size());
+      std::vector<std::string>& versions = record().versions;
+      if (std::find(versions.begin(), versions.end(), version) == versions.end()) {
+        versions.push_back(version);
+      }
+    }
   }
 
   void onEnd(reactor::EndKind /*kind*/) override {
@@ -190,6 +201,7 @@
       keeps_open_ = false;
       close();
     }
+    caller_.noteEnded(record());
     caller_.scheduleNextRequest();
   }
 
@@ -233,9 +245,34 @@
       });
 }
 
+// A resumable stream that ended early is taken up again, a few times, also after it was abandoned.
+void Caller::noteEnded(const Request& request) {
+  const bool is_complete = request.outcome == RequestOutcome::kCompleted && request.status == kOk;
+  const int last = request.last_event_before + static_cast<int>(request.events.size());
+  const bool goes_on = request.kind == RequestKind::kResumableStream && !is_complete && last > 0 &&
+                       last < history_.events_per_stream && take_ups_ < kMaxTakeUps;
+  if (!goes_on) {
+    unfinished_.reset();
+    take_ups_ = 0;
+    return;
+  }
+  ++take_ups_;
+  unfinished_ = request;
+  unfinished_->stream = request.stream.empty() ? request.attempt : request.stream;
+  unfinished_->last_event_before = last;
+}
+
 Request Caller::makeRequest() {
   Request request;
   request.attempt = absl::StrCat("c", number_, "-", ++request_count_);
+  if (unfinished_) {
+    request.kind = unfinished_->kind;
+    request.service = unfinished_->service;
+    request.key = unfinished_->key;
+    request.stream = unfinished_->stream;
+    request.last_event_before = unfinished_->last_event_before;
+    return request;
+  }
   const uint64_t drawn = random_() % 10;
   request.kind = drawn < 3   ? RequestKind::kRepeatable
                  : drawn < 6 ? RequestKind::kNonRepeatable
@@ -258,11 +295,15 @@
   request.uses_added_route = asks_new_route;
   const std::string target = absl::StrCat(asks_new_route ? "/new/" : pathOf(request.kind), request.attempt);
   const std::string body = "about " + request.attempt;
-  const HeaderFields fields = {{"Host", "h"},
-                               {"Quincewick-Attempt-Id", request.attempt},
-                               {"Quincewick-Deadline-Ms", absl::StrCat(absl::ToInt64Milliseconds(kDeadline))},
-                               {"Authorization", "Bearer " + request.key},
-                               {"Content-Length", absl::StrCat(body.size())}};
+  HeaderFields fields = {{"Host", "h"},
+                         {"Quincewick-Attempt-Id", request.attempt},
+                         {"Quincewick-Deadline-Ms", absl::StrCat(absl::ToInt64Milliseconds(kDeadline))},
+                         {"Authorization", "Bearer " + request.key},
+                         {"Content-Length", absl::StrCat(body.size())}};
+  if (!request.stream.empty()) {
+    fields.push_back({"Resumes", request.stream});
+    fields.push_back({"Last-Event-Id", absl::StrCat(request.last_event_before)});
+  }
   const bool abandons_early = random_() % kAbandonOneIn == 0;
   gateway_connection_->sendRequest(request, printRequestHead("POST", target, fields) + body,
                                    abandons_early ? absl::Milliseconds(30) : kRequestTimeout);
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -60,6 +61,7 @@
   void scheduleNextRequest();
   void sendNextRequest();
   Request makeRequest();
+  void noteEnded(const Request& request);
 
   boost::asio::io_context& reactor_;
   reactor::TimerQueue& timers_;
@@ -70,6 +72,8 @@
   uint64_t number_;
   std::mt19937_64 random_;
   uint64_t request_count_ = 0;
+  std::optional<Request> unfinished_;  // a stream that is taken up next
+  int take_ups_ = 0;                   // of that stream
   std::shared_ptr<GatewayConnection> gateway_connection_;
 };
 
--- a/tests/soak/history.cc
+++ b/tests/soak/history.cc
@@ -117,15 +117,36 @@
       addViolation(result, "an event of another request", request.attempt);
     }
     for (size_t index = 0; index < request.events.size(); ++index) {
-      if (request.events[index] != static_cast<int>(index) + 1) {
-        addViolation(result, absl::StrCat("event ", request.events[index], " in place ", index + 1),
+      const int place = request.last_event_before + static_cast<int>(index) + 1;
+      if (request.events[index] != place) {
+        addViolation(result, absl::StrCat("event ", request.events[index], " in place ", place),
                      request.attempt);
         break;
       }
     }
     const bool claims_complete = request.outcome == RequestOutcome::kCompleted && isSuccess(request.status);
-    if (claims_complete && static_cast<int>(request.events.size()) != history.events_per_stream) {
-      addViolation(result, absl::StrCat("ended as whole after ", request.events.size(), " events"),
+    const int last = request.last_event_before + static_cast<int>(request.events.size());
+    if (claims_complete && last != history.events_per_stream) {
+      addViolation(result, absl::StrCat("ended as whole after ", last, " events"), request.attempt);
+    }
+  }
+  return result;
+}
+
+// A stream goes over all attempts of its caller.
+PromiseResult checkSoftwareVersions(const History& history) {
+  PromiseResult result{"a stream holds events of one software version", 0, {}};
+  absl::flat_hash_map<std::string, absl::flat_hash_set<std::string>> versions;
+  for (const Request& request : history.requests) {
+    if (request.versions.empty()) {
+      continue;
+    }
+    const std::string& stream = request.stream.empty() ? request.attempt : request.stream;
+    auto& known = versions[stream];
+    known.insert(request.versions.begin(), request.versions.end());
+    ++result.checks;
+    if (known.size() > 1) {
+      addViolation(result, absl::StrCat(known.size(), " versions in the stream of ", stream),
                    request.attempt);
     }
   }
@@ -366,7 +387,7 @@
       checkServices(history, arrivals),   checkPlannedStops(history, bounds, arrivals),
       checkRetryBudget(history, bounds),  checkProcesses(history, bounds),
       checkPermanentRoutes(history),      checkFences(history),
-      checkRejections(history, bounds),
+      checkRejections(history, bounds),   checkSoftwareVersions(history),
   };
   if (timed) {
     results.push_back(checkLeaving(history, bounds));
--- a/tests/soak/history_test.cc
+++ b/tests/soak/history_test.cc
@@ -77,8 +77,8 @@
 
 TEST_CASE_METHOD(CleanHistory, "a clean history keeps all promises") {
   CHECK(broken().empty());
-  CHECK(checkPromises(history, Bounds(), true).size() == 19);
-  CHECK(checkPromises(history, Bounds(), false).size() == 11);
+  CHECK(checkPromises(history, Bounds(), true).size() == 20);
+  CHECK(checkPromises(history, Bounds(), false).size() == 12);
 }
 
 TEST_CASE_METHOD(CleanHistory, "a second execution of a request that may run once is a violation") {
@@ -131,6 +131,23 @@
   CHECK(breaks("streams are whole and in order"));
 }
 
+TEST_CASE_METHOD(CleanHistory, "a stream with events of two software versions is a violation") {
+  stream().versions = {"v1", "v2"};
+  CHECK(breaks("a stream holds events of one software version"));
+  stream().versions = {"v1"};
+  CHECK(broken().empty());
+  Request taken_up = makeRequest("a-9", RequestKind::kResumableStream);
+  taken_up.stream = stream().attempt;
+  taken_up.last_event_before = 2;
+  taken_up.events = {3};
+  taken_up.versions = {"v1"};
+  history.requests.push_back(taken_up);
+  history.arrivals.push_back(makeArrival(taken_up));
+  CHECK(broken().empty());
+  history.requests.back().versions = {"v2"};
+  CHECK(breaks("a stream holds events of one software version"));
+}
+
 TEST_CASE_METHOD(CleanHistory, "a stream whose connection ends early is no violation") {
   stream().events = {1, 2};
   stream().outcome = RequestOutcome::kConnectionLost;
--- a/tests/soak/run.cc
+++ b/tests/soak/run.cc
@@ -122,9 +122,9 @@
 
   void putServer(const BackEnd& back_end, const std::string& state,
                  absl::Duration earlier = absl::ZeroDuration()) {
-    store_->put(
-        "servers", back_end.id(),
-        printServer(back_end.service(), last_back_end_ % kZones, state, back_end.started() - earlier));
+    store_->put("servers", back_end.id(),
+                printServer(back_end.service(), back_end.software(), last_back_end_ % kZones, state,
+                            back_end.started() - earlier));
   }
 
   void putConfiguration() {
--- a/tests/soak/site_rows.cc
+++ b/tests/soak/site_rows.cc
@@ -38,11 +38,11 @@
                       R"("headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[)", tenants, "]}");
 }
 
-std::string printServer(const std::string& service, size_t zone, const std::string& state,
-                        absl::Time started) {
+std::string printServer(const std::string& service, const std::string& software, size_t zone,
+                        const std::string& state, absl::Time started) {
   return absl::StrCat(R"({"service":")", service, R"(","address":"ADDRESS","zone":"z)", zone,
-                      R"(","slots":8,"state":")", state, R"(","born":)", absl::ToUnixMillis(started),
-                      R"(,"models":[]})");
+                      R"(","version":")", software, R"(","slots":8,"state":")", state, R"(","born":)",
+                      absl::ToUnixMillis(started), R"(,"models":[]})");
 }
 
 }  // namespace quincewick::soak
--- a/tests/soak/site_rows.h
+++ b/tests/soak/site_rows.h
@@ -13,7 +13,7 @@
 std::string printConfiguration(uint64_t version, bool has_new_route, const std::vector<std::string>& keys);
 
 // The address is a placeholder that is replaced for each gateway that reads the row.
-std::string printServer(const std::string& service, size_t zone, const std::string& state,
-                        absl::Time started);
+std::string printServer(const std::string& service, const std::string& software, size_t zone,
+                        const std::string& state, absl::Time started);
 
 }  // namespace quincewick::soak
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -57,6 +57,14 @@
                     [outcome](const Request& request) { return request.outcome == outcome; }));
 }
 
+// Attempts at streams that an earlier attempt began; `went_on`: those that brought an event.
+size_t countTakenUp(const History& history, bool went_on) {
+  return static_cast<size_t>(
+      std::count_if(history.requests.begin(), history.requests.end(), [went_on](const Request& request) {
+        return !request.stream.empty() && (!went_on || !request.events.empty());
+      }));
+}
+
 void printText(const Options& options, const Outcome& outcome) {
   const History& history = outcome.history;
   const auto served =
@@ -68,7 +76,8 @@
             << countOutcomes(history, RequestOutcome::kCompleted) - static_cast<size_t>(served)
             << " refused or failed, " << countOutcomes(history, RequestOutcome::kConnectionLost) << " cut, "
             << countOutcomes(history, RequestOutcome::kUnsent) << " without a connection, "
-            << countOutcomes(history, RequestOutcome::kAbandoned) << " left; " << history.arrivals.size()
+            << countOutcomes(history, RequestOutcome::kAbandoned) << " left; " << countTakenUp(history, false)
+            << " streams taken up, " << countTakenUp(history, true) << " went on; " << history.arrivals.size()
             << " arrivals, " << history.orders.size() << " orders; serves all again after "
             << absl::FormatDuration(history.recovery) << "\n";
   for (const PromiseResult& result : outcome.promises) {
