--- a/src/forwarding/stream_origins.cc
+++ b/src/forwarding/stream_origins.cc
@@ -17,8 +17,8 @@
 constexpr absl::Duration kAcknowledgeTimeout = absl::Milliseconds(100);
 constexpr absl::Duration kAnswerTimeout = absl::Milliseconds(60);
 constexpr absl::Duration kSilenceRetry = absl::Seconds(1);
-constexpr size_t kSilentGatewaysForStore =
-    2;  // more than one may be a partition: others don't reach the holders
+// More silent gateways than one may be a partition: gateways on its other side don't reach the holders.
+constexpr size_t kSilentGatewaysForStore = 2;
 constexpr size_t kMaxRecords = 20'000;
 constexpr size_t kMaxDeliveries = 4096;
 
