--- a/tests/gateway/broken_off_test.cc
+++ b/tests/gateway/broken_off_test.cc
@@ -101,6 +101,21 @@
   CHECK(has(RunningGateway(again.site).ask("/resumed/a", kKey), "data: one"));
 }
 
+TEST_CASE("broken off: a response to HEAD has no body that could be broken off") {
+  const FailingSite fixture(unframed(""), unframed(""));
+  const RunningGateway gateway(fixture.site);
+  for (const char* const target : {"/stream/a", "/resumed/a", "/safe/a"}) {
+    CAPTURE(target);
+    std::string request = requestFor(target, "");
+    request.replace(0, 4, "HEAD");
+    const auto received = gateway.askUntilEnd(request);
+    CHECK(has(received.bytes, "HTTP/1.1 200"));
+    CHECK(bodyOf(received.bytes).empty());
+    CHECK_FALSE(received.was_reset);
+  }
+  CHECK(fixture.site.seen().size() == 3);
+}
+
 TEST_CASE("broken off: an answer without a length or chunks isn't given either by the gateway") {
   for (const size_t size : {0U, 10U, 300000U}) {
     const std::string body(size, 'x');
--- a/tests/gateway/software_versions_test.cc
+++ b/tests/gateway/software_versions_test.cc
@@ -136,6 +136,29 @@
   CHECK(gone_on == 20);
 }
 
+// No rollout was asked for: each gateway takes the version of most servers for the one to use.
+TEST_CASE("taken up: a stream goes on at the version that began it where rollouts are staged") {
+  VersionedSite fixture;
+  std::vector<std::unique_ptr<RunningGateway>> gateways;
+  for (const char* const id : {"a", "b"}) {
+    GatewaySettings settings = fixture.settingsOf(id);
+    settings.rollout_share = 0.2;
+    gateways.push_back(std::make_unique<RunningGateway>(settings));
+  }
+  awaitPeer(*gateways[0]);
+  awaitPeer(*gateways[1]);
+  for (int number = 0; number < 5; ++number) {
+    const std::string body = absl::StrCat("body ", number);
+    CallerStream stream;
+    fixture.breaks_off = true;
+    attempt(*gateways[0], stream, absl::StrCat("first-", number), body);
+    fixture.breaks_off = false;
+    attempt(*gateways[1], stream, absl::StrCat("second-", number), body);
+    CHECK(stream.versions.size() == 1);
+    CHECK(stream.last_event == kEvents);
+  }
+}
+
 TEST_CASE("taken up: a stream of which nobody knows the version goes on nowhere") {
   VersionedSite fixture;
   const RunningGateway gateway(fixture.settingsOf("a"));
