--- a/tests/forwarding/stream_origins_site_test.cc
+++ b/tests/forwarding/stream_origins_site_test.cc
@@ -4,6 +4,7 @@
 #include <rapidcheck.h>
 
 #include <catch2/catch.hpp>
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -17,7 +18,8 @@
 const ServiceName kService("s");
 constexpr absl::Duration kStoreDelay = absl::Milliseconds(60);
 constexpr absl::Duration kTick = absl::Milliseconds(10);
-constexpr absl::Duration kMaxPatience = absl::Seconds(5);  // of a caller
+constexpr absl::Duration kMostViewDelay = absl::Seconds(2);  // until a gateway knows one that joined
+constexpr absl::Duration kMaxPatience = absl::Seconds(5);    // of a caller
 
 struct SiteSettings {
   size_t gateways = 7;
@@ -65,15 +67,27 @@
     gateways_[index].origins = nullptr;
     network_.detach(idOf(index));
   }
+  // A gateway that joins knows all others; these learn of it one by one.
+  void join() {
+    const size_t index = settings_.gateways++;
+    gateways_.emplace_back();
+    start(index);
+    for (size_t other = 0; other < index; ++other) {
+      const absl::Duration delay = absl::Seconds(uniform() * absl::ToDoubleSeconds(kMostViewDelay));
+      network_.schedule(network_.now() + delay, [this, other, index] {
+        gateways_[other].members = std::max(gateways_[other].members, index + 1);
+        if (isUp(other)) {
+          gateways_[other].origins->setMembers(membersKnownTo(other));
+        }
+      });
+    }
+  }
   void start(size_t index) {
     Gateway& gateway = gateways_[index];
+    gateway.members = settings_.gateways;
     const uint64_t first_number = network_.random()() / 2;
     gateway.origins = std::make_unique<StreamOrigins>(idOf(index), first_number);
-    std::vector<routing::KeeperMember> members;
-    for (size_t member = 0; member < settings_.gateways; ++member) {
-      members.push_back({idOf(member), 1, ZoneName(absl::StrCat("z", member % settings_.zones))});
-    }
-    gateway.origins->setMembers(members);
+    gateway.origins->setMembers(membersKnownTo(index));
     network_.attach(idOf(index), [this, index](const NodeId& from, const std::string& bytes) {
       receive(index, from, bytes);
     });
@@ -121,6 +135,7 @@
   struct Gateway {
     std::unique_ptr<StreamOrigins> origins;  // null while it is down
     absl::Duration lag;
+    size_t members = 0;  // that it knows: those of lower indexes
   };
   struct Server {
     SoftwareVersion software;
@@ -138,6 +153,13 @@
     bool counts = false;
   };
 
+  std::vector<routing::KeeperMember> membersKnownTo(size_t index) const {
+    std::vector<routing::KeeperMember> members;
+    for (size_t member = 0; member < gateways_[index].members; ++member) {
+      members.push_back({idOf(member), 1, ZoneName(absl::StrCat("z", member % settings_.zones))});
+    }
+    return members;
+  }
   static NodeId idOf(size_t index) { return NodeId(absl::StrCat("g", index)); }
   static size_t indexOf(const NodeId& id) { return std::stoul(id.value().substr(1)); }
   void addServer(size_t version, absl::Time began) {
@@ -259,7 +281,7 @@
 
   SiteSettings settings_;
   testing::VirtualNetwork network_;
-  std::vector<Gateway> gateways_;
+  std::deque<Gateway> gateways_;
   std::map<size_t, bool> is_cut_off_;
   std::vector<Server> servers_;
   bool is_store_up_ = true;
@@ -338,5 +360,30 @@
   }));
 }
 
+// Guards against records that are where nobody looks for them, as gateways know different members.
+TEST_CASE("streams that callers take up go on while the number of gateways doubles") {
+  CHECK(rc::check([] {
+    SiteSettings settings;
+    settings.gateways = *rc::gen::inRange<size_t>(2, 16);
+    settings.zones = *rc::gen::inRange<size_t>(1, 5);
+    settings.versions = 2;
+    settings.servers = 8;
+    settings.seed = *rc::gen::arbitrary<uint32_t>();
+    settings.loss = *rc::gen::element(0.0, 0.01);
+    const size_t joining = settings.gateways;
+    const auto together = *rc::gen::arbitrary<bool>();
+    StreamSite site(settings);
+    playStreams(site, absl::Seconds(2), 60);
+    for (size_t index = 0; index < joining; ++index) {
+      site.join();
+      playStreams(site, together ? absl::ZeroDuration() : absl::Milliseconds(200), 60);
+    }
+    playStreams(site, absl::Seconds(6), 60);
+    site.runFor(kMaxPatience);
+    RC_ASSERT(site.mixed == 0);
+    RC_ASSERT(site.goneOnShare() >= 0.95 * site.begunShare());
+  }));
+}
+
 }  // namespace
 }  // namespace quincewick::forwarding
