--- a/src/gateway/stream_origin_exchange.cc
+++ b/src/gateway/stream_origin_exchange.cc
@@ -124,33 +124,48 @@
   if (waiting == waiting_.end()) {
     return;
   }
+  const StreamKey key = waiting->second.key;
   if (reads_under_way_ >= kMaxReads) {
-    core_.log.event("stream_not_read", reactor::steadyNow()).with("request", waiting->second.key.attempt_id);
+    noteNotRead(key, "too many reads wait");
     answer(number, std::nullopt);
     return;
   }
   ++reads_under_way_;
   // Reads wait for each other: the caller waits no longer than for one.
-  core_.timers.schedule(reactor::steadyNow() + kStoreReadTimeout,
-                        [this, number] { answer(number, std::nullopt); });
-  reader_.read(kTable, rowKeyOf(waiting->second.key), 1, kStoreReadTimeout,
-               [this, number](StoreStatus status, const forwarding::StoreRows& rows) {
+  core_.timers.schedule(reactor::steadyNow() + kStoreReadTimeout, [this, number, key] {
+    if (waiting_.contains(number)) {
+      noteNotRead(key, "not in time");
+      answer(number, std::nullopt);
+    }
+  });
+  reader_.read(kTable, rowKeyOf(key), 1, kStoreReadTimeout,
+               [this, number, key](StoreStatus status, const forwarding::StoreRows& rows) {
                  --reads_under_way_;
-                 const auto asking = waiting_.find(number);
-                 if (asking == waiting_.end()) {
-                   return;
-                 }
-                 std::optional<StreamOrigin> origin;
-                 if (status == StoreStatus::kDone && !rows.rows.empty()) {
-                   const auto record = forwarding::decodeStreamRecord(rows.rows.front().value);
-                   if (record.has_value() && record.value().key == asking->second.key) {
-                     origin = record.value().origin;
-                   }
+                 if (status != StoreStatus::kDone) {
+                   noteNotRead(key, "no answer of the store");
                  }
-                 answer(number, origin);
+                 answer(number, status == StoreStatus::kDone ? originIn(rows, key) : std::nullopt);
                });
 }
 
+// The row's place may be another stream's by now.
+std::optional<StreamOrigin> StreamOriginExchange::originIn(const forwarding::StoreRows& rows,
+                                                           const StreamKey& key) {
+  if (rows.rows.empty()) {
+    return std::nullopt;
+  }
+  const auto record = forwarding::decodeStreamRecord(rows.rows.front().value);
+  if (record.has_error()) {
+    noteNotRead(key, record.error().message);
+    return std::nullopt;
+  }
+  return record.value().key == key ? std::optional(record.value().origin) : std::nullopt;
+}
+
+void StreamOriginExchange::noteNotRead(const StreamKey& key, std::string_view why) {
+  core_.log.event("stream_not_read", reactor::steadyNow()).with("request", key.attempt_id).with("why", why);
+}
+
 void StreamOriginExchange::answer(uint64_t number, const std::optional<StreamOrigin>& origin) {
   const auto waiting = waiting_.find(number);
   if (waiting == waiting_.end()) {
--- a/src/gateway/stream_origin_exchange.h
+++ b/src/gateway/stream_origin_exchange.h
@@ -45,6 +45,9 @@
   void execute(const forwarding::StreamOriginActions& actions);
   void handleLookup(const forwarding::StreamLookup& lookup);
   void readFromStore(uint64_t number);
+  std::optional<forwarding::StreamOrigin> originIn(const forwarding::StoreRows& rows,
+                                                   const forwarding::StreamKey& key);
+  void noteNotRead(const forwarding::StreamKey& key, std::string_view why);
   void answer(uint64_t number, const std::optional<forwarding::StreamOrigin>& origin);
   void queueForStore(const forwarding::StreamRecord& record);
   void writeToStore();
