Write records of streams to the store only where a quarter of the gateways is silent, and at most every 0.2 s

Change: a quarter of the gateways, two at least, must be silent; a gateway writes at once after a pause and then every 0.2 s; a silent gateway is tried again after 5 s, an unacknowledged record after 60 ms (100 ms before). The property's model became stricter meanwhile: a read takes 20 ms instead of 60, a write waits up to 0.2 s more, and a stream breaks up to 2 s after its first event instead of at once (callers can't return before the break).

--- a/src/forwarding/stream_origins.cc
+++ b/src/forwarding/stream_origins.cc
@@ -14,11 +14,13 @@
 constexpr size_t kAsked = StreamOrigins::kHolders + 1;  // one of them may be the gateway that made the record
 constexpr uint64_t kRankings = 256;                     // streams with the same ranking share its computation
 constexpr uint32_t kMaxTries = 3;
-constexpr absl::Duration kAcknowledgeTimeout = absl::Milliseconds(100);
+constexpr absl::Duration kAcknowledgeTimeout = absl::Milliseconds(60);
 constexpr absl::Duration kAnswerTimeout = absl::Milliseconds(60);
-constexpr absl::Duration kSilenceRetry = absl::Seconds(1);
-// More silent gateways than one may be a partition: gateways on its other side don't reach the holders.
-constexpr size_t kSilentGatewaysForStore = 2;
+constexpr absl::Duration kSilenceRetry = absl::Seconds(5);
+// So many silent gateways may be a partition, on whose other side no holder is reached: two at least, and
+// this fraction of all.
+constexpr size_t kMinSilentInPartition = 2;
+constexpr size_t kPartitionDivisor = 4;
 constexpr size_t kMaxRecords = 20'000;
 constexpr size_t kMaxDeliveries = 4096;
 
@@ -70,6 +72,11 @@
   return found != silent_.end() && now < found->second;
 }
 
+bool StreamOrigins::mayBePartitioned() const {
+  const size_t quarter = (ranks_.members() + kPartitionDivisor - 1) / kPartitionDivisor;
+  return silent_.size() >= std::max(kMinSilentInPartition, quarter);
+}
+
 void StreamOrigins::record(const StreamRecord& record, absl::Duration lifetime, absl::Time now,
                            StreamOriginActions& actions) {
   if (record.key.attempt_id.empty() || record.key.attempt_id.size() > kMaxAttemptIdBytes) {
@@ -85,7 +92,7 @@
   if (knows_members_ && delivery.candidates.empty()) {
     return;  // there is no other gateway
   }
-  if (silent_.size() >= kSilentGatewaysForStore) {
+  if (mayBePartitioned()) {
     keepInStore(delivery, actions);
   }
   addHolders(number, delivery, kHolders, now, actions);
--- a/src/forwarding/stream_origins.h
+++ b/src/forwarding/stream_origins.h
@@ -6,7 +6,7 @@
 // A record is held by the gateway that made it and by kHolders others, the first by rendezvous hashing that
 // aren't silent. What a lookup finds is right whoever is dead, cut off or late, as a record is never made
 // from anything but a forwarded event; what it doesn't find may exist elsewhere. A record that too few
-// gateways acknowledge, or that is made while several are silent, is also to be kept in the store.
+// gateways acknowledge, or that is made while a quarter is silent, is also to be kept in the store.
 #pragma once
 
 #include <absl/container/btree_map.h>
@@ -104,6 +104,7 @@
   // The gateways for the stream's records in order, without this one.
   std::vector<NodeId> candidatesFor(const StreamKey& key);
   bool isSilent(const NodeId& id, absl::Time now) const;
+  bool mayBePartitioned() const;
   void askHolders(uint64_t number, Question& question, absl::Time now, StreamOriginActions& actions);
   void deliverTo(uint64_t number, Delivery& delivery, const NodeId& holder, absl::Time now,
                  StreamOriginActions& actions);
--- a/src/gateway/stream_origin_exchange.cc
+++ b/src/gateway/stream_origin_exchange.cc
@@ -4,6 +4,7 @@
 #include <absl/strings/str_format.h>
 #include <xxhash.h>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -16,7 +17,7 @@
 using forwarding::StreamRecord;
 
 constexpr absl::Duration kMemberInterval = absl::Milliseconds(250);
-constexpr absl::Duration kBatchDelay = absl::Milliseconds(50);
+constexpr absl::Duration kWriteInterval = absl::Milliseconds(200);
 constexpr absl::Duration kStoreReadTimeout = absl::Milliseconds(500);
 constexpr size_t kMaxReads = 16;
 constexpr size_t kMaxRowsPerWrite = 100;
@@ -183,13 +184,20 @@
     return;
   }
   unstored_[rowKeyOf(record.key)] = encodeStreamRecord(record);
+  scheduleWrite();
+}
+
+// The first record after a pause is written at once.
+void StreamOriginExchange::scheduleWrite() {
   if (!std::exchange(is_writing_, true)) {
-    core_.timers.schedule(reactor::steadyNow() + kBatchDelay, [this] { writeToStore(); });
+    const absl::Time at = std::max(reactor::steadyNow(), last_write_ + kWriteInterval);
+    core_.timers.schedule(at, [this] { writeToStore(); });
   }
 }
 
 // One call at a time; what isn't written is lost to lookups of gateways that reach no holder.
 void StreamOriginExchange::writeToStore() {
+  last_write_ = reactor::steadyNow();
   std::vector<forwarding::RowWrite> writes;
   while (!unstored_.empty() && writes.size() < kMaxRowsPerWrite) {
     auto row = unstored_.extract(unstored_.begin());
@@ -202,8 +210,7 @@
     }
     is_writing_ = false;
     if (!unstored_.empty()) {
-      is_writing_ = true;
-      core_.timers.schedule(reactor::steadyNow() + kBatchDelay, [this] { writeToStore(); });
+      scheduleWrite();
     }
   });
 }
--- a/src/gateway/stream_origin_exchange.h
+++ b/src/gateway/stream_origin_exchange.h
@@ -50,6 +50,7 @@
   void noteNotRead(const forwarding::StreamKey& key, std::string_view why);
   void answer(uint64_t number, const std::optional<forwarding::StreamOrigin>& origin);
   void queueForStore(const forwarding::StreamRecord& record);
+  void scheduleWrite();
   void writeToStore();
   void heartbeat();
   void updateMembers();
@@ -66,6 +67,7 @@
   absl::btree_map<std::string, std::string> unstored_;  // values of rows that wait to be written, by key
   size_t reads_under_way_ = 0;
   bool is_writing_ = false;
+  absl::Time last_write_ = absl::InfinitePast();
   std::optional<size_t> peers_known_;  // at the last update of the members; nothing: not all were read yet
   reactor::TimerQueue::Key timer_;
   absl::Time timer_at_ = absl::InfiniteFuture();
--- a/tests/forwarding/stream_origins_site_test.cc
+++ b/tests/forwarding/stream_origins_site_test.cc
@@ -16,7 +16,9 @@
 namespace {
 
 const ServiceName kService("s");
-constexpr absl::Duration kStoreDelay = absl::Milliseconds(60);
+constexpr absl::Duration kMostWriteWait = absl::Milliseconds(200);  // between calls of the store
+constexpr absl::Duration kStoreDelay = absl::Milliseconds(20);
+constexpr absl::Duration kMostStreaming = absl::Seconds(2);  // from the first event to the break
 constexpr absl::Duration kTick = absl::Milliseconds(10);
 constexpr absl::Duration kMostViewDelay = absl::Seconds(2);  // until a gateway knows one that joined
 constexpr absl::Duration kMaxPatience = absl::Seconds(5);    // of a caller
@@ -118,7 +120,8 @@
     const absl::Duration absence =
         uniform() < 0.5 ? absl::Milliseconds(5)
                         : absl::Seconds(uniform() * absl::ToDoubleSeconds(settings_.most_absence));
-    network_.schedule(network_.now() + absence, [this, stream] { takeUp(stream); });
+    const absl::Duration streaming = absl::Seconds(uniform() * absl::ToDoubleSeconds(kMostStreaming));
+    network_.schedule(network_.now() + streaming + absence, [this, stream] { takeUp(stream); });
   }
 
   size_t mixed = 0;     // streams with events of two versions
@@ -220,7 +223,7 @@
       network_.send(idOf(gateway), outgoing.to, encodeStreamOriginMessage(outgoing.message));
     }
     for (const StreamRecord& record : actions.to_store) {
-      network_.schedule(network_.now() + kStoreDelay, [this, record] {
+      network_.schedule(network_.now() + kStoreDelay + uniform() * kMostWriteWait, [this, record] {
         if (is_store_up_) {
           store_[record.key.attempt_id] = record.origin;
         }
