--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -2,10 +2,12 @@
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
+#include <absl/strings/str_join.h>
 
 #include <algorithm>
 #include <utility>
 
+#include "forwarding/prompt_part_key.h"
 #include "forwarding/server_choice.h"
 #include "gateway/crash_detector.h"
 #include "gateway/path_prober.h"
@@ -24,6 +26,13 @@
   return software ? software->value() : "";
 }
 
+// The ids of the prompt's shared parts, as the caller named them.
+std::string sharedPartIds(const std::vector<forwarding::PromptPart>& prompt) {
+  const size_t shared = prompt.empty() ? 0 : std::min(prompt.size() - 1, forwarding::kMaxSharedParts);
+  return absl::StrJoin(prompt.begin(), prompt.begin() + static_cast<ptrdiff_t>(shared), ",",
+                       [](std::string* out, const forwarding::PromptPart& part) { out->append(part.id); });
+}
+
 }  // namespace
 
 Exchange::Exchange(Core& core, BackEndPool& pool, HttpHead head, std::string body, ResponseSink* sink,
@@ -297,16 +306,26 @@
   endAttempt(AttemptOutcome::kNeverSent);
 }
 
-void Exchange::endAttempt(AttemptOutcome end) {
-  core_.metrics.countAttempt(end);
-  core_.log.event("attempt_ended", reactor::steadyNow())
-      .with("request", facts_.attempt_id)
+void Exchange::logAttemptEnd(AttemptOutcome end) {
+  const absl::Time now = reactor::steadyNow();
+  auto line = core_.log.event("attempt_ended", now);
+  line.with("request", facts_.attempt_id)
       .with("server", server_->entry.id)
       .with("software", softwareText(attempt_software_))
       .with("same_as", forwarding::printIdentity(identity_))
       .with("end", static_cast<int64_t>(end))
       .with("status", response_head_.status)
-      .with("after_ms", reactor::steadyNow() - attempt_began_);
+      .with("after_ms", now - attempt_began_)
+      .with("events", static_cast<int64_t>(attempt_pieces_));
+  if (end == AttemptOutcome::kUnknown && !facts_.prompt.empty()) {
+    line.with("prompt", sharedPartIds(facts_.prompt))
+        .with("parts", forwarding::printParts(forwarding::sharedPartsOf(facts_.model, facts_.prompt)));
+  }
+}
+
+void Exchange::endAttempt(AttemptOutcome end) {
+  core_.metrics.countAttempt(end);
+  logAttemptEnd(end);
   releaseServer();
   attempt_.reset();
   ledger_.noteOutcome(end);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -137,6 +137,7 @@
   void resetAttempt();
   Verdict judge(const HttpHead& head, const forwarding::ResponseFacts& facts) const;
   void endAttempt(forwarding::AttemptOutcome end);
+  void logAttemptEnd(forwarding::AttemptOutcome end);
   void releaseServer();
   void forwardEvents(std::string_view bytes);
   void recordPiece();
