Make parts of the crash exchange usable for other subjects

The wake-up timer, the bucket of broadcasts, the rank of a trial's owner, random peers and the quarantine's rows were code of CrashExchange alone. A row is now written unconditionally, as its value may change.

--- a/src/gateway/crash_exchange.cc
+++ b/src/gateway/crash_exchange.cc
@@ -1,9 +1,6 @@
 #include "gateway/crash_exchange.h"
 
-#include <absl/random/distributions.h>
-
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace quincewick::gateway {
@@ -26,12 +23,20 @@
 // A gateway that starts or comes back gets the peers' state within about a second.
 constexpr absl::Duration kHeartbeatInterval = absl::Seconds(1);
 constexpr size_t kPeersPerHeartbeat = 2;
+// The value of a row, whose key holds all information. A std::string, because g++ 12 warns of an overlap in
+// assigned literals.
+const std::string kBlamed = "blamed";
 constexpr size_t kCrashFrameEntries = 2;  // entries of a datagram that a crash takes beside its requests
 
 }  // namespace
 
-CrashExchange::CrashExchange(Core& core, PeerDirectory& directory, PeerExchange& peers)
-    : core_(core), directory_(directory), peers_(peers), record_(core), register_(reactor::steadyNow()) {}
+CrashExchange::CrashExchange(Core& core, PeerExchange& peers)
+    : core_(core),
+      peers_(peers),
+      record_(core, kTable),
+      register_(reactor::steadyNow()),
+      budget_(kRoundsPerSecond, kMaxRoundBurst),
+      timer_(core.timers, [this] { sendReports(); }) {}
 
 void CrashExchange::start(std::function<bool()> reads_store) {
   reads_store_ = std::move(reads_store);
@@ -43,7 +48,8 @@
 
 CrashVerdict CrashExchange::verdictOn(const RequestIdentity& identity) {
   const absl::Time now = reactor::steadyNow();
-  if (!register_.isTrialDue(identity, now) || !ownsTrial(identity)) {
+  // If two gateways both conclude that they own the trial, there are two of them; the site allows three.
+  if (!register_.isTrialDue(identity, now) || !peers_.ranksFirst(forwarding::printIdentity(identity))) {
     return register_.verdictOn(identity, now);
   }
   register_.takeTrial(identity, now);
@@ -54,19 +60,6 @@
   return CrashVerdict::kSend;
 }
 
-// Whether this gateway ranks first among the live gateways. If two gateways both conclude so, there are two
-// trials; the site allows three.
-bool CrashExchange::ownsTrial(const RequestIdentity& identity) {
-  std::vector<routing::KeeperMember> members = {{core_.settings.gateway_id, 1}};
-  for (const NodeId& peer : peers_.livePeers(reactor::steadyNow())) {
-    members.push_back({peer, 1});
-  }
-  routing::KeeperRanks ranks;
-  ranks.setMembers(std::move(members));
-  const std::vector<NodeId> ranked = ranks.candidates(forwarding::printIdentity(identity));
-  return ranked.empty() || ranked.front() == core_.settings.gateway_id;
-}
-
 void CrashExchange::noteSent(const RequestIdentity& identity) {
   register_.noteSent(identity, reactor::steadyNow());
 }
@@ -115,7 +108,7 @@
   for (const RequestIdentity& identity : register_.settle(reactor::steadyNow())) {
     logQuarantine(identity, writes_record ? "own_evidence" : "peers_evidence");
     if (writes_record) {
-      record_.write(identity);
+      record_.write(forwarding::printIdentity(identity), kBlamed);
     }
   }
 }
@@ -128,7 +121,7 @@
       .with("same_as", forwarding::printIdentity(identity));
   if (is_own) {
     cleared_to_report_.insert(identity);
-    scheduleReports(reactor::steadyNow() + kBatchDelay);
+    timer_.wakeAt(reactor::steadyNow() + kBatchDelay);
   }
 }
 
@@ -149,7 +142,7 @@
   const bool was_served = register_.wasServed(identity, reactor::steadyNow());
   if (was_served) {
     cleared_to_report_.insert(identity);
-    scheduleReports(reactor::steadyNow() + kBatchDelay);
+    timer_.wakeAt(reactor::steadyNow() + kBatchDelay);
   }
   return was_served;
 }
@@ -170,40 +163,25 @@
     pending_reports_.pop_front();
     core_.metrics.countUnreportedCrash();
   }
-  scheduleReports(due);
-}
-
-void CrashExchange::scheduleReports(absl::Time at) {
-  if (at >= timer_at_) {
-    return;  // the earlier timer reschedules
-  }
-  core_.timers.cancel(timer_);
-  timer_at_ = at;
-  timer_ = core_.timers.schedule(at, [this] {
-    timer_at_ = absl::InfiniteFuture();
-    sendReports();
-  });
+  timer_.wakeAt(due);
 }
 
 void CrashExchange::sendReports() {
   const absl::Time now = reactor::steadyNow();
-  const double since = std::min(absl::ToDoubleSeconds(now - round_budget_updated_), kMaxRoundBurst);
-  round_budget_ = std::min(kMaxRoundBurst, round_budget_ + since * kRoundsPerSecond);
-  round_budget_updated_ = now;
-  while (round_budget_ >= 1) {
-    const CrashMessage message = takeDueReports(now);
-    if (message.isEmpty()) {
-      break;
-    }
-    broadcast(message);
-    round_budget_ -= 1;
+  const auto hasDue = [this, now] {
+    return !cleared_to_report_.empty() ||
+           std::any_of(pending_reports_.begin(), pending_reports_.end(),
+                       [now](const PendingReport& report) { return report.due <= now; });
+  };
+  while (hasDue() && budget_.tryTake(now)) {
+    broadcast(takeDueReports(now));
   }
   absl::Time next = cleared_to_report_.empty() ? absl::InfiniteFuture() : now;
   for (const PendingReport& report : pending_reports_) {
     next = std::min(next, report.due);
   }
   if (next != absl::InfiniteFuture()) {
-    scheduleReports(std::max(next, now + absl::Seconds(1 / kRoundsPerSecond)));
+    timer_.wakeAt(std::max(next, now + budget_.interval()));
   }
 }
 
@@ -243,19 +221,12 @@
 
 // Sends the state that a gateway needs after a start or an outage to kPeersPerHeartbeat random peers.
 void CrashExchange::reportToRandomPeers() {
-  const auto& peers = directory_.peers();
   CrashMessage message;
   message.quarantined = register_.quarantined(kCrashMessageCapacity / 2);
   const size_t room = (kCrashMessageCapacity - message.quarantined.size()) / (1 + kCrashFrameEntries);
   message.crashes = register_.unresolvedCrashes(room, reactor::steadyNow());
-  if (message.isEmpty() || peers.empty()) {
-    return;
-  }
-  const std::string bytes = encodeCrashMessage(message);
-  for (size_t sent = 0; sent < kPeersPerHeartbeat; ++sent) {
-    const auto drawn = absl::Uniform<size_t>(core_.random, 0, peers.size());
-    peers_.sendTo(std::next(peers.begin(), static_cast<ptrdiff_t>(drawn))->first, peer::PeerModule::kCrashes,
-                  bytes);
+  if (!message.isEmpty()) {
+    peers_.sendToRandom(kPeersPerHeartbeat, peer::PeerModule::kCrashes, encodeCrashMessage(message));
   }
 }
 
@@ -264,10 +235,12 @@
   was_reading_ = was_reading_ || begins;
   if (begins) {
     // The record doesn't say whether the request had its trial; it is assumed to have had it.
-    record_.read([this](const RequestIdentity& identity) {
-      if (!register_.isQuarantined(identity)) {
-        handleQuarantined({identity, true});
+    record_.read([this](const std::string& key, const std::string& /*value*/) {
+      const auto identity = forwarding::parseIdentity(key);
+      if (identity && !register_.isQuarantined(*identity)) {
+        handleQuarantined({*identity, true});
       }
+      return identity.has_value();
     });
   }
 }
--- a/src/gateway/crash_exchange.h
+++ b/src/gateway/crash_exchange.h
@@ -11,18 +11,20 @@
 #include <vector>
 
 #include "forwarding/crash_register.h"
+#include "gateway/broadcast_budget.h"
 #include "gateway/core.h"
 #include "gateway/crash_message.h"
-#include "gateway/peer_directory.h"
 #include "gateway/peer_exchange.h"
 #include "gateway/quarantine_record.h"
-#include "routing/keeper_ranks.h"
+#include "reactor/wakeup_timer.h"
 
 namespace quincewick::gateway {
 
 class CrashExchange {
  public:
-  CrashExchange(Core& core, PeerDirectory& directory, PeerExchange& peers);
+  static constexpr const char* kTable = "gateway-crashes";
+
+  CrashExchange(Core& core, PeerExchange& peers);
 
   // `reads_store`: whether this gateway is its zone's reader now.
   void start(std::function<bool()> reads_store);
@@ -57,18 +59,15 @@
   // Whether a suspect was served here: if so, queues an objection for the peers.
   bool objectIfServed(const forwarding::RequestIdentity& identity);
   void queueReport(const forwarding::ServerCrash& end);
-  void scheduleReports(absl::Time at);
   void sendReports();
   // The reports that are due now, as many as fit into a datagram.
   CrashMessage takeDueReports(absl::Time now);
   void broadcast(const CrashMessage& message);
-  bool ownsTrial(const forwarding::RequestIdentity& identity);
   void heartbeat();
   void reportToRandomPeers();
   void readRecordOnce();
 
   Core& core_;
-  PeerDirectory& directory_;
   PeerExchange& peers_;
   QuarantineRecord record_;
   forwarding::CrashRegister register_;
@@ -76,10 +75,8 @@
   bool was_reading_ = false;
   std::deque<PendingReport> pending_reports_;
   absl::btree_set<forwarding::RequestIdentity> cleared_to_report_;
-  reactor::TimerQueue::Key timer_;
-  absl::Time timer_at_ = absl::InfiniteFuture();
-  double round_budget_ = 0;  // token bucket for broadcasts
-  absl::Time round_budget_updated_ = absl::InfinitePast();
+  BroadcastBudget budget_;
+  reactor::WakeupTimer timer_;
 };
 
 }  // namespace quincewick::gateway
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -44,7 +44,7 @@
       delegations_(core_, peer_directory_, peers_, paths_),
       stream_origins_(core_, peer_directory_, peers_),
       occupancy_(core_, peer_directory_, peers_),
-      crash_exchange_(core_, peer_directory_, peers_),
+      crash_exchange_(core_, peers_),
       crash_detector_(core_, crash_exchange_),
       rollouts_(core_, peers_),
       rollout_controller_(core_, peer_directory_, peers_, rollouts_),
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -1,10 +1,15 @@
 #include "gateway/peer_exchange.h"
 
+#include <absl/random/distributions.h>
+
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/address.hpp>
+#include <iterator>
 #include <utility>
 
+#include "routing/keeper_ranks.h"
+
 namespace quincewick::gateway {
 namespace {
 
@@ -405,6 +410,25 @@
   }
 }
 
+void PeerExchange::sendToRandom(size_t count, peer::PeerModule module, const std::string& payload) {
+  const auto& peers = directory_.peers();
+  for (size_t sent = 0; sent < count && !peers.empty(); ++sent) {
+    const auto drawn = absl::Uniform<size_t>(core_.random, 0, peers.size());
+    sendTo(std::next(peers.begin(), static_cast<ptrdiff_t>(drawn))->first, module, payload);
+  }
+}
+
+bool PeerExchange::ranksFirst(std::string_view subject) const {
+  std::vector<routing::KeeperMember> members = {{core_.settings.gateway_id, 1}};
+  for (const NodeId& peer : livePeers(reactor::steadyNow())) {
+    members.push_back({peer, 1});
+  }
+  routing::KeeperRanks ranks;
+  ranks.setMembers(std::move(members));
+  const std::vector<NodeId> ranked = ranks.candidates(subject);
+  return ranked.empty() || ranked.front() == core_.settings.gateway_id;
+}
+
 bool PeerExchange::hasLiveReader(absl::Time now) const {
   const auto& peers = directory_.peers();
   return std::any_of(peers.begin(), peers.end(), [&](const auto& entry) {
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -45,6 +45,11 @@
   void sendTo(const NodeId& id, peer::PeerModule module, const std::string& payload);
   // Sends a module's message to every known peer.
   void sendToAll(peer::PeerModule module, const std::string& payload);
+  // Sends a module's message to up to `count` peers drawn at random.
+  void sendToRandom(size_t count, peer::PeerModule module, const std::string& payload);
+  // Whether this gateway ranks first for the subject among the live gateways. Several may conclude so while
+  // they see different ones live.
+  bool ranksFirst(std::string_view subject) const;
   // Notifies all peers at once when this gateway becomes a zone reader.
   void updateReaderStatus();
   // Notifies all peers that this gateway holds the order lease until `until`.
--- a/src/gateway/quarantine_record.cc
+++ b/src/gateway/quarantine_record.cc
@@ -7,46 +7,44 @@
 
 // Limits the table, so that callers' requests can't fill the store.
 constexpr uint32_t kMaxRows = 256;
-// The key holds all information. A std::string, because g++ 12 warns of an overlap in assigned literals.
-const std::string kValue = "blamed";
+constexpr size_t kMaxKeyBytes = 200;
 constexpr absl::Duration kRetryDelay = absl::Seconds(2);
 
 }  // namespace
 
-void QuarantineRecord::write(const forwarding::RequestIdentity& identity) {
-  if (known_.size() >= kMaxRows && !known_.contains(identity)) {
+void QuarantineRecord::write(const std::string& key, const std::string& value) {
+  const bool is_full = rows_.size() >= kMaxRows && !rows_.contains(key);
+  if (is_full || key.size() > kMaxKeyBytes) {
     core_.log.event("crash_not_recorded", reactor::steadyNow())
-        .with("same_as", forwarding::printIdentity(identity))
-        .with("why", "the table is full");
+        .with("same_as", key)
+        .with("why", is_full ? "the table is full" : "the key is too long");
     return;
   }
-  known_.insert(identity);
+  rows_[key] = value;
   forwarding::StoreRow row;
-  row.table = kTable;
-  row.key = forwarding::printIdentity(identity);
-  row.value = kValue;
-  store_.write(row, 0, [this, identity](StoreStatus status, const forwarding::StoreRows& /*rows*/) {
-    const bool is_settled = status == StoreStatus::kDone || status == StoreStatus::kConflict;
-    if (!is_settled) {
-      core_.timers.schedule(reactor::steadyNow() + kRetryDelay, [this, identity] { write(identity); });
+  row.table = table_;
+  row.key = key;
+  row.value = value;
+  store_.writeAll({{row, std::nullopt}}, [this, key](StoreStatus status,
+                                                     const forwarding::StoreRows& /*rows*/) {
+    if (status != StoreStatus::kDone) {
+      core_.timers.schedule(reactor::steadyNow() + kRetryDelay, [this, key] { write(key, rows_.at(key)); });
     }
   });
 }
 
 void QuarantineRecord::read(Found found) {
-  store_.read(kTable, "", kMaxRows,
+  store_.read(table_, "", kMaxRows,
               [this, found = std::move(found)](StoreStatus status, const forwarding::StoreRows& response) {
                 if (status != StoreStatus::kDone) {
                   retryRead(found);
                   return;
                 }
                 for (const forwarding::StoreRow& row : response.rows) {
-                  const auto identity = forwarding::parseIdentity(row.key);
-                  if (identity) {
-                    known_.insert(*identity);
-                    found(*identity);
+                  if (found(row.key, row.value)) {
+                    rows_.emplace(row.key, row.value);
                   } else {
-                    refused_rows_.note(row.key, "the key is not a request's hash");
+                    refused_rows_.note(row.key, "it names nothing that can be quarantined");
                   }
                 }
               });
--- a/src/gateway/quarantine_record.h
+++ b/src/gateway/quarantine_record.h
@@ -1,12 +1,12 @@
-// Quarantined requests, which crash servers, in a table of the store, so that a site whose gateways all lost
-// power still knows them. A row is written by the gateway whose evidence was decisive. The table is read by
-// gateways that become zone readers.
+// What is quarantined because it crashes servers, in a table of the store, so that a site whose gateways all
+// lost power still knows it. A row is written by the gateway whose evidence was decisive. The table is read
+// by gateways that become zone readers.
 #pragma once
 
 #include <functional>
-#include <set>
+#include <map>
+#include <string>
 
-#include "forwarding/request_identity.h"
 #include "gateway/core.h"
 #include "gateway/refused_rows.h"
 #include "gateway/store_client.h"
@@ -15,14 +15,13 @@
 
 class QuarantineRecord {
  public:
-  explicit QuarantineRecord(Core& core) : core_(core), store_(core), refused_rows_(core, kTable) {}
+  QuarantineRecord(Core& core, const char* table)
+      : core_(core), store_(core), table_(table), refused_rows_(core, table) {}
 
-  static constexpr const char* kTable = "gateway-crashes";
-
-  // Writes the request's row, and retries until the store has it.
-  void write(const forwarding::RequestIdentity& identity);
-  // Reads the table, with retries, and calls `found` for each request in it.
-  using Found = std::function<void(const forwarding::RequestIdentity& identity)>;
+  // Writes a row, whatever it held before, and retries until the store has it.
+  void write(const std::string& key, const std::string& value);
+  // Reads the table, with retries, and calls `found` for each row. `found` returns whether it can be used.
+  using Found = std::function<bool(const std::string& key, const std::string& value)>;
   void read(Found found);
 
  private:
@@ -30,8 +29,9 @@
 
   Core& core_;
   StoreClient store_;
+  const char* table_;
   RefusedRows refused_rows_;
-  std::set<forwarding::RequestIdentity> known_;  // rows that exist or are being written
+  std::map<std::string, std::string> rows_;  // that exist or are being written
 };
 
 }  // namespace quincewick::gateway
