Quarantine the part of prompts that crashes servers

Cause: evidence was kept by whole request, and no two of these were alike; what they share is a part of the prompt, which no code of the crash path read. Class: evidence keyed by the whole while the cause is a piece of it.

A part of a request that was answered to its proven end is cleared, so popular parts never stay suspects.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -89,7 +89,7 @@
 
 void Exchange::acceptForService() {
   core_.budget.noteRequest(service_);
-  if (core_.crash_detector->verdictOn(identity_) == forwarding::CrashVerdict::kReject) {
+  if (core_.crash_detector->verdictOn(subject_) == forwarding::CrashVerdict::kReject) {
     rejectForCrashes();
     return;
   }
@@ -97,8 +97,9 @@
 }
 
 void Exchange::identify() {
-  identity_ = forwarding::identityOf(head_.method, head_.target,
-                                     tenant_ == nullptr ? TenantId() : tenant_->id, body_);
+  subject_.identity = forwarding::identityOf(head_.method, head_.target,
+                                             tenant_ == nullptr ? TenantId() : tenant_->id, body_);
+  subject_.carrier = {subject_.identity.low, forwarding::sharedPartsOf(facts_.model, facts_.prompt)};
 }
 
 void Exchange::tryNext() {
@@ -286,7 +287,7 @@
   tried_.push_back(server_->identity_hash);
   is_at_server_ = true;
   attempt_software_ = server_->provenSoftware();
-  core_.crash_detector->noteSent(identity_);
+  core_.crash_detector->noteSent(subject_);
   noteRolloutSent();
   noteUnaccepted();
   attempt_ = pool_.start(server_, std::move(request), this);
@@ -312,14 +313,14 @@
   line.with("request", facts_.attempt_id)
       .with("server", server_->entry.id)
       .with("software", softwareText(attempt_software_))
-      .with("same_as", forwarding::printIdentity(identity_))
+      .with("same_as", forwarding::printIdentity(subject_.identity))
       .with("end", static_cast<int64_t>(end))
       .with("status", response_head_.status)
       .with("after_ms", now - attempt_began_)
       .with("events", static_cast<int64_t>(attempt_pieces_));
   if (end == AttemptOutcome::kUnknown && !facts_.prompt.empty()) {
     line.with("prompt", sharedPartIds(facts_.prompt))
-        .with("parts", forwarding::printParts(forwarding::sharedPartsOf(facts_.model, facts_.prompt)));
+        .with("parts", forwarding::printParts(subject_.carrier.parts));
   }
 }
 
@@ -350,7 +351,7 @@
   releaseRate();
   releasePermit();
   if (std::exchange(is_at_server_, false)) {
-    core_.crash_detector->noteOver(identity_);
+    core_.crash_detector->noteOver(subject_);
   }
   if (pending_reservation_) {
     core_.occupancy->cancel(*std::exchange(pending_reservation_, std::nullopt));
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -11,7 +11,7 @@
 
 #include "forwarding/attempt_ledger.h"
 #include "forwarding/event_splitter.h"
-#include "forwarding/request_identity.h"
+#include "forwarding/part_quarantine.h"
 #include "forwarding/stream_origin_messages.h"
 #include "gateway/back_end_pool.h"
 #include "gateway/core.h"
@@ -147,6 +147,7 @@
   void forwardHead();
   BodyFraming framingForCaller() const;
   void recordServerResult(absl::Time now);
+  void noteServed();
   void noteInferredEnd();
   // Whether the response is a stream of events.
   bool isEventStream() const;
@@ -169,7 +170,7 @@
   const forwarding::Route* route_ = nullptr;
   const forwarding::Tenant* tenant_ = nullptr;
   forwarding::RequestFacts facts_;
-  forwarding::RequestIdentity identity_;
+  forwarding::CrashSubject subject_;
   forwarding::ServiceName service_;
   forwarding::AttemptLedger ledger_;
   absl::Time began_;
--- a/src/gateway/exchange_crash.cc
+++ b/src/gateway/exchange_crash.cc
@@ -20,7 +20,7 @@
 // Checked before each send: the request may have crashed servers through other gateways since its arrival.
 bool Exchange::mayReachServers() {
   const absl::Time now = reactor::steadyNow();
-  switch (core_.crash_detector->verdictOn(identity_)) {
+  switch (core_.crash_detector->verdictOn(subject_)) {
     case forwarding::CrashVerdict::kSend:
       return true;
     case forwarding::CrashVerdict::kWait:
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -279,13 +279,22 @@
   if (engine_ && first_piece_ != absl::InfiniteFuture()) {
     core_.placement.noteServed(now - first_piece_);
   }
-  if (isSuccess(response_head_) && response_end_ == reactor::EndOfBody::kProven) {
-    core_.crash_detector->noteServed(identity_);
-  }
+  noteServed();
   forwardBufferedBody();
   complete("answered");
 }
 
+void Exchange::noteServed() {
+  if (!isSuccess(response_head_)) {
+    return;
+  }
+  if (response_end_ == reactor::EndOfBody::kProven) {
+    core_.crash_detector->noteServed(service_, subject_);
+  } else if (!delegate_) {
+    core_.crash_detector->onEndInferred(server_, subject_);
+  }
+}
+
 // A 5xx response that is forwarded because the request may not run again still counts as a failure. Counted
 // as a fast response, it attracted all further requests to its server.
 void Exchange::recordServerResult(absl::Time now) {
@@ -320,7 +329,7 @@
     }
   } else {
     ServerDirectory::noteFailure(*server_, kBrokenWeight, reactor::steadyNow());
-    core_.crash_detector->onAttemptBroken(server_, identity_);
+    core_.crash_detector->onAttemptBroken(server_, subject_);
   }
   endAttempt(AttemptOutcome::kUnknown);
 }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -45,7 +45,8 @@
       stream_origins_(core_, peer_directory_, peers_),
       occupancy_(core_, peer_directory_, peers_),
       crash_exchange_(core_, peers_),
-      crash_detector_(core_, crash_exchange_),
+      part_exchange_(core_, peers_),
+      crash_detector_(core_, crash_exchange_, part_exchange_),
       rollouts_(core_, peers_),
       rollout_controller_(core_, peer_directory_, peers_, rollouts_),
       relay_(core_, peer_directory_),
@@ -88,6 +89,7 @@
   stream_origins_.start();
   occupancy_.start();
   crash_exchange_.start([this] { return follower_.isZoneReader(); });
+  part_exchange_.start([this] { return follower_.isZoneReader(); });
   if (core_.settings.rollout_share > 0) {
     core_.rollouts = &rollouts_;
     rollouts_.start();
@@ -173,6 +175,8 @@
   gauges.repeats_left = core_.budget.minimumLeft();
   gauges.requests_suspect = static_cast<double>(crash_exchange_.suspectCount());
   gauges.requests_blamed = static_cast<double>(crash_exchange_.quarantinedCount());
+  gauges.parts_suspect = static_cast<double>(part_exchange_.suspectCount());
+  gauges.parts_blamed = static_cast<double>(part_exchange_.quarantinedCount());
   gauges.rollouts_running = core_.rollouts != nullptr && core_.rollouts->isAnyRunning() ? 1 : 0;
   gauges.caller_connections = static_cast<double>(connections_.size());
   gauges.server_connections_opened = static_cast<double>(pool_.openedConnections());
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "gateway/core.h"
 #include "gateway/crash_detector.h"
 #include "gateway/crash_exchange.h"
+#include "gateway/part_exchange.h"
 #include "gateway/delegations.h"
 #include "gateway/occupancy_exchange.h"
 #include "gateway/path_prober.h"
@@ -83,6 +84,7 @@
   StreamOriginExchange stream_origins_;
   OccupancyExchange occupancy_;
   CrashExchange crash_exchange_;
+  PartExchange part_exchange_;
   CrashDetector crash_detector_;
   RolloutExchange rollouts_;
   RolloutController rollout_controller_;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -222,6 +222,10 @@
            gauges.requests_suspect);
   addGauge(families, "quincewick_requests_blamed", "Requests that are rejected, for they end servers.",
            gauges.requests_blamed);
+  addGauge(families, "quincewick_prompt_parts_suspect",
+           "Parts under which servers ended since they were served.", gauges.parts_suspect);
+  addGauge(families, "quincewick_prompt_parts_blamed",
+           "Sets of parts whose requests are rejected, for they end servers.", gauges.parts_blamed);
   addGauge(families, "quincewick_rollouts_running", "1: traffic of a service moves to another version.",
            gauges.rollouts_running);
   addGauge(families, "quincewick_caller_connections", "Open.", gauges.caller_connections);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -77,6 +77,8 @@
     double repeats_left = 0;
     double requests_suspect = 0;
     double requests_blamed = 0;
+    double parts_suspect = 0;
+    double parts_blamed = 0;
     double rollouts_running = 0;
     double caller_connections = 0;
     double server_connections_opened = 0;
--- a/src/peer/envelope.cc
+++ b/src/peer/envelope.cc
@@ -30,7 +30,7 @@
 
 bool isKnownModule(uint8_t module) {
   return module >= static_cast<uint8_t>(PeerModule::kMembership) &&
-         module <= static_cast<uint8_t>(PeerModule::kStreamOrigins);
+         module <= static_cast<uint8_t>(PeerModule::kCrashingParts);
 }
 
 }  // namespace
--- a/src/peer/envelope.h
+++ b/src/peer/envelope.h
@@ -25,6 +25,7 @@
   kDelegations = 11,
   kRejectionPermits = 12,
   kStreamOrigins = 13,
+  kCrashingParts = 14,
 };
 
 // How a message travels. It is part of what the MAC covers, so none can be passed off as another.
--- a/tests/gateway/crashing_parts_test.cc
+++ b/tests/gateway/crashing_parts_test.cc
@@ -45,12 +45,11 @@
 
 Script serve(const Seen& seen) {
   const bool is_stream = !seen.head.target.starts_with("/safe/");
-  return Script{
-      answerOf(200,
-               {{"Quincewick-Response-Signature", "s"},
-                {"Quincewick-Attempt-Id", valueOf(seen.head, "Quincewick-Attempt-Id")},
-                {"Content-Type", is_stream ? "text/event-stream" : "application/json"}},
-               "id: 1\ndata: served\n\n")};
+  return Script{answerOf(200,
+                         {{"Quincewick-Response-Signature", "s"},
+                          {"Quincewick-Attempt-Id", valueOf(seen.head, "Quincewick-Attempt-Id")},
+                          {"Content-Type", is_stream ? "text/event-stream" : "application/json"}},
+                         "id: 1\ndata: served\n\n")};
 }
 
 // Servers that crash when they begin to answer a request with one of the `deadly` parts. Those of other
@@ -74,7 +73,8 @@
 
   bool isDeadly(const Seen& seen) const {
     const Parts parts = sharedParts(seen.head);
-    return std::any_of(parts.begin(), parts.end(), [this](const auto& part) { return deadly.contains(part); });
+    return std::any_of(parts.begin(), parts.end(),
+                       [this](const auto& part) { return deadly.contains(part); });
   }
 
   size_t deadlySends() const {
@@ -178,7 +178,8 @@
   checkFurtherArrivals(*this, {&first, &second, &third}, traffic);
 }
 
-TEST_CASE_METHOD(CrashingPartsSite, "two parts that crash servers, on two routes, reach few more servers each") {
+TEST_CASE_METHOD(CrashingPartsSite,
+                 "two parts that crash servers, on two routes, reach few more servers each") {
   const Traffic one = {"/stream/a", {"a0", "dead1"}, {"a0", "b1"}};
   const Traffic other = {"/safe/a", {"dead2", "c1"}, {"c0", "c1"}};
   const RunningGateway first(settingsOf("a"));
@@ -207,10 +208,11 @@
   }
   const RunningGateway gateway(RunningGateway::settings("a", site.storeAddress(), site));
   for (int arrival = 0; arrival < 60; ++arrival) {
-    const HeaderFields fields = {{"Authorization", "Bearer key"},
-                                 {"Quincewick-Model", "m"},
-                                 {"Quincewick-Token-Usage", "100,10"},
-                                 {"Quincewick-Prompt-Prefix", absl::StrCat("a0:25,a1:25,ff", arrival, ":25")}};
+    const HeaderFields fields = {
+        {"Authorization", "Bearer key"},
+        {"Quincewick-Model", "m"},
+        {"Quincewick-Token-Usage", "100,10"},
+        {"Quincewick-Prompt-Prefix", absl::StrCat("a0:25,a1:25,ff", arrival, ":25")}};
     CHECK_FALSE(has(gateway.ask("/stream/a", fields, absl::StrCat(arrival)), "ends_servers"));
     std::this_thread::sleep_for(std::chrono::milliseconds(50));
   }
