Close the connection that was idle for longest where a new one finds no place

A gateway at connections_at_most closed every new connection unread, though callers used none of those it had: a load balancer that hands most new connections to one gateway keeps it there. new_connections_test failed before (20 of 20 new callers turned away beside 8 idle connections) and passes. Its other case, 600 requests on new connections through one of four gateways, passed before too.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -182,6 +182,7 @@
   is_chunked_ = false;
   exchange_ = nullptr;
   ++served_;
+  last_served_ = reactor::steadyNow();
   if (!keeps_alive_) {
     close(true);
     return;
@@ -246,6 +247,11 @@
   rejectInput(kRequestTimeout);
 }
 
+absl::Time CallerConnection::idleSince() const {
+  const bool is_idle = delegations_ == nullptr && exchange_ == nullptr && !reader_.started() && served_ > 0;
+  return is_idle ? last_served_ : absl::InfiniteFuture();
+}
+
 void CallerConnection::closeIfIdle() {
   if (exchange_ == nullptr && !reader_.started() && served_ > 0) {
     const auto self = shared_from_this();
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -34,6 +34,8 @@
   // response.
   void closeIfIdle();
   bool isServing() const { return exchange_ != nullptr; }
+  // Since when a caller that was served here has sent nothing; infinite if that isn't so.
+  absl::Time idleSince() const;
 
   void sendHead(int status, const std::string& reason, HeaderFields fields,
                 const BodyFraming& framing) override;
@@ -71,6 +73,7 @@
   bool expects_continue_ = false;
   bool is_reading_ = false;  // guards against reentry of processInput from a response
   uint64_t served_ = 0;
+  absl::Time last_served_ = absl::InfinitePast();
 };
 
 }  // namespace quincewick::gateway
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -145,7 +145,7 @@
 }
 
 void Gateway::accept(reactor::Connection::Socket socket, Delegations* delegations) {
-  if (connections_.size() >= core_.settings.connections_at_most) {
+  if (connections_.size() >= core_.settings.connections_at_most && !closeLongestIdle()) {
     return;  // closes the socket unread
   }
   auto connection = std::make_shared<CallerConnection>(
@@ -155,6 +155,19 @@
   connection->start();
 }
 
+// Returns false if every connection is in use.
+bool Gateway::closeLongestIdle() {
+  const auto longest = std::min_element(
+      connections_.begin(), connections_.end(),
+      [](const auto& one, const auto& other) { return one.first->idleSince() < other.first->idleSince(); });
+  if (longest == connections_.end() || longest->first->idleSince() == absl::InfiniteFuture()) {
+    return false;
+  }
+  const std::shared_ptr<CallerConnection> connection = longest->second;
+  connection->closeIfIdle();
+  return true;
+}
+
 reactor::SimpleHttpResponse Gateway::handleReadiness() const {
   reactor::SimpleHttpResponse answer;
   answer.status = isReady() ? kOk : kUnavailable;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -64,6 +64,8 @@
   bool startDelegations();
   // `delegations`: null for a caller's connection.
   void accept(reactor::Connection::Socket socket, Delegations* delegations);
+  // Closes the connection whose caller has sent nothing for longest, to make room for a new one.
+  bool closeLongestIdle();
   reactor::SimpleHttpResponse handleReadiness() const;
   reactor::SimpleHttpResponse handleMetrics();
   void awaitSignal();
--- a/tests/gateway/running_gateway.h
+++ b/tests/gateway/running_gateway.h
@@ -67,6 +67,7 @@
         .bytes;
   }
   void stopGracefully() { gateway_.stopGracefully(); }
+  uint16_t callersPort() const { return gateway_.callersPort(); }
 
   std::string ask(const std::string& target, const HeaderFields& more, const std::string& body = "") const {
     HeaderFields fields = {{"Host", "h"},
