--- a/tests/gateway/software_versions_test.cc
+++ b/tests/gateway/software_versions_test.cc
@@ -153,7 +153,8 @@
     fixture.breaks_off = true;
     attempt(*gateways[0], stream, absl::StrCat("first-", number), body);
     fixture.breaks_off = false;
-    attempt(*gateways[1], stream, absl::StrCat("second-", number), body);
+    const std::string answer = attempt(*gateways[1], stream, absl::StrCat("second-", number), body);
+    CAPTURE(number, answer);
     CHECK(stream.versions.size() == 1);
     CHECK(stream.last_event == kEvents);
   }
