Count trials of quarantined parts by request, and let only a first trial be taken over

Trials are told by the requests' hashes now, a told one starts the next interval, the first in rank is that of the quarantined parts, and only the first trial of parts that weren't served before may be taken over. Parts count as served before only if all of a quarantine were.

--- a/src/forwarding/part_quarantine.cc
+++ b/src/forwarding/part_quarantine.cc
@@ -14,20 +14,35 @@
 constexpr size_t kCrashesAllowed = 5;
 constexpr absl::Duration kContactTime = absl::Seconds(3);
 // Bounds on memory, whatever clients send.
-constexpr uint32_t kMaxDoublings = 10;
+constexpr size_t kMaxTrialsKept = 10;
 constexpr size_t kMaxQuarantined = 256;
 constexpr size_t kMaxAccusations = 64;
 
 using Parts = std::vector<PartKey>;
 
-uint32_t countedSends(const PartEvidence::Crashes& crashes) {
-  if (crashes.size() <= kCrashesAllowed) {
-    return 0;
+// Identifies the sends that led to these crashes and that the site's requirements count.
+std::vector<uint64_t> countedSends(const PartEvidence::Crashes& crashes) {
+  std::vector<uint64_t> sends;
+  for (size_t place = kCrashesAllowed; place < crashes.size(); ++place) {
+    if (crashes[place]->at > crashes[kCrashesAllowed - 1]->at + kContactTime) {
+      sends.push_back(crashes[place]->incarnation);
+    }
+  }
+  return sends;
+}
+
+// Adds what is missing. Returns whether anything was.
+bool addMissing(std::vector<uint64_t>& trials, const std::vector<uint64_t>& more) {
+  bool is_any_new = false;
+  for (const uint64_t trial : more) {
+    const bool is_new =
+        std::find(trials.begin(), trials.end(), trial) == trials.end() && trials.size() < kMaxTrialsKept;
+    if (is_new) {
+      trials.push_back(trial);
+    }
+    is_any_new = is_any_new || is_new;
   }
-  const absl::Time counted_from = crashes[kCrashesAllowed - 1]->at + kContactTime;
-  const auto count = std::count_if(crashes.begin(), crashes.end(),
-                                   [counted_from](const auto* crash) { return crash->at > counted_from; });
-  return static_cast<uint32_t>(count);
+  return is_any_new;
 }
 
 }  // namespace
@@ -174,8 +189,8 @@
     quarantine.first_crash = crashes.front()->at;
     quarantine.last_crash = crashes.back()->at;
     quarantine.last_requested = now;
-    quarantine.trials = std::min(countedSends(crashes), kMaxTrials);
-    quarantine.was_served = std::any_of(group.begin(), group.end(),
+    addMissing(quarantine.trials, countedSends(crashes));
+    quarantine.was_served = std::all_of(group.begin(), group.end(),
                                         [this](PartKey other) { return evidence_.wasServedBefore(other); });
     confirmed.push_back(reportOf(quarantine, now));
     addQuarantine(std::move(quarantine));
@@ -196,7 +211,9 @@
       std::find_if(quarantined_.begin(), quarantined_.end(),
                    [&](const Quarantine& quarantine) { return quarantine.parts == quarantined.parts; });
   if (known != quarantined_.end()) {
-    known->trials = std::max(known->trials, quarantined.trials);
+    if (addMissing(known->trials, quarantined.trials)) {
+      known->last_trial = now;
+    }
     known->was_served = known->was_served || quarantined.was_served;
     known->last_crash = std::max(known->last_crash, now - quarantined.last_crash);
     return false;
@@ -261,38 +278,48 @@
   return is_accused ? CrashVerdict::kWait : CrashVerdict::kSend;
 }
 
-bool PartQuarantine::isQuarantineTrialDue(const Quarantine& quarantine, absl::Time now) const {
+bool PartQuarantine::isQuarantineTrialDue(const Quarantine& quarantine, bool ranks_first,
+                                          absl::Time now) const {
   if (quarantine.trial) {
     return now - quarantine.last_trial >= kTrialSendTime;
   }
   const auto served = last_served_.find(quarantine.service);
   const bool has_failed_alone = served != last_served_.end() && served->second > quarantine.first_crash;
-  const uint32_t most = quarantine.was_served ? kMaxTrialsIfServed : kMaxTrials;
-  absl::Duration delay = kTrialDelay * (1U << std::min(quarantine.trials, kMaxDoublings));
-  if (quarantine.trials >= most && has_failed_alone) {
+  const size_t trials = quarantine.trials.size();
+  absl::Duration delay = kTrialDelay * (1U << std::min(trials, kMaxTrialsKept));
+  if (has_failed_alone && trials >= (quarantine.was_served ? kMaxTrialsIfServed : kMaxTrials)) {
     delay = quarantine.was_served ? kLateTrialInterval : absl::InfiniteDuration();
   }
+  if (!ranks_first) {
+    delay += quarantine.was_served || trials == 0 ? kTrialTakeoverDelay : absl::InfiniteDuration();
+  }
   return now - std::max(quarantine.since, quarantine.last_trial) >= delay;
 }
 
-bool PartQuarantine::isTrialDue(const PartCarrier& carrier, absl::Time now) const {
-  if (quarantined_.empty()) {
-    return false;
-  }
-  Parts on_trial;
+std::vector<PartKey> PartQuarantine::partsOnTrial(const PartCarrier& carrier) const {
+  Parts parts;
   for (const Quarantine& quarantine : quarantined_) {
-    if (!containsAll(carrier.parts, quarantine.parts)) {
-      continue;
-    }
-    if (!isQuarantineTrialDue(quarantine, now)) {
-      return false;
+    if (containsAll(carrier.parts, quarantine.parts)) {
+      parts.insert(parts.end(), quarantine.parts.begin(), quarantine.parts.end());
     }
-    on_trial.insert(on_trial.end(), quarantine.parts.begin(), quarantine.parts.end());
   }
+  return parts;
+}
+
+bool PartQuarantine::isTrialDue(const PartCarrier& carrier, bool ranks_first, absl::Time now) const {
+  const Parts on_trial = partsOnTrial(carrier);
+  if (on_trial.empty()) {
+    return false;
+  }
+  const bool is_any_not_due =
+      std::any_of(quarantined_.begin(), quarantined_.end(), [&](const Quarantine& quarantine) {
+        return containsAll(carrier.parts, quarantine.parts) &&
+               !isQuarantineTrialDue(quarantine, ranks_first, now);
+      });
   const bool has_other_suspect = std::any_of(carrier.parts.begin(), carrier.parts.end(), [&](PartKey part) {
     return !contains(on_trial, part) && evidence_.isSuspect(part);
   });
-  return !on_trial.empty() && !has_other_suspect;
+  return !is_any_not_due && !has_other_suspect;
 }
 
 std::vector<QuarantinedParts> PartQuarantine::takeTrial(const PartCarrier& carrier, absl::Time now) {
@@ -301,7 +328,10 @@
     if (!containsAll(carrier.parts, quarantine.parts)) {
       continue;
     }
-    quarantine.trials += quarantine.trial ? 0 : 1;  // the request chosen before was not sent
+    if (quarantine.trial) {
+      std::erase(quarantine.trials, *quarantine.trial);  // it was not sent
+    }
+    addMissing(quarantine.trials, {carrier.request});
     quarantine.trial = carrier.request;
     quarantine.last_trial = now;
     reports.push_back(reportOf(quarantine, now));
--- a/src/forwarding/part_quarantine.h
+++ b/src/forwarding/part_quarantine.h
@@ -40,8 +40,9 @@
   uint64_t service = 0;        // the hash of the name of the service whose servers crashed
   absl::Duration first_crash = absl::ZeroDuration();  // time since then
   absl::Duration last_crash = absl::ZeroDuration();   // time since then
-  uint32_t trials = 0;                                // requests with them that were sent since
-  bool was_served = false;                            // one of the parts, shortly before its first crash
+  // Which requests with them were sent since, as far as the site's requirements count them: by hashes.
+  std::vector<uint64_t> trials;
+  bool was_served = false;  // each of the parts, shortly before its first crash
 
   friend bool operator==(const QuarantinedParts&, const QuarantinedParts&) = default;
 };
@@ -86,8 +87,11 @@
   // Whether the request has all parts of a quarantine and isn't its trial.
   bool isRejected(const PartCarrier& carrier) const;
   // Whether the request is rejected for parts that are due to be sent once more, since they may merely have
-  // been in flight beside the actual cause. It holds no other suspect.
-  bool isTrialDue(const PartCarrier& carrier, absl::Time now) const;
+  // been in flight beside the actual cause. It holds no other suspect. `ranks_first`: whether this gateway
+  // ranks first for partsOnTrial; others take a first trial kTrialTakeoverDelay later.
+  bool isTrialDue(const PartCarrier& carrier, bool ranks_first, absl::Time now) const;
+  // The parts of all quarantines that reject the request.
+  std::vector<PartKey> partsOnTrial(const PartCarrier& carrier) const;
   // The request is sent once. Returns what to tell the peers first.
   std::vector<QuarantinedParts> takeTrial(const PartCarrier& carrier, absl::Time now);
   void noteSent(const PartCarrier& carrier);
@@ -122,7 +126,8 @@
   // are over, or it is quarantined too. Where nothing else of the service was served since the first crash,
   // the service failed as a whole, and trials go on.
   static constexpr absl::Duration kTrialDelay = absl::Seconds(5);
-  // By which other gateways take a trial later than the first in rank.
+  // By which other gateways take a trial later than the first in rank, which may get no such request. Several
+  // may take it at once, so that only a first trial of parts that weren't served before may be taken over.
   static constexpr absl::Duration kTrialTakeoverDelay = absl::Seconds(2);
   // The site's requirements allow three more sends after the fifth crash.
   static constexpr uint32_t kMaxTrials = 2;
@@ -140,7 +145,7 @@
     absl::Time last_crash;
     absl::Time last_requested;
     absl::Time last_trial = absl::InfinitePast();
-    uint32_t trials = 0;
+    std::vector<uint64_t> trials;  // hashes of requests or incarnations
     bool was_served = false;
     std::optional<uint64_t> trial;  // the request that may be sent once
   };
@@ -161,7 +166,7 @@
   // Takes the parts that were served at that time out of quarantines of earlier crashes.
   std::vector<QuarantineChange> release(const std::vector<PartKey>& parts, absl::Time served);
   void addQuarantine(Quarantine quarantine);
-  bool isQuarantineTrialDue(const Quarantine& quarantine, absl::Time now) const;
+  bool isQuarantineTrialDue(const Quarantine& quarantine, bool ranks_first, absl::Time now) const;
   static QuarantinedParts reportOf(const Quarantine& quarantine, absl::Time now);
 
   PartEvidence evidence_;
--- a/src/gateway/crash_exchange.cc
+++ b/src/gateway/crash_exchange.cc
@@ -168,12 +168,12 @@
 
 void CrashExchange::sendReports() {
   const absl::Time now = reactor::steadyNow();
-  const auto hasDue = [this, now] {
+  const auto has_due = [this, now] {
     return !cleared_to_report_.empty() ||
            std::any_of(pending_reports_.begin(), pending_reports_.end(),
                        [now](const PendingReport& report) { return report.due <= now; });
   };
-  while (hasDue() && budget_.tryTake(now)) {
+  while (has_due() && budget_.tryTake(now)) {
     broadcast(takeDueReports(now));
   }
   absl::Time next = cleared_to_report_.empty() ? absl::InfiniteFuture() : now;
--- a/src/gateway/part_exchange.cc
+++ b/src/gateway/part_exchange.cc
@@ -111,13 +111,13 @@
 
 // The first in rank takes it; any other gateway if that one gets no such request for a while.
 bool PartExchange::mayTakeTrial(const PartCarrier& carrier, absl::Time now) const {
-  return quarantine_.isTrialDue(carrier, now) &&
-         (peers_.ranksFirst(forwarding::printParts(carrier.parts)) ||
-          quarantine_.isTrialDue(carrier, now - PartQuarantine::kTrialTakeoverDelay));
+  return quarantine_.isTrialDue(carrier, true, now) &&
+         quarantine_.isTrialDue(
+             carrier, peers_.ranksFirst(forwarding::printParts(quarantine_.partsOnTrial(carrier))), now);
 }
 
 bool PartExchange::isRejected(const PartCarrier& carrier) const {
-  return quarantine_.isRejected(carrier) && !quarantine_.isTrialDue(carrier, reactor::steadyNow());
+  return quarantine_.isRejected(carrier) && !mayTakeTrial(carrier, reactor::steadyNow());
 }
 
 bool PartExchange::wereServedLately(const std::vector<PartKey>& parts) const {
@@ -290,17 +290,17 @@
 // As much as fits into a datagram, quarantines first.
 PartMessage PartExchange::stateForPeers(absl::Time now) const {
   PartMessage state;
-  const auto addIfItFits = [&state](const PartMessage& more) {
+  const auto add_if_it_fits = [&state](const PartMessage& more) {
     PartMessage both = joined(state, more);
     if (encodedSize(both) <= peer::kMaximumDatagramPayload) {
       state = std::move(both);
     }
   };
   for (const QuarantinedParts& quarantined : quarantine_.quarantined(kMaxReportedQuarantines, now)) {
-    addIfItFits({.quarantined = {quarantined}});
+    add_if_it_fits({.quarantined = {quarantined}});
   }
   for (const PartCrash& crash : quarantine_.unresolvedCrashes(kMaxReportedParts, now)) {
-    addIfItFits({.crashes = {crash}});
+    add_if_it_fits({.crashes = {crash}});
   }
   return state;
 }
@@ -319,8 +319,9 @@
       return false;
     }
     if (!is_cleared) {
-      // Nor does it say how many trials there were.
-      handleQuarantined({parts, service, kAgeOfRecord, kAgeOfRecord, PartQuarantine::kMaxTrials - 1, false});
+      // Nor does it say how many trials there were: one counts as made.
+      constexpr uint64_t unknown_trial = 0;
+      handleQuarantined({parts, service, kAgeOfRecord, kAgeOfRecord, {unknown_trial}, false});
     }
     return true;
   });
--- a/src/gateway/part_message.cc
+++ b/src/gateway/part_message.cc
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr uint32_t kMaxListed = 128;
-constexpr int64_t kMaxAgeMs = 24 * 3'600'000;
+constexpr int64_t kMaxAgeMs = int64_t{24} * 3'600'000;
 
 template <class Archive>
 void archiveAge(Archive& archive, absl::Duration& age) {
@@ -48,7 +48,8 @@
 
 template <class Archive>
 void serialize(Archive& archive, QuarantinedParts& quarantined) {
-  archive(quarantined.service, quarantined.trials, quarantined.was_served);
+  archive(quarantined.service, quarantined.was_served);
+  archiveList(archive, quarantined.trials, kMaxListed);
   archiveAge(archive, quarantined.first_crash);
   archiveAge(archive, quarantined.last_crash);
   archiveList(archive, quarantined.parts, kMaxSharedParts);
--- a/tests/forwarding/part_quarantine_site_test.cc
+++ b/tests/forwarding/part_quarantine_site_test.cc
@@ -157,7 +157,8 @@
   // Subjects of a root are drawn unevenly: the last ones are rare.
   PartKey subjectOf(size_t root) {
     const double drawn = uniform(0, 1);
-    return PartKey(1'000 * (root + 1) + static_cast<uint64_t>(drawn * drawn * drawn * load_.subjects));
+    return PartKey(1'000 * (root + 1) +
+                   static_cast<uint64_t>(drawn * drawn * drawn * static_cast<double>(load_.subjects)));
   }
 
   Attempt soundRequest() {
@@ -214,8 +215,7 @@
     }
     gateway.has_read_record = true;
     for (const std::vector<PartKey>& parts : record_) {
-      gateway.parts->noteQuarantined(
-          {parts, kService, absl::Hours(24), absl::Hours(24), PartQuarantine::kMaxTrials - 1, false}, now_);
+      gateway.parts->noteQuarantined({parts, kService, absl::Hours(24), absl::Hours(24), {0}, false}, now_);
     }
   }
 
@@ -275,11 +275,10 @@
   CrashVerdict verdictOn(const Attempt& run) {
     PartQuarantine& parts = *gateways_[run.gateway].parts;
     uint64_t subject = 0;
-    for (const PartKey part : run.carrier.parts) {
+    for (const PartKey part : parts.partsOnTrial(run.carrier)) {
       subject += part.value();
     }
-    const bool ranks_first = subject % gateways_.size() == run.gateway;
-    if (parts.isTrialDue(run.carrier, ranks_first ? now_ : now_ - PartQuarantine::kTrialTakeoverDelay)) {
+    if (parts.isTrialDue(run.carrier, subject % gateways_.size() == run.gateway, now_)) {
       broadcast(run.gateway, {.quarantined = parts.takeTrial(run.carrier, now_)});
     }
     return parts.verdictOn(run.carrier, now_);
@@ -377,7 +376,10 @@
     Gateway& gateway = gateways_[draw(gateways_.size())];
     if (happens(load_.restarts_a_second)) {
       last_disturbance_ = now_;
-      gateway = {.parts = std::make_unique<PartQuarantine>(), .started = now_};
+      auto parts = std::make_unique<PartQuarantine>();
+      gateway = Gateway{};
+      gateway.parts = std::move(parts);
+      gateway.started = now_;
     } else if (happens(load_.cuts_a_second)) {
       last_disturbance_ = now_;
       gateway.cut_until = now_ + absl::Seconds(2);
--- a/tests/forwarding/part_quarantine_test.cc
+++ b/tests/forwarding/part_quarantine_test.cc
@@ -117,10 +117,10 @@
   Gateway peer;
   peer.parts.noteServed(kService, {kDeadly}, peer.now);
   peer.now += absl::Seconds(1);
-  const QuarantinedParts told{{kDeadly}, kService, absl::Seconds(9), absl::Seconds(2), 0, false};
+  const QuarantinedParts told{{kDeadly}, kService, absl::Seconds(9), absl::Seconds(2), {}, false};
   CHECK(peer.parts.objectionsTo(told, peer.now).size() == 1);
   CHECK_FALSE(peer.parts.noteQuarantined(told, peer.now));
-  const QuarantinedParts later{{kDeadly}, kService, absl::Seconds(9), absl::ZeroDuration(), 0, false};
+  const QuarantinedParts later{{kDeadly}, kService, absl::Seconds(9), absl::ZeroDuration(), {}, false};
   CHECK(peer.parts.objectionsTo(later, peer.now).empty());
   CHECK(peer.parts.noteQuarantined(later, peer.now));
 }
@@ -134,7 +134,7 @@
   for (int second = 0; second < 600; ++second) {
     gateway.now += absl::Seconds(1);
     const PartCarrier request = gateway.request({kDeadly});
-    if (!gateway.parts.isTrialDue(request, gateway.now)) {
+    if (!gateway.parts.isTrialDue(request, true, gateway.now)) {
       CHECK(gateway.parts.verdictOn(request, gateway.now) == CrashVerdict::kReject);
       continue;
     }
@@ -158,7 +158,7 @@
   for (int second = 0; second < 600; ++second) {
     gateway.now += absl::Seconds(1);
     const PartCarrier request = gateway.request({kRoot});
-    if (gateway.parts.isTrialDue(request, gateway.now)) {
+    if (gateway.parts.isTrialDue(request, true, gateway.now)) {
       gateway.parts.takeTrial(request, gateway.now);
       gateway.parts.noteSent(request);
       ++trials;
--- a/tests/forwarding/prompt_part_key_test.cc
+++ b/tests/forwarding/prompt_part_key_test.cc
@@ -18,6 +18,7 @@
 
 TEST_CASE("a prompt has a bounded number of shared parts") {
   std::vector<PromptPart> prompt;
+  prompt.reserve(100);
   for (int part = 0; part < 100; ++part) {
     prompt.push_back({std::to_string(part), 1});
   }
--- a/tests/gateway/new_connections_test.cc
+++ b/tests/gateway/new_connections_test.cc
@@ -1,5 +1,5 @@
-// Guards against callers that find no gateway to serve them while a load balancer hands most new connections to
-// one gateway, and callers open new ones more often.
+// Guards against callers that find no gateway to serve them while a load balancer hands most new connections
+// to one gateway, and callers open new ones more often.
 #include <algorithm>
 #include <array>
 #include <atomic>
@@ -24,7 +24,8 @@
       site.addServer(absl::StrCat("i-", index), [](const Seen& seen) {
         const std::string* const id = findField(seen.head.fields, "Quincewick-Attempt-Id");
         return Script{answerOf(
-            200, {{"Quincewick-Response-Signature", "s"}, {"Quincewick-Attempt-Id", id == nullptr ? "" : *id}},
+            200,
+            {{"Quincewick-Response-Signature", "s"}, {"Quincewick-Attempt-Id", id == nullptr ? "" : *id}},
             "id: 1\ndata: served\n\n")};
       });
     }
@@ -34,13 +35,14 @@
   }
 };
 
-// Sends requests of all kinds from many callers, each on a new connection. Returns the share that is served at
-// the first attempt.
+// Sends requests of all kinds from many callers, each on a new connection. Returns the share that is served
+// at the first attempt.
 template <class Choose>
 double servedShare(const Choose& choose) {
   const std::array<const char*, 4> targets = {"/safe/a", "/once/a", "/resumed/a", "/stream/a"};
   std::atomic<int> served = 0;
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   for (int caller = 0; caller < kCallers; ++caller) {
     callers.emplace_back([&, caller] {
       for (int number = 0; number < kRequestsPerCaller; ++number) {
--- a/tests/gateway/part_message_test.cc
+++ b/tests/gateway/part_message_test.cc
@@ -15,7 +15,8 @@
   message.crashes.push_back({1, 2, {PartCarrier{3, {PartKey(4), PartKey(5)}}}, absl::Milliseconds(250)});
   message.accused.push_back({{PartKey(6)}, absl::Seconds(3)});
   message.served.push_back({PartKey(7), absl::Seconds(4)});
-  message.quarantined.push_back({{PartKey(8), PartKey(9)}, 2, absl::Seconds(6), absl::Seconds(5), 1, true});
+  message.quarantined.push_back(
+      {{PartKey(8), PartKey(9)}, 2, absl::Seconds(6), absl::Seconds(5), {1, 7}, true});
   const std::string bytes = encodePartMessage(message);
   const auto read = decodePartMessage(bytes);
   REQUIRE(read.has_value());
