Ignore accusations without parts

A message of a peer with an accusation of no parts would have held every request for 300 ms: each request holds all of none. Found by reading.

--- a/src/forwarding/part_quarantine.cc
+++ b/src/forwarding/part_quarantine.cc
@@ -155,7 +155,8 @@
 }
 
 void PartQuarantine::noteAccused(const AccusedParts& accused, absl::Time now) {
-  if (objectionsTo(accused, now).empty() && accusations_.size() < kMaxAccusations) {
+  const bool is_valid = !accused.parts.empty() && accusations_.size() < kMaxAccusations;
+  if (is_valid && objectionsTo(accused, now).empty()) {
     accusations_.push_back({std::nullopt, accused, now});
   }
 }
--- a/src/forwarding/part_quarantine.h
+++ b/src/forwarding/part_quarantine.h
@@ -112,10 +112,11 @@
 
   // The site's requirements allow a part five crashes.
   static constexpr size_t kCrashesToQuarantine = 4;
-  // A part with this many crashes is quarantined if nothing else explains two of them: several causes may
-  // have been in flight at the others.
+  // A part with so many crashes is quarantined if nothing else explains kUnexplainedAmongSeveralCauses of
+  // them: several causes may have been in flight at the others.
   static constexpr size_t kCrashesAmongSeveralCauses = 6;
   static constexpr size_t kUnexplainedAmongSeveralCauses = 2;
+  // A request with such a part waits for the outcome of its last attempt.
   static constexpr size_t kCrashesOfSuspect = 2;
   // Crashes closer together than this are more likely those of a rack.
   static constexpr absl::Duration kMinCrashSpan = absl::Milliseconds(500);
--- a/tests/forwarding/part_quarantine_site_test.cc
+++ b/tests/forwarding/part_quarantine_site_test.cc
@@ -70,9 +70,6 @@
 
   // The number of gateways and servers stays.
   void setLoad(const Load& load) { load_ = load; }
-  // Counts sound requests from now on.
-  void restartCounts() { sound_ = sound_at_once_ = 0; }
-
   size_t maxFurtherSends() const {
     size_t most = 0;
     for (const auto& [part, deadly] : deadly_) {
@@ -80,8 +77,9 @@
     }
     return most;
   }
-  // Of the sound requests with the first part of deadly ones that came while no gateway had been restarted or
-  // cut off lately, from twice the contact time after the last part's fifth crash on.
+  // Of the sound requests with the first part of deadly ones, at gateways that weren't restarted or cut off
+  // lately, from twice the contact time after the last part's fifth crash on: the share that was sent at
+  // once.
   double soundShare() const {
     return sound_ < kLeastSoundRequests ? 1
                                         : static_cast<double>(sound_at_once_) / static_cast<double>(sound_);
--- a/tests/forwarding/part_quarantine_test.cc
+++ b/tests/forwarding/part_quarantine_test.cc
@@ -169,6 +169,13 @@
   CHECK(gateway.verdictOn({kRoot}) == CrashVerdict::kSend);
 }
 
+TEST_CASE("an accusation without parts holds no request, and a quarantine without parts rejects none") {
+  Gateway gateway;
+  gateway.parts.noteAccused({}, gateway.now);
+  gateway.parts.noteQuarantined({}, gateway.now);
+  CHECK(gateway.verdictOn({kRoot}) == CrashVerdict::kSend);
+}
+
 TEST_CASE("what callers send is bounded in memory") {
   Gateway gateway;
   for (uint64_t crash = 0; crash < 3000; ++crash) {
