--- a/tests/gateway/software_versions_test.cc
+++ b/tests/gateway/software_versions_test.cc
@@ -85,7 +85,7 @@
     fields.push_back({"Last-Event-Id", absl::StrCat(stream.last_event)});
     fields.push_back({"Resumes", stream.first_attempt});
   }
-  const std::string answer = gateway.ask(printRequestHead("POST", "/resumed/a", fields) + body);
+  std::string answer = gateway.ask(printRequestHead("POST", "/resumed/a", fields) + body);
   for (size_t place = answer.find("id: "); place != std::string::npos;
        place = answer.find("id: ", place + 1)) {
     const int event = std::stoi(answer.substr(place + 4));
