Log and count rows of responses that are not applied

Nothing told whether a gateway had passed over a row that a read brought, nor with which version of the store a configuration came. New: lines rows_passed_over (table, source, version, known version, when the read began) and configuration_passed_over, fields row_version and era of the line configuration, and the counter quincewick_rows_passed_over_total.

--- a/src/forwarding/row_cache.cc
+++ b/src/forwarding/row_cache.cc
@@ -15,7 +15,7 @@
   TableUpdate effect;
   effect.is_whole = update.is_whole && !hasSnapshot();
   const uint64_t changed = update.version > served_version_ ? update.version : served_version_ + 1;
-  applyRows(update, changed, effect.rows);
+  applyRows(update, changed, effect);
   served_version_ = std::max({served_version_, update.version, last_change_});
   if (effect.is_whole) {
     forgotten_version_ = served_version_;  // earlier deletions are unknown
@@ -29,22 +29,35 @@
   return effect;
 }
 
-void RowCache::applyRows(const TableUpdate& update, uint64_t changed, std::vector<StoreRow>& effect) {
+void RowCache::applyRows(const TableUpdate& update, uint64_t changed, TableUpdate& effect) {
   if (update.is_whole) {
     for (StoreRow& missing : missingFrom(update)) {
       if (drop(missing, changed)) {
-        effect.push_back(std::move(missing));
+        effect.rows.push_back(std::move(missing));
       }
     }
   }
   for (const StoreRow& row : update.rows) {
+    if (const auto known_version = laterVersionOf(row)) {
+      effect.passed_over.push_back({row.key, row.version, *known_version});
+    }
     const bool has_effect = row.is_gone ? drop(row, changed) : put(row, changed);
     if (has_effect) {
-      effect.push_back(row);
+      effect.rows.push_back(row);
     }
   }
 }
 
+std::optional<uint64_t> RowCache::laterVersionOf(const StoreRow& row) const {
+  uint64_t known_version = 0;
+  if (const auto known = rows_.find(row.key); known != rows_.end()) {
+    known_version = known->second.row.version;
+  } else if (const auto deleted = deleted_versions_.find(row.key); deleted != deleted_versions_.end()) {
+    known_version = deleted->second;
+  }
+  return known_version > row.version ? std::optional(known_version) : std::nullopt;
+}
+
 // Known rows that are absent from the snapshot and were written before its read began: they were deleted.
 // Rows written later may have been inserted into pages that had already been read.
 std::vector<StoreRow> RowCache::missingFrom(const TableUpdate& snapshot) const {
--- a/src/forwarding/row_cache.h
+++ b/src/forwarding/row_cache.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,13 @@
 
 namespace quincewick::forwarding {
 
+// A row of a response that wasn't applied because the known row, or its deletion, has a later version.
+struct PassedOverRow {
+  std::string key;
+  uint64_t version = 0;
+  uint64_t known_version = 0;
+};
+
 // The content of one response about a table, from the store or a peer.
 struct TableUpdate {
   std::vector<StoreRow> rows;
@@ -30,6 +38,8 @@
   // When the request was sent whose response included all changes up to `version`: the rows are at least as
   // recent as this. InfinitePast if unknown.
   absl::Time as_of = absl::InfinitePast();
+  // Of an effect: rows of the response that were not applied.
+  std::vector<PassedOverRow> passed_over = {};
 };
 
 class RowCache {
@@ -73,8 +83,10 @@
     uint64_t deleted_version = 0;  // the store's version at the deletion
   };
 
-  void applyRows(const TableUpdate& update, uint64_t changed, std::vector<StoreRow>& effect);
+  void applyRows(const TableUpdate& update, uint64_t changed, TableUpdate& effect);
   std::vector<StoreRow> missingFrom(const TableUpdate& snapshot) const;
+  // The version of the known row, or of its deletion, if it is later than the row's; otherwise nothing.
+  std::optional<uint64_t> laterVersionOf(const StoreRow& row) const;
   // Both return whether anything changed.
   bool put(const StoreRow& row, uint64_t changed);
   bool drop(const StoreRow& gone, uint64_t changed);
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -85,6 +85,9 @@
       rows_refused_(
           counters(registry_, "quincewick_rows_refused_total",
                    "Rows of the store that can't be used, by table; a row counts again for another reason.")),
+      rows_passed_over_(counters(
+          registry_, "quincewick_rows_passed_over_total",
+          "Rows in responses that weren't applied because the known ones have later versions, by table.")),
       back_pressure_(counters(registry_, "quincewick_back_pressure_total",
                               "Answers in which a server's demands on its callers changed.")),
       rate_decisions_(counters(registry_, "quincewick_server_rate_decisions_total",
@@ -166,6 +169,10 @@
   rows_refused_.Add({{"table", std::string(table)}}).Increment();
 }
 
+void GatewayMetrics::countPassedOverRows(std::string_view table, size_t rows) {
+  rows_passed_over_.Add({{"table", std::string(table)}}).Increment(static_cast<double>(rows));
+}
+
 void GatewayMetrics::countBackPressure(std::string_view change) {
   back_pressure_.Add({{"what", std::string(change)}}).Increment();
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -59,6 +59,8 @@
   void countUnreportedCrash() { crashes_unreported_->Increment(); }
   // A row of the store can't be used.
   void countRefusedRow(std::string_view table);
+  // Rows of a response that weren't applied because the known ones have later versions.
+  void countPassedOverRows(std::string_view table, size_t rows);
   void countPromptTokens(uint64_t cached, uint64_t fetched, uint64_t prefilled);
   void observeFirstPiece(absl::Duration time) { first_piece_seconds_->Observe(absl::ToDoubleSeconds(time)); }
   // Difference between a first piece's predicted and actual time.
@@ -96,6 +98,7 @@
   prometheus::Family<prometheus::Counter>& prompt_tokens_;
   prometheus::Family<prometheus::Counter>& confirmations_;
   prometheus::Family<prometheus::Counter>& rows_refused_;
+  prometheus::Family<prometheus::Counter>& rows_passed_over_;
   prometheus::Family<prometheus::Counter>& back_pressure_;
   prometheus::Family<prometheus::Counter>& rate_decisions_;
   prometheus::Family<prometheus::Counter>& permit_decisions_;
--- a/src/gateway/site_follower.cc
+++ b/src/gateway/site_follower.cc
@@ -299,6 +299,7 @@
 
 void SiteFollower::applyUpdate(Table& table, const TableUpdate& update, bool from_store) {
   const TableUpdate effect = table.cache.take(update);
+  notePassedOver(table, update, effect, from_store || !role_.follows ? "store" : role_.follows->value());
   if (&table == &operator_rows_) {
     applyOperatorRows(effect, from_store);
   } else if (&table == &servers_) {
@@ -311,6 +312,25 @@
   }
 }
 
+// One line a response: a snapshot of a large table may have many such rows.
+void SiteFollower::notePassedOver(const Table& table, const TableUpdate& update, const TableUpdate& effect,
+                                  const std::string& source) {
+  if (effect.passed_over.empty()) {
+    return;
+  }
+  core_.metrics.countPassedOverRows(table.name, effect.passed_over.size());
+  const absl::Time now = reactor::steadyNow();
+  const forwarding::PassedOverRow& first = effect.passed_over.front();
+  core_.log.event("rows_passed_over", now)
+      .with("table", table.name)
+      .with("from", source)
+      .with("rows", static_cast<int64_t>(effect.passed_over.size()))
+      .with("first", first.key)
+      .with("version", static_cast<int64_t>(first.version))
+      .with("known_version", static_cast<int64_t>(first.known_version))
+      .with("read_began_ms_ago", now - update.as_of);
+}
+
 void SiteFollower::applyRollouts(const TableUpdate& update) {
   core_.rollouts->handleRecords(update);
   rollout_rows_.from_store.setWait(core_.rollouts->isAnyRunning() ? kRunningRolloutsWait : kRolloutsWait);
@@ -376,6 +396,10 @@
   const bool is_older =
       in_force.configuration != nullptr && read.value().version() < in_force.configuration->version();
   if (is_older) {
+    core_.log.event("configuration_passed_over", now)
+        .with("version", static_cast<int64_t>(read.value().version().value()))
+        .with("in_force", static_cast<int64_t>(in_force.configuration->version().value()))
+        .with("row_version", static_cast<int64_t>(row.version));
     return;
   }
   configuration_row_ = row.version;
@@ -385,6 +409,8 @@
   in_force.configuration = std::make_shared<const forwarding::SiteConfiguration>(std::move(read.value()));
   line.with("version", static_cast<int64_t>(in_force.configuration->version().value()))
       .with("routes", static_cast<int64_t>(in_force.configuration->routes().size()))
+      .with("row_version", static_cast<int64_t>(row.version))
+      .with("era", static_cast<int64_t>(core_.store_history.era().value_or(0)))
       .with("from", from_store      ? "store"
                     : role_.follows ? role_.follows->value()
                                     : "");
--- a/src/gateway/site_follower.h
+++ b/src/gateway/site_follower.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "forwarding/reader_election.h"
@@ -51,6 +52,9 @@
   void handleReaderFailure(const NodeId& reader);
   void retryRolloutsLater(const NodeId& reader);
   void applyRollouts(const forwarding::TableUpdate& update);
+  // Logs and counts rows of a response that weren't applied. `source`: "store", or the peer that sent them.
+  void notePassedOver(const Table& table, const forwarding::TableUpdate& update,
+                      const forwarding::TableUpdate& effect, const std::string& source);
   void checkReaderStaleness(absl::Time now);
   void checkIsolation(absl::Time now);
 
