--- a/tests/gateway/stand_in_site.h
+++ b/tests/gateway/stand_in_site.h
@@ -142,6 +142,46 @@
     rows_[table][key] = {value, ++version_};
   }
 
+  void removeRow(const std::string& table, const std::string& key) {
+    const std::lock_guard lock(mutex_);
+    rows_[table].erase(key);
+    ++version_;
+  }
+
+  // Writes that concern none of the site's rows.
+  void writeElsewhere(uint64_t transactions) {
+    const std::lock_guard lock(mutex_);
+    version_ += transactions;
+  }
+
+  // Whether the store sends its era, which rises with each restore.
+  void sendEra(bool sends_era) {
+    const std::lock_guard lock(mutex_);
+    sends_era_ = sends_era;
+  }
+
+  // The store's rows and version, as a copy that it can be restored from.
+  void saveCopy() {
+    const std::lock_guard lock(mutex_);
+    copy_ = {rows_, version_};
+  }
+
+  // Restores the store from the copy, which is empty if none was saved: later writes are lost and their
+  // versions assigned again.
+  void restoreCopy() {
+    const std::lock_guard lock(mutex_);
+    rows_ = copy_.rows;
+    version_ = copy_.version;
+    ++era_;
+  }
+
+  // Snapshot reads of the table that the store has responded to.
+  size_t snapshotReads(const std::string& table) const {
+    const std::lock_guard lock(mutex_);
+    const auto found = snapshot_reads_.find(table);
+    return found == snapshot_reads_.end() ? 0 : found->second;
+  }
+
   bool hasRows(const std::string& table) const {
     const std::lock_guard lock(mutex_);
     const auto found = rows_.find(table);
@@ -207,6 +247,11 @@
     std::string value;
     uint64_t version = 0;
   };
+  using Tables = std::map<std::string, std::map<std::string, Row>>;
+  struct Copy {
+    Tables rows;
+    uint64_t version = 1;
+  };
 
   bool refusesSecond() const {
     const std::lock_guard lock(mutex_);
@@ -245,7 +290,7 @@
       const auto row = table.find(condition["key"]);
       const uint64_t version = row == table.end() ? 0 : row->second.version;
       if (version != condition["ver"]) {
-        return {answerOf(412, {}, R"({"rows":[],"ver":1,"now_ms":1000})"), false, false, false};
+        return {answerOf(412, storeFields(), R"({"rows":[],"ver":1,"now_ms":1000})"), false, false, false};
       }
     }
     ++version_;
@@ -254,8 +299,12 @@
       absl::Base64Unescape(put["value"].get<std::string>(), &value);
       rows_[put["table"]][put["key"]] = {value, version_};
     }
-    return {answerOf(200, {}, absl::StrCat(R"({"ver":)", version_, R"(,"now_ms":1000})")), false, false,
-            false};
+    return {answerOf(200, storeFields(), absl::StrCat(R"({"ver":)", version_, R"(,"now_ms":1000})")), false,
+            false, false};
+  }
+
+  HeaderFields storeFields() const {
+    return sends_era_ ? HeaderFields{{"Store-Era", absl::StrCat(era_)}} : HeaderFields{};
   }
 
   std::string valueFor(const std::string& table, const std::string& value, bool is_second) const {
@@ -291,7 +340,10 @@
     if (head.target.starts_with("/v1/rows-feed")) {
       return {answerOf(503, {}, ""), false, false, false};  // changes are seen by complete reads only
     }
-    return {answerOf(200, {},
+    if (parameter(head.target, "from").empty()) {
+      ++snapshot_reads_[parameter(head.target, "table")];
+    }
+    return {answerOf(200, storeFields(),
                      absl::StrCat(R"({"rows":[)", rows, R"(],"more":)", has_more ? "true" : "false",
                                   R"(,"ver":)", version_, R"(,"now_ms":1000})")),
             false, false, false};
@@ -300,8 +352,12 @@
   boost::asio::io_context reactor_;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
   mutable std::mutex mutex_;
-  std::map<std::string, std::map<std::string, Row>> rows_;
+  Tables rows_;
   uint64_t version_ = 0;
+  Copy copy_;
+  uint64_t era_ = 1;
+  bool sends_era_ = false;
+  std::map<std::string, size_t> snapshot_reads_;  // by table
   bool refuses_second_ = false;
   std::optional<Address> second_server_address_;
   std::vector<Seen> seen_;
