Order rows by the time of reading, and renew no age by a response whose content was not taken

Callers got 404 for routes that had been added and acknowledged, requests ran under removed keys, and proper requests were rejected, at gateways of several zones whose configuration looked a second old.

Cause: copies of the store's tables ordered rows by the store's version alone, at the reader, at followers and for the configuration. A store that is restored from an older copy assigns versions again, so what was written after the restore was passed over, and the read that brought it still renewed the copy's age. Class: a belief is renewed by evidence that was thrown away.

Why it works: reads are linearizable, so the time of reading orders any two contents, also where nobody noticed the restore.

--- a/src/forwarding/server_directory.cc
+++ b/src/forwarding/server_directory.cc
@@ -176,6 +176,9 @@
   }
   const ServerPointer server = found->second;
   server->is_listed = false;
+  if (server->entry.is_draining) {
+    server->back_pressure->noteLeaving();  // also if a restored store lists the incarnation as ready again
+  }
   keepBackPressure(*server);
   servers_.erase(found);
   by_hash_.erase(server->identity_hash);
--- a/src/forwarding/store_history.cc
+++ b/src/forwarding/store_history.cc
@@ -11,6 +11,7 @@
     }
     era_ = observation.era;
     reset(observation);
+    restores_ += is_first ? 0 : 1;
     return is_first ? StoreContinuity::kContinuous : StoreContinuity::kReverted;
   }
   if (may_be_earlier) {
@@ -18,6 +19,7 @@
   }
   if (!era_ && observation.version < version_ && observation.began >= version_known_) {
     reset(observation);
+    ++restores_;
     return StoreContinuity::kReverted;
   }
   if (observation.version > version_) {
@@ -27,6 +29,12 @@
   return StoreContinuity::kContinuous;
 }
 
+void StoreHistory::noteContradiction(absl::Time now) {
+  continuous_since_ = now;
+  ++generation_;
+  ++restores_;
+}
+
 void StoreHistory::reset(const StoreObservation& observation) {
   version_ = observation.version;
   version_known_ = observation.ended;
--- a/src/forwarding/store_history.h
+++ b/src/forwarding/store_history.h
@@ -31,10 +31,17 @@
   // Responses may arrive in another order than the store sent them.
   StoreContinuity note(const StoreObservation& observation);
 
+  // Something else showed that the store lost acknowledged writes: a later read contradicts an earlier one,
+  // or a peer noticed it.
+  void noteContradiction(absl::Time now);
+
   std::optional<uint64_t> era() const { return era_; }
   uint64_t version() const { return version_; }
   // Rises each time acknowledged writes may have been lost, and when the store first reports an era.
   uint64_t generation() const { return generation_; }
+  // How often acknowledged writes may have been lost. A response to a request that was sent before the last
+  // time may be of the store before that.
+  uint64_t restores() const { return restores_; }
   // As far as is known, no write that was acknowledged after this time has been lost. If the store reports an
   // era, when that era was first seen; otherwise when the store was last seen to be reverted, InfinitePast if
   // never.
@@ -48,6 +55,7 @@
   absl::Time version_known_ = absl::InfinitePast();
   absl::Time continuous_since_ = absl::InfinitePast();
   uint64_t generation_ = 0;
+  uint64_t restores_ = 0;
 };
 
 }  // namespace quincewick::forwarding
--- a/src/gateway/peer_directory.cc
+++ b/src/gateway/peer_directory.cc
@@ -28,6 +28,8 @@
 // A starting gateway contacts all peers whose rows it finds, so rereading the rows only covers lost
 // datagrams.
 constexpr absl::Duration kRowsInterval = absl::Minutes(2);
+// All gateways reread the rows after a restore of the store.
+constexpr absl::Duration kRestoreSpread = absl::Seconds(3);
 
 std::string newSecret() {
   std::string secret(peer::kMinimumSecretSize, '\0');
@@ -82,7 +84,15 @@
 }
 
 void PeerDirectory::readRowsLater(absl::Duration after) {
-  core_.timers.schedule(reactor::steadyNow() + after, [this] { readRows(); });
+  core_.timers.cancel(reread_);
+  reread_ = core_.timers.schedule(reactor::steadyNow() + after, [this] { readRows(); });
+}
+
+// Until the first read is done, another one follows anyway.
+void PeerDirectory::rereadAfterRestore() {
+  if (is_complete_) {
+    readRowsLater(kRestoreSpread * absl::Uniform(core_.random, 0.0, 1.0));
+  }
 }
 
 // Exponential backoff with jitter, so that gateways refused at the same time don't retry together.
@@ -146,7 +156,7 @@
   forwarding::StoreRow row;
   row.table = kTable;
   row.key = kKeyRow;
-  row.value = newSecret();
+  row.value = secret_.empty() ? newSecret() : secret_;
   store_.write(row, 0,
                [this](StoreStatus status, const forwarding::StoreRows& /*rows*/) { readAfterWrite(status); });
 }
@@ -181,6 +191,7 @@
     core_.log.event("peers_unheard", reactor::steadyNow()).with("why", ring.error().message);
     return;
   }
+  secret_ = secret;
   // The store's clock is monotonic, unlike a machine's wall clock.
   const Incarnation incarnation(static_cast<uint64_t>(absl::ToInt64Milliseconds(store_clock)));
   authenticator_ =
--- a/src/gateway/peer_directory.h
+++ b/src/gateway/peer_directory.h
@@ -40,6 +40,10 @@
   // known.
   void start(std::function<void()> ready);
 
+  // The store lost acknowledged writes: reads the rows again within some seconds, and writes again what is
+  // missing of the own row and the key.
+  void rereadAfterRestore();
+
   // Null until the key is known.
   peer::Authenticator* authenticator() const { return authenticator_.get(); }
   absl::btree_map<NodeId, Peer>& peers() { return peers_; }
@@ -65,8 +69,10 @@
   StoreClient store_;
   SnapshotReader reader_;
   std::function<void()> ready_;
-  absl::Duration retry_delay_;  // until the next call after a failed one
-  bool had_conflict_ = false;   // the last write met a row that the previous read did not show
+  std::string secret_;               // the key; empty until it is known
+  reactor::TimerQueue::Key reread_;  // of the next read of the rows
+  absl::Duration retry_delay_;       // until the next call after a failed one
+  bool had_conflict_ = false;        // the last write met a row that the previous read did not show
   std::unique_ptr<peer::Authenticator> authenticator_;
   absl::btree_map<NodeId, Peer> peers_;
   RefusedRows refused_rows_;
--- a/src/gateway/relay_follower.cc
+++ b/src/gateway/relay_follower.cc
@@ -10,6 +10,8 @@
 constexpr absl::Duration kResponseTimeout = absl::Milliseconds(700);  // in addition to the wait
 // The same for a snapshot, which a whole zone may be requesting at once.
 constexpr absl::Duration kSnapshotTimeout = absl::Seconds(4);
+// Between snapshots that are requested because the copies differ.
+constexpr absl::Duration kMinSnapshotInterval = absl::Milliseconds(500);
 constexpr int kOk = 200;
 
 }  // namespace
@@ -19,6 +21,7 @@
   peer_ = peer;
   after_ = after;
   update_count_ = 0;
+  peer_restores_.reset();
   caller_ = std::make_unique<reactor::HttpClient>(core_.reactor, core_.timers, address);
   sendRequest();
 }
@@ -43,7 +46,7 @@
   const RelayRequest request{table_, after_, update_count_, wait_};
   auto sealed = authenticator->seal(peer::Channel::kRequest, peer_, peer::PeerModule::kRouting,
                                     encodeRelayRequest(request));
-  HttpCall call{"POST", kPackedPath, {}, std::move(sealed.bytes)};
+  HttpCall call{"POST", kPackedPath, {{kCopyStateField, "1"}}, std::move(sealed.bytes)};
   caller_->call(std::move(call), wait_ + (after_ == 0 ? kSnapshotTimeout : kResponseTimeout),
                 [this, now, generation = generation_,
                  sequence = sealed.sequence](const Result<reactor::HttpResponse>& reply) {
@@ -69,7 +72,7 @@
     failPeer();
     return;
   }
-  after_ = std::max(after_, response.value().version);
+  after_ = response.value().version;
   update_count_ = response.value().update_count;
   forwarding::TableUpdate update;
   update.rows = std::move(response.value().rows);
@@ -80,10 +83,29 @@
   update.confirmed = created_at - response.value().confirmed_ago;
   update.as_of = created_at - response.value().as_of_ago;
   const uint64_t generation = generation_;
-  on_update_(update);
-  if (generation == generation_) {
-    sendRequest();
+  if (response.value().copy) {
+    update.digest = response.value().copy->digest;
+    noteRestores(response.value().copy->restores);
   }
+  const bool needs_snapshot = on_update_(update);
+  if (generation != generation_) {
+    return;
+  }
+  const absl::Time now = reactor::steadyNow();
+  if (needs_snapshot && now - snapshot_requested_ >= kMinSnapshotInterval) {
+    snapshot_requested_ = now;
+    after_ = 0;
+  }
+  sendRequest();
+}
+
+void RelayFollower::noteRestores(uint64_t restores) {
+  const bool is_new = peer_restores_ && *peer_restores_ != restores;
+  if (is_new && own_restores_ == core_.store_history.restores()) {
+    on_restore_();
+  }
+  peer_restores_ = restores;
+  own_restores_ = core_.store_history.restores();
 }
 
 void RelayFollower::failPeer() {
--- a/src/gateway/relay_messages.cc
+++ b/src/gateway/relay_messages.cc
@@ -30,6 +30,7 @@
 constexpr uint32_t kMaxPackedBytes = 4U << 20;
 // Distinct from the first byte of a plain archive, which is its byte order, 0 or 1.
 constexpr char kPackedMark = 'P';
+constexpr char kCopyStateMark = 'S';  // packed, with the copy's state
 
 }  // namespace
 
@@ -52,6 +53,21 @@
   archiveText(archive, response.packed, kMaxPackedBytes);
 }
 
+template <class Archive>
+void serialize(Archive& archive, CopyState& copy) {
+  archive(copy.digest, copy.restores);
+}
+
+struct CopyStateResponse {
+  PackedRelayResponse packed;
+  CopyState copy;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(packed, copy);
+  }
+};
+
 // Rows as a separate archive.
 struct RowList {
   std::vector<forwarding::StoreRow> rows;
@@ -72,17 +88,29 @@
 }
 
 std::string encodePackedResponse(const PackedRelayResponse& response) {
+  if (response.response.copy) {
+    return kCopyStateMark + encodeArchive(CopyStateResponse{response, *response.response.copy});
+  }
   return kPackedMark + encodeArchive(response);
 }
 
+Result<RelayResponse> unpacked(PackedRelayResponse response) {
+  BOOST_OUTCOME_TRY(rows, unpackRows(response.packed));
+  response.response.rows = std::move(rows);
+  return std::move(response.response);
+}
+
 Result<RelayResponse> decodeAnyRelayResponse(std::string_view bytes) {
-  if (!bytes.starts_with(kPackedMark)) {
-    return decodeRelayResponse(bytes);
+  if (bytes.starts_with(kCopyStateMark)) {
+    BOOST_OUTCOME_TRY(with_state, decodeArchive<CopyStateResponse>(bytes.substr(1)));
+    with_state.packed.response.copy = with_state.copy;
+    return unpacked(std::move(with_state.packed));
+  }
+  if (bytes.starts_with(kPackedMark)) {
+    BOOST_OUTCOME_TRY(packed, decodeArchive<PackedRelayResponse>(bytes.substr(1)));
+    return unpacked(std::move(packed));
   }
-  BOOST_OUTCOME_TRY(packed, decodeArchive<PackedRelayResponse>(bytes.substr(1)));
-  BOOST_OUTCOME_TRY(rows, unpackRows(packed.packed));
-  packed.response.rows = std::move(rows);
-  return std::move(packed.response);
+  return decodeRelayResponse(bytes);
 }
 
 std::string encodeRelayRequest(const RelayRequest& request) {
--- a/src/gateway/relay_messages.h
+++ b/src/gateway/relay_messages.h
@@ -5,6 +5,7 @@
 #include <absl/time/time.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -25,6 +26,12 @@
   friend bool operator==(const RelayRequest&, const RelayRequest&) = default;
 };
 
+// The state of the reader's copy of the table.
+struct CopyState {
+  uint64_t digest = 0;    // RowCache::digest()
+  uint64_t restores = 0;  // of the store that the reader has noticed: StoreHistory::restores()
+};
+
 struct RelayResponse {
   std::vector<forwarding::StoreRow> rows;
   bool is_whole = false;
@@ -36,21 +43,26 @@
   absl::Duration as_of_ago;
   // Time from the receipt of the request until the response was created.
   absl::Duration held_for;
+  // Nothing in responses of earlier builds.
+  std::optional<CopyState> copy;
 };
 
 // A response with packed rows (packed_rows.h), for requests to kPackedPath. Gateways of an earlier build use
-// kPlainPath, and send plain responses to requests at either path.
+// kPlainPath, and send plain responses to requests at either path. Requests with kCopyStateField get the
+// copy's state as well, except from gateways of an earlier build.
 struct PackedRelayResponse {
   RelayResponse response;  // without rows
   std::string packed;
 };
 inline constexpr const char* kPlainPath = "/rows";
 inline constexpr const char* kPackedPath = "/packed-rows";
+inline constexpr const char* kCopyStateField = "Copy-State";
 
 std::string encodeRows(const std::vector<forwarding::StoreRow>& rows);
 Result<std::vector<forwarding::StoreRow>> decodeRows(std::string_view bytes);
 std::string encodePackedResponse(const PackedRelayResponse& response);
-// Decodes a packed or plain response from untrusted bytes. Errors: kInvalidArgument.
+// Decodes a packed or plain response, with or without the copy's state, from untrusted bytes. Errors:
+// kInvalidArgument.
 Result<RelayResponse> decodeAnyRelayResponse(std::string_view bytes);
 
 std::string encodeRelayRequest(const RelayRequest& request);
--- a/src/gateway/row_relay.cc
+++ b/src/gateway/row_relay.cc
@@ -58,6 +58,7 @@
   }
   PendingRequest pending{std::move(request.value()),
                          head.target == kPackedPath,
+                         findField(head.fields, kCopyStateField) != nullptr,
                          envelope.value().sender,
                          envelope.value().sequence,
                          reactor::steadyNow(),
@@ -138,7 +139,12 @@
 }
 
 std::string RowRelay::packedResponse(const PendingRequest& pending, absl::Time now) {
-  return encodePackedResponse({responseWithoutRows(pending, now), packedRowsFor(pending.request)});
+  RelayResponse response = responseWithoutRows(pending, now);
+  if (pending.wants_copy_state) {
+    const forwarding::RowCache& cache = *caches_.at(pending.request.table);
+    response.copy = CopyState{cache.digest(), core_.store_history.restores()};
+  }
+  return encodePackedResponse({std::move(response), packedRowsFor(pending.request)});
 }
 
 // All followers at the same version get the same rows, so these are looked up and packed once.
--- a/src/gateway/row_relay.h
+++ b/src/gateway/row_relay.h
@@ -40,6 +40,7 @@
   struct PendingRequest {
     RelayRequest request;
     bool wants_packed = false;
+    bool wants_copy_state = false;
     NodeId requester;
     Sequence sequence;  // of the sealed request
     absl::Time received_at;
--- a/src/gateway/site_follower.cc
+++ b/src/gateway/site_follower.cc
@@ -27,8 +27,10 @@
 // Upper limit of the interval between a reader's snapshots of the operator's rows.
 constexpr absl::Duration kMaxSnapshotInterval = absl::Seconds(1);
 // Readers assign versions slightly ahead of the store's to changes that they found late. A follower that
-// changes its reader therefore requests so many earlier versions again; a repeated change does no harm.
+// changes its reader requests so many earlier versions again, which saves a snapshot for a copy that differs.
 constexpr uint64_t kVersionOverlap = 16;
+// The platform guarantees that lost entries are back 2 s after a restore; the rest covers their propagation.
+constexpr absl::Duration kEntriesReturnTime = absl::Milliseconds(2500);
 
 // Weights versions are published rarely, and each reader records those that it sees.
 TableFollowerSettings weightsSettings() {
@@ -69,21 +71,16 @@
   return settings;
 }
 
-bool isSameVersion(const StoreRow& known, const StoreRow& written) {
-  return known.version == written.version;
-}
-
-// Servers rewrite their rows periodically as heartbeats.
-bool isEquivalent(const forwarding::Dialect& dialect, const StoreRow& known, const StoreRow& written) {
-  if (known.value == written.value) {
-    return true;
+const char* nameOf(forwarding::PassOverReason reason) {
+  switch (reason) {
+    case forwarding::PassOverReason::kEarlierVersion:
+      return "earlier_version";
+    case forwarding::PassOverReason::kLowerRank:
+      return "lower_number";
+    case forwarding::PassOverReason::kNotRenewed:
+      return "not_renewed";
   }
-  const auto before = dialect.readServer(known.key, known.value);
-  const auto after = dialect.readServer(written.key, written.value);
-  if (before.has_error() || after.has_error()) {
-    return before.has_error() && after.has_error() && before.error().message == after.error().message;
-  }
-  return before.value() == after.value();
+  return "unknown";
 }
 
 }  // namespace
@@ -98,39 +95,42 @@
       refused_rows_(core, core.dialect->tables().configuration),
       weights_record_(core),
       confirmer_(core, [this](const TableUpdate& update) { handleConfirmation(update); }),
+      parser_(*core.dialect),
       operator_rows_{
-          core.dialect->tables().configuration, forwarding::RowCache(isSameVersion),
+          core.dialect->tables().configuration,
+          forwarding::RowCache(operatorRowRules(*core.dialect, parser_)),
           TableFollower(core, operatorSettings(core),
                         [this](const TableUpdate& update) { handleStoreUpdate(operator_rows_, update); }),
           RelayFollower(
               core, peers, core.dialect->tables().configuration, kRelayWait,
-              [this](const TableUpdate& update) { handleRelayedConfiguration(update); },
+              [this](const TableUpdate& update) { return handleRelayedConfiguration(update); },
+              [this] { handlePeersRestore(); },
               [this](const NodeId& reader) { handleReaderFailure(reader); })},
-      servers_{core.dialect->tables().servers,
-               forwarding::RowCache([&core](const StoreRow& known, const StoreRow& written) {
-                 return isEquivalent(*core.dialect, known, written);
-               }),
+      servers_{core.dialect->tables().servers, forwarding::RowCache(serverRowRules(*core.dialect)),
                TableFollower(core, serverSettings(core),
                              [this](const TableUpdate& update) { handleStoreUpdate(servers_, update); }),
                RelayFollower(
                    core, peers, core.dialect->tables().servers, kRelayWait,
-                   [this](const TableUpdate& update) { applyUpdate(servers_, update, false); },
+                   [this](const TableUpdate& update) { return handleRelayedUpdate(servers_, update); },
+                   [this] { handlePeersRestore(); },
                    [this](const NodeId& reader) { handleReaderFailure(reader); })},
       weights_rows_{
-          WeightsRecord::kTable, forwarding::RowCache(isSameVersion),
+          WeightsRecord::kTable, forwarding::RowCache(versionedRowRules()),
           TableFollower(core, weightsSettings(),
                         [this](const TableUpdate& update) { handleStoreUpdate(weights_rows_, update); }),
           RelayFollower(
               core, peers, WeightsRecord::kTable, kRarelyChangedRelayWait,
-              [this](const TableUpdate& update) { applyUpdate(weights_rows_, update, false); },
+              [this](const TableUpdate& update) { return handleRelayedUpdate(weights_rows_, update); },
+              [this] { handlePeersRestore(); },
               [this](const NodeId& reader) { handleReaderFailure(reader); })},
       rollout_rows_{
-          RolloutExchange::kTable, forwarding::RowCache(isSameVersion),
+          RolloutExchange::kTable, forwarding::RowCache(versionedRowRules()),
           TableFollower(core, rolloutSettings(),
                         [this](const TableUpdate& update) { handleStoreUpdate(rollout_rows_, update); }),
           RelayFollower(
               core, peers, RolloutExchange::kTable, kRunningRolloutsWait,
-              [this](const TableUpdate& update) { applyUpdate(rollout_rows_, update, false); },
+              [this](const TableUpdate& update) { return handleRelayedUpdate(rollout_rows_, update); },
+              [this] { handlePeersRestore(); },
               [this](const NodeId& reader) { retryRolloutsLater(reader); })} {}
 
 std::vector<SiteFollower::Table*> SiteFollower::tables() {
@@ -176,6 +176,7 @@
 
 void SiteFollower::tick() {
   const absl::Time now = reactor::steadyNow();
+  checkRestores(now);
   list_.removeGone(now);
   if (knowsPeers()) {
     peers_known_since_ = std::min(peers_known_since_, now);
@@ -272,15 +273,61 @@
   relay_.setServing(role.reads);
 }
 
-void SiteFollower::handleStoreUpdate(Table& table, const TableUpdate& update) {
-  applyUpdate(table, update, true);
+// A table's follower may be running its callback: it is restarted from the reactor's next turn.
+void SiteFollower::checkRestores(absl::Time now) {
+  if (std::exchange(restores_, core_.store_history.restores()) == core_.store_history.restores()) {
+    return;
+  }
+  for (Table* const table : tables()) {
+    table->cache.noteRestore(now);
+  }
+  entries_return_until_ = now + kEntriesReturnTime;
+  peers_.rereadAfterRestore();
+  core_.timers.schedule(now, [this] {
+    for (Table* const table : tables()) {
+      rereadTable(*table);
+    }
+  });
+  core_.timers.schedule(entries_return_until_, [this] { rereadTable(servers_); });
+}
+
+void SiteFollower::rereadTable(Table& table) {
+  if (role_.reads) {
+    table.from_store.restart();
+  }
+}
+
+void SiteFollower::handlePeersRestore() {
+  core_.log.event("store_went_back", reactor::steadyNow()).with("noticed_by", role_.follows->value());
+  core_.metrics.countStoreWentBack();
+  core_.store_history.noteContradiction(reactor::steadyNow());
+}
+
+void SiteFollower::handleStoreUpdate(Table& table, TableUpdate update) {
+  const absl::Time now = reactor::steadyNow();
+  checkRestores(now);
+  update.keeps_missing = &table == &servers_ && now < entries_return_until_;
+  const forwarding::AppliedUpdate effect = applyUpdate(table, update, true);
+  if (effect.superseded > 0 && effect.last_superseded > core_.store_history.continuousSince()) {
+    core_.log.event("store_went_back", now).with("table", table.name);
+    core_.metrics.countStoreWentBack();
+    core_.store_history.noteContradiction(now);
+  }
   relay_.notifyFollowers(table.name);
   exchange_.updateReaderStatus();
 }
 
-void SiteFollower::handleRelayedConfiguration(const TableUpdate& update) {
+bool SiteFollower::handleRelayedUpdate(Table& table, const TableUpdate& update) {
+  return applyUpdate(table, update, false).needs_snapshot;
+}
+
+// A reader of an earlier build may confirm rows that it passed over.
+bool SiteFollower::handleRelayedConfiguration(TableUpdate update) {
   relayed_confirmed_ = std::max(relayed_confirmed_, update.confirmed);
-  applyUpdate(operator_rows_, update, false);
+  if (!update.digest) {
+    update.confirmed = absl::InfinitePast();
+  }
+  return handleRelayedUpdate(operator_rows_, update);
 }
 
 // A reader whose tables are down retries them at once, for its followers.
@@ -297,38 +344,53 @@
   }
 }
 
-void SiteFollower::applyUpdate(Table& table, const TableUpdate& update, bool from_store) {
-  const TableUpdate effect = table.cache.take(update);
-  notePassedOver(table, update, effect, from_store || !role_.follows ? "store" : role_.follows->value());
+forwarding::AppliedUpdate SiteFollower::applyUpdate(Table& table, const TableUpdate& update,
+                                                    bool from_store) {
+  const absl::Time now = reactor::steadyNow();
+  checkRestores(now);
+  forwarding::AppliedUpdate effect = table.cache.take(update, now);
+  noteContradictions(table, update, effect,
+                     update.digest && role_.follows ? role_.follows->value() : "store");
   if (&table == &operator_rows_) {
-    applyOperatorRows(effect, from_store);
+    applyOperatorRows(effect.changes, from_store);
   } else if (&table == &servers_) {
-    list_.applyUpdate(effect, reactor::steadyNow());
+    list_.applyUpdate(effect.changes, now);
   } else if (&table == &rollout_rows_) {
-    applyRollouts(effect);
+    applyRollouts(effect.changes);
   } else {
     weights_record_.applyUpdate(
         update);  // rows from before the store's clock was known are applied with a later update
   }
+  return effect;
 }
 
 // One line a response: a snapshot of a large table may have many such rows.
-void SiteFollower::notePassedOver(const Table& table, const TableUpdate& update, const TableUpdate& effect,
-                                  const std::string& source) {
-  if (effect.passed_over.empty()) {
-    return;
-  }
-  core_.metrics.countPassedOverRows(table.name, effect.passed_over.size());
+void SiteFollower::noteContradictions(const Table& table, const TableUpdate& update,
+                                      const forwarding::AppliedUpdate& effect, const std::string& source) {
   const absl::Time now = reactor::steadyNow();
-  const forwarding::PassedOverRow& first = effect.passed_over.front();
-  core_.log.event("rows_passed_over", now)
-      .with("table", table.name)
-      .with("from", source)
-      .with("rows", static_cast<int64_t>(effect.passed_over.size()))
-      .with("first", first.key)
-      .with("version", static_cast<int64_t>(first.version))
-      .with("known_version", static_cast<int64_t>(first.known_version))
-      .with("read_began_ms_ago", now - update.as_of);
+  if (!effect.passed_over.empty()) {
+    core_.metrics.countPassedOverRows(table.name, effect.passed_over.size());
+    const forwarding::PassedOverRow& first = effect.passed_over.front();
+    core_.log.event("rows_passed_over", now)
+        .with("table", table.name)
+        .with("from", source)
+        .with("rows", static_cast<int64_t>(effect.passed_over.size()))
+        .with("first", first.key)
+        .with("why", nameOf(first.reason))
+        .with("version", static_cast<int64_t>(first.version))
+        .with("known_version", static_cast<int64_t>(first.known_version))
+        .with("read_began_ms_ago", now - update.as_of);
+  }
+  if (effect.superseded > 0) {
+    core_.log.event("rows_superseded", now)
+        .with("table", table.name)
+        .with("from", source)
+        .with("rows", static_cast<int64_t>(effect.superseded))
+        .with("version", static_cast<int64_t>(update.version));
+  }
+  if (effect.needs_snapshot) {
+    core_.log.event("copy_differs", now).with("table", table.name).with("from", source);
+  }
 }
 
 void SiteFollower::applyRollouts(const TableUpdate& update) {
@@ -350,7 +412,7 @@
   }
   has_snapshot_ = has_snapshot_ || update.is_whole;
   if (core_.in_force.configuration != nullptr && !has_unreadable_row_) {
-    core_.in_force.confirmed = std::max(core_.in_force.confirmed, update.confirmed);
+    core_.in_force.confirmed = operator_rows_.cache.confirmed();
   }
 }
 
@@ -383,30 +445,20 @@
 
 void SiteFollower::applyConfiguration(const StoreRow& row, bool from_store) {
   ConfigurationInForce& in_force = core_.in_force;
-  if (row.is_gone || row.version <= configuration_row_) {
+  if (row.is_gone) {
     return;
   }
-  auto read = core_.dialect->readConfiguration(row.value);
+  const auto& parsed = parser_.parse(row.value);
   const absl::Time now = reactor::steadyNow();
-  has_unreadable_row_ = read.has_error();
-  if (read.has_error()) {
-    core_.log.event("configuration_refused", now).with("why", read.error().message);
-    return;
-  }
-  const bool is_older =
-      in_force.configuration != nullptr && read.value().version() < in_force.configuration->version();
-  if (is_older) {
-    core_.log.event("configuration_passed_over", now)
-        .with("version", static_cast<int64_t>(read.value().version().value()))
-        .with("in_force", static_cast<int64_t>(in_force.configuration->version().value()))
-        .with("row_version", static_cast<int64_t>(row.version));
+  has_unreadable_row_ = parsed.has_error();
+  if (parsed.has_error()) {
+    core_.log.event("configuration_refused", now).with("why", parsed.error().message);
     return;
   }
-  configuration_row_ = row.version;
   auto line = core_.log.event("configuration", now);
   line.with("was_confirmed_ms_ago",
             in_force.configuration == nullptr ? absl::ZeroDuration() : core_.configurationAge(now));
-  in_force.configuration = std::make_shared<const forwarding::SiteConfiguration>(std::move(read.value()));
+  in_force.configuration = parsed.value();
   line.with("version", static_cast<int64_t>(in_force.configuration->version().value()))
       .with("routes", static_cast<int64_t>(in_force.configuration->routes().size()))
       .with("row_version", static_cast<int64_t>(row.version))
--- a/src/gateway/site_follower.h
+++ b/src/gateway/site_follower.h
@@ -18,6 +18,7 @@
 #include "gateway/row_relay.h"
 #include "gateway/server_list.h"
 #include "gateway/table_follower.h"
+#include "gateway/table_rules.h"
 #include "gateway/weights_record.h"
 
 namespace quincewick::gateway {
@@ -52,16 +53,24 @@
   void handleReaderFailure(const NodeId& reader);
   void retryRolloutsLater(const NodeId& reader);
   void applyRollouts(const forwarding::TableUpdate& update);
-  // Logs and counts rows of a response that weren't applied. `source`: "store", or the peer that sent them.
-  void notePassedOver(const Table& table, const forwarding::TableUpdate& update,
-                      const forwarding::TableUpdate& effect, const std::string& source);
+  // Logs and counts rows of a response that weren't applied, and known rows that it replaced although their
+  // version is later. `source`: "store", or the peer that sent it.
+  void noteContradictions(const Table& table, const forwarding::TableUpdate& update,
+                          const forwarding::AppliedUpdate& effect, const std::string& source);
   void checkReaderStaleness(absl::Time now);
   void checkIsolation(absl::Time now);
 
-  void handleStoreUpdate(Table& table, const forwarding::TableUpdate& update);
-  void handleRelayedConfiguration(const forwarding::TableUpdate& update);
+  // Reacts to restores of the store that were noticed since the last call.
+  void checkRestores(absl::Time now);
+  void handlePeersRestore();
+  // Begins again with a snapshot, if this gateway is the zone reader.
+  void rereadTable(Table& table);
+  void handleStoreUpdate(Table& table, forwarding::TableUpdate update);
+  // Both return whether the copy needs a snapshot.
+  bool handleRelayedUpdate(Table& table, const forwarding::TableUpdate& update);
+  bool handleRelayedConfiguration(forwarding::TableUpdate update);
   void handleConfirmation(const forwarding::TableUpdate& update);
-  void applyUpdate(Table& table, const forwarding::TableUpdate& update, bool from_store);
+  forwarding::AppliedUpdate applyUpdate(Table& table, const forwarding::TableUpdate& update, bool from_store);
   void applyOperatorRows(const forwarding::TableUpdate& update, bool from_store);
   void applyWeights(const forwarding::StoreRow& row, bool from_store);
   void rereadWeightsRecord();
@@ -74,7 +83,9 @@
   forwarding::ReaderElection election_;
   forwarding::ReaderRole role_;
   absl::Time peers_known_since_ = absl::InfiniteFuture();
-  uint64_t configuration_row_ = 0;  // version of the row in force
+  uint64_t restores_ = 0;  // of the store that were reacted to
+  // Until then, servers whose entries a restore lost may write them again.
+  absl::Time entries_return_until_ = absl::InfinitePast();
   bool has_unreadable_row_ =
       false;                   // the newest configuration can't be parsed, so the old one isn't confirmed
   bool has_snapshot_ = false;  // weights published from now on are new
@@ -85,6 +96,7 @@
   RefusedRows refused_rows_;  // the operator's rows
   WeightsRecord weights_record_;
   ConfigurationConfirmer confirmer_;
+  ConfigurationParser parser_;
   Table operator_rows_;
   Table servers_;
   Table weights_rows_;
--- a/src/gateway/snapshot_reader.cc
+++ b/src/gateway/snapshot_reader.cc
@@ -22,8 +22,10 @@
                 if (generation != generation_) {
                   return;
                 }
-                if (status != StoreStatus::kDone) {
-                  done(status, {});
+                const uint64_t restores = core_.store_history.restores();
+                restores_ = is_first ? restores : restores_;
+                if (status != StoreStatus::kDone || restores != restores_) {
+                  done(status == StoreStatus::kDone ? StoreStatus::kUnknown : status, {});
                   return;
                 }
                 table.version = is_first ? response.version : table.version;
--- a/src/gateway/snapshot_reader.h
+++ b/src/gateway/snapshot_reader.h
@@ -22,10 +22,11 @@
 
 class SnapshotReader {
  public:
-  // `table` is complete if the status is kDone, otherwise empty.
+  // `table` is complete if the status is kDone, otherwise empty. kUnknown also if the store was restored
+  // between two pages.
   using Done = std::function<void(StoreStatus status, TableSnapshot table)>;
 
-  explicit SnapshotReader(Core& core) : store_(core) {}
+  explicit SnapshotReader(Core& core) : core_(core), store_(core) {}
 
   // `page_limit`: timeout of each page.
   void read(const std::string& table, Done done, absl::Duration page_limit = StoreClient::kCallLimit);
@@ -36,7 +37,9 @@
   void readPage(const std::string& name, const std::string& from, absl::Duration limit, TableSnapshot table,
                 Done done);
 
+  Core& core_;
   StoreClient store_;
+  uint64_t restores_ = 0;    // of the store, when the first page was read
   uint64_t generation_ = 0;  // incremented with each read and cancellation, to discard late responses
 };
 
--- a/src/gateway/store_client.cc
+++ b/src/gateway/store_client.cc
@@ -28,19 +28,19 @@
 }  // namespace
 
 void StoreClient::call(HttpCall call, absl::Duration time_limit, Done done) {
-  const absl::Time began = reactor::steadyNow();
+  const Sent sent{reactor::steadyNow(), core_.store_history.restores()};
   const bool is_wait = time_limit > kCallLimit;
   caller_.call(std::move(call), time_limit,
-               [this, began, is_wait, done = std::move(done)](const Result<reactor::HttpResponse>& reply) {
+               [this, sent, is_wait, done = std::move(done)](const Result<reactor::HttpResponse>& reply) {
                  if (!is_wait) {
-                   core_.metrics.observeStoreCall(reactor::steadyNow() - began);
+                   core_.metrics.observeStoreCall(reactor::steadyNow() - sent.at);
                  }
                  StoreStatus status = statusOf(reply);
                  forwarding::StoreRows rows;
                  if (status == StoreStatus::kDone || status == StoreStatus::kConflict) {
                    auto read = core_.dialect->readRowsResponse(reply.value().body);
                    const bool is_current =
-                       read.has_value() && noteStoreHistory(reply.value().head, read.value().version, began);
+                       read.has_value() && noteStoreHistory(reply.value().head, read.value().version, sent);
                    if (is_current) {
                      rows = std::move(read.value());
                      core_.store_clock_offset = rows.clock - (reactor::steadyNow() - absl::UnixEpoch());
@@ -52,7 +52,7 @@
                });
 }
 
-bool StoreClient::noteStoreHistory(const HttpHead& head, uint64_t version, absl::Time began) {
+bool StoreClient::noteStoreHistory(const HttpHead& head, uint64_t version, const Sent& sent) {
   const absl::Time now = reactor::steadyNow();
   const auto era = core_.dialect->readStoreEra(head);
   if (era.has_error()) {
@@ -60,15 +60,23 @@
   }
   const forwarding::StoreHistory before = core_.store_history;
   const std::optional<uint64_t> reported_era = era.has_value() ? era.value() : std::nullopt;
-  const forwarding::StoreContinuity finding = core_.store_history.note({version, reported_era, began, now});
-  if (finding == forwarding::StoreContinuity::kReverted) {
+  const forwarding::StoreContinuity finding = core_.store_history.note({version, reported_era, sent.at, now});
+  const bool shows_restore = finding == forwarding::StoreContinuity::kReverted;
+  if (shows_restore) {
     core_.metrics.countStoreWentBack();
     core_.log.event("store_went_back", now)
         .with("version", static_cast<int64_t>(version))
         .with("was", static_cast<int64_t>(before.version()))
         .with("era", static_cast<int64_t>(reported_era.value_or(0)));
   }
-  return finding != forwarding::StoreContinuity::kOutdated;
+  const bool may_be_earlier = sent.restores != before.restores();
+  if (finding == forwarding::StoreContinuity::kOutdated || (may_be_earlier && !shows_restore)) {
+    core_.log.event("store_response_outdated", now)
+        .with("version", static_cast<int64_t>(version))
+        .with("sent_ms_ago", now - sent.at);
+    return false;
+  }
+  return true;
 }
 
 void StoreClient::read(std::string_view table, std::string_view from, uint32_t limit,
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -48,9 +48,15 @@
 
  private:
   void call(HttpCall call, absl::Duration time_limit, Done done);
-  // Updates the store's history (era and version) from the response to a request sent at `began`. Returns
-  // whether the response is valid: one from a past era says nothing about the current store.
-  bool noteStoreHistory(const HttpHead& head, uint64_t version, absl::Time began);
+  // A call's request, as far as its response's validity depends on it.
+  struct Sent {
+    absl::Time at;
+    uint64_t restores = 0;  // StoreHistory::restores() then
+  };
+
+  // Updates the store's history (era and version) from a response. Returns whether the response is valid: one
+  // that may be of the store before a restore says nothing about the current store.
+  bool noteStoreHistory(const HttpHead& head, uint64_t version, const Sent& sent);
 
   Core& core_;
   reactor::HttpClient caller_;
--- a/src/gateway/table_follower.cc
+++ b/src/gateway/table_follower.cc
@@ -60,9 +60,15 @@
   if (std::exchange(is_down_, false)) {
     core_.log.event("store_regained", reactor::steadyNow()).with("table", settings_.table);
   }
-  version_ = std::max(version_, snapshot.version);
+  version_ = snapshot.version;  // lower than before if the store was restored
   const uint64_t generation = generation_;
-  on_update_({std::move(snapshot.rows), true, snapshot.version, began, began});
+  forwarding::TableUpdate update;
+  update.rows = std::move(snapshot.rows);
+  update.is_whole = true;
+  update.version = snapshot.version;
+  update.confirmed = began;
+  update.as_of = began;
+  on_update_(update);
   if (generation != generation_) {
     return;
   }
@@ -97,22 +103,28 @@
     return;
   }
   const absl::Time sent_at = reactor::steadyNow();
-  feed_store_->follow(
-      settings_.table, version_, settings_.pace.wait,
-      [this, generation = generation_, sent_at](StoreStatus status, const forwarding::StoreRows& response) {
-        if (generation != generation_) {
-          return;
-        }
-        if (status != StoreStatus::kDone) {
-          fallBackToSnapshot(status);
-          return;
-        }
-        version_ = std::max(version_, response.version);
-        on_update_({response.rows, false, response.version, absl::InfinitePast(), sent_at});
-        if (generation == generation_) {
-          followAfter(pace_.afterDelta());
-        }
-      });
+  feed_store_->follow(settings_.table, version_, settings_.pace.wait,
+                      [this, generation = generation_, sent_at, restores = core_.store_history.restores()](
+                          StoreStatus status, const forwarding::StoreRows& response) {
+                        if (generation != generation_) {
+                          return;
+                        }
+                        // A delta is relative to a version of the store before the restore.
+                        const bool is_restored = restores != core_.store_history.restores();
+                        if (status != StoreStatus::kDone || is_restored) {
+                          fallBackToSnapshot(is_restored ? StoreStatus::kHistoryGone : status);
+                          return;
+                        }
+                        version_ = std::max(version_, response.version);
+                        forwarding::TableUpdate update;
+                        update.rows = response.rows;
+                        update.version = response.version;
+                        update.as_of = sent_at;
+                        on_update_(update);
+                        if (generation == generation_) {
+                          followAfter(pace_.afterDelta());
+                        }
+                      });
 }
 
 }  // namespace quincewick::gateway
--- a/tests/forwarding/row_cache_test.cc
+++ b/tests/forwarding/row_cache_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <string>
 
@@ -24,9 +25,17 @@
 }
 
 RowCache makeCache() {
-  return RowCache([](const StoreRow& known, const StoreRow& written) {
-    return relevantPart(known.value) == relevantPart(written.value);
-  });
+  RowCacheRules rules;
+  rules.content = [](const StoreRow& row) {
+    return std::hash<std::string>()(row.key + "=" + relevantPart(row.value));
+  };
+  rules.rank = [](const StoreRow& /*row*/) { return std::nullopt; };
+  return RowCache(std::move(rules));
+}
+
+// The responses of these cases tell no time of reading: only versions order them.
+void take(RowCache& cache, const TableUpdate& update) {
+  cache.take(update, absl::UnixEpoch());
 }
 
 // A peer that applies the updates it receives.
@@ -55,7 +64,7 @@
     uint64_t version = 1;
     RowCache cache = makeCache();
     Follower peer;
-    cache.take({{}, true, version, absl::UnixEpoch()});
+    take(cache, {{}, true, version, absl::UnixEpoch()});
     for (int step = 0; step < 120; ++step) {
       const std::string key(1, static_cast<char>('a' + *rc::gen::inRange(0, 6)));
       std::vector<StoreRow> changed;
@@ -73,7 +82,7 @@
       }
       const bool is_received = *rc::gen::inRange(0, 4) > 0;
       if (is_received) {
-        cache.take({changed, false, version, absl::InfinitePast()});
+        take(cache, {changed, false, version, absl::InfinitePast()});
       }
       if (*rc::gen::inRange(0, 5) == 0) {
         std::vector<StoreRow> all;
@@ -81,7 +90,7 @@
         for (const auto& [name, kept] : store) {
           all.push_back(kept);
         }
-        cache.take({all, true, version, absl::UnixEpoch() + absl::Seconds(step)});
+        take(cache, {all, true, version, absl::UnixEpoch() + absl::Seconds(step)});
       }
       if (*rc::gen::inRange(0, 3) == 0) {
         peer.take(cache.updateSince(peer.version));
@@ -93,7 +102,7 @@
       all.push_back(kept);
       expected[name] = relevantPart(kept.value);
     }
-    cache.take({all, true, version, absl::UnixEpoch()});
+    take(cache, {all, true, version, absl::UnixEpoch()});
     peer.take(cache.updateSince(peer.version));
     RC_ASSERT(peer.rows == expected);
   }));
@@ -161,18 +170,18 @@
       const bool is_snapshot_first = *rc::gen::arbitrary<bool>();
       const bool was_filled = cache.hasSnapshot();
       if (is_snapshot_first) {
-        cache.take(snapshot);
+        take(cache, snapshot);
       }
       for (const TableUpdate& update : deltas) {
-        cache.take(update);
+        take(cache, update);
       }
       if (!is_snapshot_first) {
-        cache.take(snapshot);
+        take(cache, snapshot);
       }
       if (!was_filled) {
         followed = snapshot.version;
       }
-      cache.take(next_delta());
+      take(cache, next_delta());
       std::map<std::string, std::string> expected;
       for (const auto& [key, kept] : store) {
         expected[key] = kept.value;
@@ -188,12 +197,12 @@
 // after the server had left, never knew of it and so reports no deletion.
 TEST_CASE("a follower of a new reader learns of rows deleted before the reader's first snapshot") {
   RowCache before = makeCache();
-  before.take({{row("stays", "1", 3), row("leaves", "1", 4)}, true, 5, absl::UnixEpoch()});
+  take(before, {{row("stays", "1", 3), row("leaves", "1", 4)}, true, 5, absl::UnixEpoch()});
   Follower peer;
   peer.take(before.updateSince(0));
   REQUIRE(peer.rows.size() == 2);
   RowCache after = makeCache();
-  after.take({{row("stays", "1", 3)}, true, 8, absl::UnixEpoch()});
+  take(after, {{row("stays", "1", 3)}, true, 8, absl::UnixEpoch()});
   peer.take(after.updateSince(peer.version));
   CHECK(peer.rows.size() == 1);
 }
@@ -201,12 +210,12 @@
 // A follower that becomes the reader knows the rows of the other followers and need not send them a snapshot.
 TEST_CASE("a follower that becomes the reader serves deltas") {
   RowCache reader = makeCache();
-  reader.take({{row("stays", "1", 3), row("leaves", "1", 4)}, true, 5, absl::UnixEpoch()});
+  take(reader, {{row("stays", "1", 3), row("leaves", "1", 4)}, true, 5, absl::UnixEpoch()});
   RowCache follower = makeCache();
   Follower other;
-  follower.take(reader.updateSince(0));
+  take(follower, reader.updateSince(0));
   other.take(reader.updateSince(0));
-  follower.take({{row("stays", "1", 3), row("new", "1", 7)}, true, 8, absl::UnixEpoch()});
+  take(follower, {{row("stays", "1", 3), row("new", "1", 7)}, true, 8, absl::UnixEpoch()});
   const TableUpdate update = follower.updateSince(other.version);
   CHECK_FALSE(update.is_whole);
   CHECK(update.rows.size() == 2);
@@ -216,12 +225,12 @@
 
 TEST_CASE("a rewritten row that is equivalent is not part of a delta") {
   RowCache cache = makeCache();
-  cache.take({{row("a", "1/x", 5)}, true, 5, absl::UnixEpoch()});
+  take(cache, {{row("a", "1/x", 5)}, true, 5, absl::UnixEpoch()});
   const uint64_t last_change = cache.lastChange();
-  cache.take({{row("a", "1/y", 6)}, false, 6, absl::InfinitePast()});
+  take(cache, {{row("a", "1/y", 6)}, false, 6, absl::InfinitePast()});
   CHECK(cache.lastChange() == last_change);
   CHECK(cache.updateSince(5).rows.empty());
-  cache.take({{row("a", "2/y", 7)}, false, 7, absl::InfinitePast()});
+  take(cache, {{row("a", "2/y", 7)}, false, 7, absl::InfinitePast()});
   CHECK(cache.updateSince(5).rows.size() == 1);
 }
 
@@ -229,10 +238,10 @@
   RowCache cache = makeCache();
   CHECK_FALSE(cache.hasSnapshot());
   const absl::Time began = absl::UnixEpoch() + absl::Seconds(3);
-  cache.take({{}, true, 4, began});
+  take(cache, {{}, true, 4, began});
   CHECK(cache.updateCount() == 1);
   const absl::Time asked = began + absl::Seconds(1);
-  cache.take({{row("a", "1", 5)}, false, 5, absl::InfinitePast(), asked});
+  take(cache, {{row("a", "1", 5)}, false, 5, absl::InfinitePast(), asked});
   CHECK(cache.confirmed() == began);
   CHECK(cache.updateCount() == 2);
   CHECK(cache.updateSince(4).confirmed == began);
@@ -243,17 +252,117 @@
 TEST_CASE("a peer that missed too many deletions gets a snapshot") {
   RowCache cache = makeCache();
   uint64_t version = 1;
-  cache.take({{row("stays", "1", 1)}, true, version, absl::UnixEpoch()});
+  take(cache, {{row("stays", "1", 1)}, true, version, absl::UnixEpoch()});
   for (int gone = 0; gone < 600; ++gone) {
-    cache.take({{row("k", "1", ++version)}, false, version, absl::InfinitePast()});
+    take(cache, {{row("k", "1", ++version)}, false, version, absl::InfinitePast()});
     StoreRow leaves = row("k", "", ++version);
     leaves.is_gone = true;
-    cache.take({{leaves}, false, version, absl::InfinitePast()});
+    take(cache, {{leaves}, false, version, absl::InfinitePast()});
   }
   const TableUpdate update = cache.updateSince(2);
   CHECK(update.is_whole);
   CHECK(update.rows.size() == 1);
 }
 
+// The cases below guard against changes that are passed over after a restore of the store: versions were
+// assigned again, and a read whose rows were not applied renewed the age of the copy.
+constexpr absl::Time kStart = absl::UnixEpoch();
+
+TableUpdate snapshot(std::vector<StoreRow> rows, uint64_t version, absl::Time began) {
+  TableUpdate update;
+  update.rows = std::move(rows);
+  update.is_whole = true;
+  update.version = version;
+  update.confirmed = began;
+  update.as_of = began;
+  return update;
+}
+
+RowCache makeRankedCache() {
+  RowCacheRules rules;
+  rules.content = [](const StoreRow& row) {
+    return std::hash<std::string>()(row.key + "=" + row.value + std::to_string(row.version));
+  };
+  rules.rank = [](const StoreRow& row) { return std::optional<uint64_t>(std::stoull(row.value)); };
+  return RowCache(std::move(rules));
+}
+
+TEST_CASE("a snapshot whose read began later replaces rows of later versions, and deletes those it lacks") {
+  RowCache cache = makeCache();
+  cache.take(snapshot({row("a", "1", 90), row("b", "1", 95)}, 100, kStart), kStart + absl::Seconds(1));
+  const AppliedUpdate effect =
+      cache.take(snapshot({row("a", "2", 11)}, 12, kStart + absl::Seconds(2)), kStart + absl::Seconds(3));
+  CHECK(effect.changes.rows.size() == 2);
+  CHECK(effect.superseded == 2);
+  CHECK(effect.last_superseded == kStart + absl::Seconds(1));
+  CHECK(effect.passed_over.empty());
+  CHECK(cache.confirmed() == kStart + absl::Seconds(2));
+  CHECK(cache.updateSince(100).rows.size() == 2);
+}
+
+TEST_CASE("a late snapshot, and a delta, pass over rows of earlier versions") {
+  RowCache cache = makeCache();
+  cache.take(snapshot({row("a", "1", 90)}, 100, kStart + absl::Seconds(2)), kStart + absl::Seconds(3));
+  const AppliedUpdate late =
+      cache.take(snapshot({row("a", "0", 80)}, 99, kStart + absl::Seconds(1)), kStart + absl::Seconds(4));
+  CHECK(late.passed_over.size() == 1);
+  CHECK(cache.confirmed() == kStart + absl::Seconds(2));
+  TableUpdate delta;
+  delta.rows = {row("a", "0", 80)};
+  delta.version = 101;
+  delta.as_of = kStart + absl::Seconds(5);
+  CHECK(cache.take(delta, kStart + absl::Seconds(6)).passed_over.size() == 1);
+  CHECK(cache.asOf() == kStart + absl::Seconds(2));
+}
+
+TEST_CASE(
+    "a row that the operator numbered lower, or that is missing, neither replaces a known one nor confirms") {
+  RowCache cache = makeRankedCache();
+  cache.take(snapshot({row("a", "5", 90)}, 100, kStart), kStart);
+  const std::vector<StoreRow> lower =
+      GENERATE(std::vector<StoreRow>{row("a", "4", 11)}, std::vector<StoreRow>{},
+               std::vector<StoreRow>{row("a", "4", 200)});
+  const AppliedUpdate effect =
+      cache.take(snapshot(lower, 12, kStart + absl::Seconds(1)), kStart + absl::Seconds(2));
+  CHECK(effect.changes.rows.empty());
+  CHECK(effect.passed_over.size() == 1);
+  CHECK(cache.confirmed() == kStart);
+  cache.take(snapshot({row("a", "6", 13)}, 14, kStart + absl::Seconds(3)), kStart + absl::Seconds(4));
+  CHECK(cache.confirmed() == kStart + absl::Seconds(3));
+}
+
+TEST_CASE("a follower takes its reader's ages only while both have the same rows") {
+  RowCache reader = makeCache();
+  reader.take(snapshot({row("a", "1", 90)}, 100, kStart), kStart + absl::Seconds(1));
+  RowCache follower = makeCache();
+  follower.take(reader.updateSince(0), kStart + absl::Seconds(2));
+  CHECK(follower.confirmed() == kStart);
+  reader.take(snapshot({row("a", "2", 11)}, 12, kStart + absl::Seconds(3)), kStart + absl::Seconds(4));
+  // A delta after a version that another reader gave the follower: it lacks the change.
+  const AppliedUpdate effect = follower.take(reader.updateSince(500), kStart + absl::Seconds(5));
+  CHECK(effect.needs_snapshot);
+  CHECK(follower.confirmed() == kStart);
+  CHECK(follower.asOf() == kStart);
+  CHECK_FALSE(follower.take(reader.updateSince(0), kStart + absl::Seconds(6)).needs_snapshot);
+  CHECK(follower.confirmed() == kStart + absl::Seconds(3));
+  CHECK(follower.digest() == reader.digest());
+}
+
+TEST_CASE("a removed row that reappears with an earlier version counts once it was written again") {
+  RowCacheRules rules;
+  rules.content = [](const StoreRow& row) { return std::hash<std::string>()(row.key + "=" + row.value); };
+  rules.rank = [](const StoreRow& /*row*/) { return std::nullopt; };
+  rules.is_renewed = true;
+  RowCache cache(std::move(rules));
+  cache.take(snapshot({row("a", "1", 90)}, 100, kStart), kStart);
+  cache.take(snapshot({}, 101, kStart + absl::Seconds(1)), kStart + absl::Seconds(1));
+  for (int second = 2; second < 5; ++second) {
+    const absl::Time now = kStart + absl::Seconds(second);
+    CHECK(cache.take(snapshot({row("a", "1", 50)}, 60, now), now).changes.rows.empty());
+  }
+  const absl::Time now = kStart + absl::Seconds(5);
+  CHECK(cache.take(snapshot({row("a", "1", 61)}, 61, now), now).changes.rows.size() == 1);
+}
+
 }  // namespace
 }  // namespace quincewick::forwarding
