Know a service's base version before the first stream that is taken up

Callers who took a stream up at a gateway that had just started got 503 no_server, from the second stream on and for up to 100 ms. Cause: the state of a service was created by the first attempt, without a base version until the next tick, and a gateway without one allows no version. Evidence: log of a failing run of the known red test (second-0 served at v1, second-1 to second-4 rejected within 7 ms, at a gateway that listed all four servers 5 ms before). Change: the base version is determined wherever the state is used.

--- a/src/gateway/rollout_exchange.cc
+++ b/src/gateway/rollout_exchange.cc
@@ -217,10 +217,17 @@
   return versions;
 }
 
+RolloutExchange::ServiceState& RolloutExchange::stateWithBase(const ServiceName& service) {
+  ServiceState& state = stateOf(service);
+  if (!state.gate.known()) {
+    state.gate.noteListed(listedVersions(service));
+  }
+  return state;
+}
+
 std::optional<SoftwareVersion> RolloutExchange::choose(const VersionRequest& request) {
-  ServiceState& state = stateOf(request.service);
+  ServiceState& state = stateWithBase(request.service);
   if (!state.gate.known()) {
-    state.gate.noteListed(listedVersions(request.service));
     return state.gate.base();
   }
   const absl::Time now = reactor::steadyNow();
@@ -265,14 +272,11 @@
   return servers;
 }
 
-bool RolloutExchange::mayUse(const forwarding::Server& server) const {
-  const auto state = services_.find(server.entry.service);
-  if (state == services_.end()) {
-    return true;
-  }
+bool RolloutExchange::mayUse(const forwarding::Server& server) {
+  const ServiceState& state = stateWithBase(server.entry.service);
   const absl::Time now = reactor::steadyNow();
-  return state->second.gate.mayUse(server.entry.software,
-                                   core_.storeClock(now).value_or(absl::InfiniteDuration()), now);
+  return state.gate.mayUse(server.entry.software, core_.storeClock(now).value_or(absl::InfiniteDuration()),
+                           now);
 }
 
 void RolloutExchange::noteSent(const forwarding::Server& server) {
--- a/src/gateway/rollout_exchange.h
+++ b/src/gateway/rollout_exchange.h
@@ -52,7 +52,7 @@
   std::vector<forwarding::ServerDirectory::ServerPointer> serversOf(const forwarding::ServiceName& service,
                                                                     const SoftwareVersion& version) const;
   // Whether a request that was assigned to the server may still be sent there.
-  bool mayUse(const forwarding::Server& server) const;
+  bool mayUse(const forwarding::Server& server);
 
   // Record the start and the end of an attempt at the server. `took`: the time until the response.
   // kUncounted: the attempt ended by neither a response nor a failure of the server, and is not counted.
@@ -88,6 +88,8 @@
   Result<void> handleMessage(const NodeId& from, std::string_view payload);
   void addServices();
   ServiceState& stateOf(const forwarding::ServiceName& service);
+  // The same; while no record is known, its base version is that of most servers.
+  ServiceState& stateWithBase(const forwarding::ServiceName& service);
   void applyRecord(const forwarding::StoreRow& row, absl::Time as_of);
   void noteChange(const staged_rollout::KnownRecord* before, ServiceState& state, std::string_view by);
   void noteConfirmed(ServiceState& state);
