--- a/src/forwarding/row_cache.cc
+++ b/src/forwarding/row_cache.cc
@@ -116,7 +116,10 @@
     deletion.reappeared_version = row.version;
     return pass_over(PassOverReason::kNotRenewed);
   }
-  noteSuperseded(deletion.received, step);
+  // A renewed row shows no restore: a peer's copy may lack it only because it wasn't renewed yet.
+  if (!rules_.is_renewed) {
+    noteSuperseded(deletion.received, step);
+  }
   return false;
 }
 
