Soak: keep the ports of a run's servers reserved until its end

Traced: the log of each names server s-2-5 as the one that answered, unsigned, while the schedule's fault 'restarts' kept that server down for 2 s; its port was free and another program of a run at the same time listened there. Servers take reserved ports now, as gateways do.

--- a/tests/soak/run.cc
+++ b/tests/soak/run.cc
@@ -118,7 +118,12 @@
     return start(absl::StrCat("s-", settings_.seed, "-", ++last_back_end_), service, ports);
   }
 
-  BackEnd& start(const std::string& id, const std::string& service, const std::vector<uint16_t>& ports) {
+  // `ports`: of a crashed server; empty: new ones, which stay reserved for this run, so that no program of
+  // another run answers in the place of a server that is down.
+  BackEnd& start(const std::string& id, const std::string& service, std::vector<uint16_t> ports) {
+    while (ports.size() < settings_.gateways) {
+      ports.push_back(ports_.next().port);
+    }
     back_ends_.push_back(std::make_unique<BackEnd>(reactor_, timers_, history_, id, service, gateway_ids_,
                                                    settings_.seed + ++starts_, absl::Now(), ports));
     putServer(*back_ends_.back(), "ready");
