Take deltas of after a noticed restore at once, also for rows that are known from before it

Found by reading. A delta of after the restore lists what was written since, so it replaces what was known before. row_cache_test draws both (failed before by construction: the case's first check asks for the delta to be passed over until the restore is noticed).

--- a/src/forwarding/row_cache.cc
+++ b/src/forwarding/row_cache.cc
@@ -32,13 +32,13 @@
   return effect;
 }
 
-// A delta of the store doesn't tell: it may list several changes of one row. A peer may not have noticed the
-// restore.
+// A peer may not have noticed the restore. The time of a delta of the store doesn't tell, as it may list
+// several changes of one row.
 bool RowCache::isLater(const TableUpdate& update, absl::Time received) const {
   if (update.digest) {
     return update.as_of >= received;
   }
-  return update.is_whole && (update.as_of >= received || received <= restore_noticed_);
+  return received <= restore_noticed_ || (update.is_whole && update.as_of >= received);
 }
 
 void RowCache::applyRows(const Step& step) {
@@ -109,10 +109,10 @@
   if (!isLater(step.update, deletion.received)) {
     return pass_over(PassOverReason::kEarlierVersion);
   }
-  // A peer's copy has only rows that were renewed.
-  const bool is_from_store = !step.update.digest;
+  // A peer's copy has only rows that were renewed, and a delta only those that were written.
+  const bool may_be_old = step.update.is_whole && !step.update.digest;
   const bool is_renewed = deletion.reappeared_version != 0 && deletion.reappeared_version != row.version;
-  if (rules_.is_renewed && is_from_store && !is_renewed) {
+  if (rules_.is_renewed && may_be_old && !is_renewed) {
     deletion.reappeared_version = row.version;
     return pass_over(PassOverReason::kNotRenewed);
   }
--- a/src/forwarding/row_cache.h
+++ b/src/forwarding/row_cache.h
@@ -86,8 +86,8 @@
   // store's version before the first page.
   AppliedUpdate take(const TableUpdate& update, absl::Time now);
 
-  // A restore of the store was noticed: snapshots of the store that are taken from now on are later than what
-  // is known. Snapshots whose requests may have been answered before the restore must not be taken any more.
+  // A restore of the store was noticed: responses of the store that are taken from now on are later than what
+  // is known. Those to requests that may have been answered before the restore must not be taken any more.
   void noteRestore(absl::Time now) { restore_noticed_ = now; }
 
   // Whether a snapshot has been applied; before that there is nothing to serve.
--- a/tests/forwarding/row_cache_test.cc
+++ b/tests/forwarding/row_cache_test.cc
@@ -331,6 +331,18 @@
   CHECK(cache.confirmed() == kStart + absl::Seconds(3));
 }
 
+TEST_CASE("after a noticed restore, a delta replaces what was known before it, and orders what came since") {
+  RowCache cache = makeRankedCache();
+  cache.take(snapshot({row("a", "5", 90)}, 100, kStart), kStart);
+  cache.noteRestore(kStart + absl::Seconds(1));
+  TableUpdate delta;
+  delta.rows = {row("a", "6", 11), row("a", "7", 12)};
+  delta.version = 12;
+  CHECK(cache.take(delta, kStart + absl::Seconds(2)).changes.rows.size() == 2);
+  delta.rows = {row("a", "6", 11)};
+  CHECK(cache.take(delta, kStart + absl::Seconds(3)).passed_over.size() == 1);
+}
+
 TEST_CASE("a follower takes its reader's ages only while both have the same rows") {
   RowCache reader = makeCache();
   reader.take(snapshot({row("a", "1", 90)}, 100, kStart), kStart + absl::Seconds(1));
@@ -361,7 +373,14 @@
     CHECK(cache.take(snapshot({row("a", "1", 50)}, 60, now), now).changes.rows.empty());
   }
   const absl::Time now = kStart + absl::Seconds(5);
-  CHECK(cache.take(snapshot({row("a", "1", 61)}, 61, now), now).changes.rows.size() == 1);
+  const bool is_delta = GENERATE(false, true);
+  TableUpdate written = snapshot({row("a", "1", 61)}, 61, now);
+  if (is_delta) {
+    written.is_whole = false;
+    CHECK(cache.take(written, now).changes.rows.empty());  // not known to be of after the restore
+    cache.noteRestore(now);
+  }
+  CHECK(cache.take(written, now).changes.rows.size() == 1);
 }
 
 }  // namespace
