--- a/src/gateway/configuration_confirmer.cc
+++ b/src/gateway/configuration_confirmer.cc
@@ -33,13 +33,7 @@
       .with("done", is_confirmed ? "true" : "false")
       .with("was_confirmed_ms_ago", core_.configurationAge(now));
   if (is_confirmed) {
-    forwarding::TableUpdate update;
-    update.rows = std::move(table.rows);
-    update.is_whole = true;
-    update.version = table.version;
-    update.confirmed = sent_at;
-    update.as_of = sent_at;
-    on_update_(update);
+    on_update_(updateFrom(std::move(table), sent_at));
   }
 }
 
--- a/src/gateway/snapshot_reader.cc
+++ b/src/gateway/snapshot_reader.cc
@@ -9,6 +9,16 @@
 
 }  // namespace
 
+forwarding::TableUpdate updateFrom(TableSnapshot snapshot, absl::Time began) {
+  forwarding::TableUpdate update;
+  update.rows = std::move(snapshot.rows);
+  update.is_whole = true;
+  update.version = snapshot.version;
+  update.confirmed = began;
+  update.as_of = began;
+  return update;
+}
+
 void SnapshotReader::read(const std::string& table, Done done, absl::Duration page_limit) {
   ++generation_;
   readPage(table, "", page_limit, {}, std::move(done));
--- a/src/gateway/snapshot_reader.h
+++ b/src/gateway/snapshot_reader.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "forwarding/row_cache.h"
 #include "gateway/core.h"
 #include "gateway/store_client.h"
 
@@ -20,6 +21,9 @@
   absl::Duration clock;
 };
 
+// The snapshot as an update of a copy of the table. `began`: when the read began.
+forwarding::TableUpdate updateFrom(TableSnapshot snapshot, absl::Time began);
+
 class SnapshotReader {
  public:
   // `table` is complete if the status is kDone, otherwise empty. kUnknown also if the store was restored
--- a/src/gateway/table_follower.cc
+++ b/src/gateway/table_follower.cc
@@ -62,13 +62,7 @@
   }
   version_ = snapshot.version;  // lower than before if the store was restored
   const uint64_t generation = generation_;
-  forwarding::TableUpdate update;
-  update.rows = std::move(snapshot.rows);
-  update.is_whole = true;
-  update.version = snapshot.version;
-  update.confirmed = began;
-  update.as_of = began;
-  on_update_(update);
+  on_update_(updateFrom(std::move(snapshot), began));
   if (generation != generation_) {
     return;
   }
