Take the digests to peers apart from their sockets

Cause: which updates go into which datagram, and when a turn ends, could only be run with sockets and timers, so that no test covered it. Change: PeerUpdates keeps the updates and DigestSender divides them into digests; the logic is unchanged, but for loads that are divided once a turn instead of once a peer.

--- a/src/gateway/peer_digest.h
+++ b/src/gateway/peer_digest.h
@@ -16,6 +16,9 @@
 
 namespace quincewick::gateway {
 
+// Budget of one datagram's loads and updates, in bytes.
+inline constexpr size_t kDigestBudgetBytes = 920;
+
 // A server is identified by its identity hash, so that a digest applies to one incarnation only.
 struct LoadDigest {
   uint64_t server = 0;
--- a/src/gateway/peer_directory.h
+++ b/src/gateway/peer_directory.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "gateway/core.h"
+#include "gateway/peer.h"
 #include "gateway/refused_rows.h"
 #include "gateway/retired_peers.h"
 #include "gateway/snapshot_reader.h"
@@ -20,18 +21,6 @@
 
 namespace quincewick::gateway {
 
-// Another gateway, from its row and its digests.
-struct Peer {
-  Address address;  // UDP for digests, TCP for row requests
-  ZoneName zone;    // empty: unknown yet
-  absl::Time last_received = absl::InfinitePast();
-  double capacity = 0;              // of its machine
-  bool is_zone_reader = false;      // it reads the store for its zone, and its rows are fresh
-  uint64_t last_engine_update = 0;  // number of the last update sent to it, by kind
-  uint64_t last_placement_update = 0;
-  uint64_t last_capability_update = 0;
-};
-
 class PeerDirectory {
  public:
   explicit PeerDirectory(Core& core);
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -20,22 +20,10 @@
 constexpr size_t kNearPeersPerTick = 8;
 constexpr uint32_t kTicksPerFarPeer = 4;  // between digests to single far peers
 constexpr absl::Duration kMinSilenceTimeout = absl::Milliseconds(1200);  // reached on a small site
-constexpr absl::Duration kRepeatDelay = absl::Milliseconds(300);
-constexpr absl::Duration kMinAnnouncementDuration = absl::Milliseconds(1500);
 constexpr absl::Duration kFarReaderTimeout = absl::Milliseconds(1500);  // for another zone's reader
-// Budget of one datagram, and encoded sizes, in bytes.
-constexpr size_t kDigestBudgetBytes = 920;
-constexpr size_t kLoadBytes = 14;
-constexpr size_t kEngineBytes = 28;
-constexpr size_t kPlacementBytes = 12;  // plus its keys
-constexpr size_t kKeyBytes = 16;
-constexpr size_t kStoreBytes = 8;
-constexpr size_t kCapabilityBytes = 16;
-constexpr size_t kMaxCapabilityUpdates = 512;
-constexpr size_t kMaxDeadStores = 32;
+constexpr size_t kLoadBytes = 14;  // encoded
 constexpr size_t kLoadsPerDatagram = kDigestBudgetBytes / kLoadBytes;
-constexpr size_t kMaxPlacementUpdates = 512;
-constexpr int kMaxDatagramsPerSend = 4;  // to one peer
+constexpr size_t kMaxDeadStores = 32;
 
 LoadDigest digestOf(const forwarding::Server& server, const forwarding::ServerLoad& load) {
   return {server.identity_hash, static_cast<uint16_t>(std::min<uint32_t>(load.running, UINT16_MAX)),
@@ -45,7 +33,12 @@
 }  // namespace
 
 PeerExchange::PeerExchange(Core& core, PeerDirectory& directory)
-    : core_(core), directory_(directory), socket_(core.reactor) {
+    : core_(core),
+      directory_(directory),
+      socket_(core.reactor),
+      digests_(
+          updates_, [this](const Peer& peer) { return subscriptionOf(peer); },
+          [this](const NodeId& to, const Peer& peer, const PeerDigest& digest) { send(to, peer, digest); }) {
   setMessageHandler(peer::PeerModule::kRouting,
                     [this](const NodeId& from, std::string_view payload) -> Result<void> {
                       BOOST_OUTCOME_TRY(digest, decodeDigest(payload));
@@ -70,9 +63,10 @@
 // Sends to the own zone at once: its reader learns of this gateway and replies.
 void PeerExchange::begin() {
   receive();
+  const PeerReport report = currentReport();
   for (auto& [id, peer] : directory_.peers()) {
     if (directory_.isOwnZone(peer)) {
-      sendUpdates(id, peer);
+      sendReport(id, peer, report);
     }
   }
   tick();
@@ -120,18 +114,11 @@
     return;
   }
   order_lease_until_ = until;
-  for (auto& [id, peer] : directory_.peers()) {
-    sendUpdates(id, peer);
-  }
+  sendReportToAll();
 }
 
 void PeerExchange::announce(const EngineDigest& engine) {
-  std::erase_if(engine_updates_,
-                [&engine](const EngineUpdate& update) { return update.engine.server == engine.server; });
-  const absl::Duration closed = absl::Milliseconds(engine.closed_ms);
-  const absl::Time now = reactor::steadyNow();
-  engine_updates_.push_back(
-      {++last_update_, engine, now + std::max(closed, kMinAnnouncementDuration), now + kRepeatDelay});
+  updates_.addEngine(engine, reactor::steadyNow());
 }
 
 void PeerExchange::updateReaderStatus() {
@@ -141,14 +128,19 @@
   if (!becomes_reader || directory_.authenticator() == nullptr) {
     return;
   }
+  sendReportToAll();
+}
+
+void PeerExchange::sendReportToAll() {
+  const PeerReport report = currentReport();
   for (auto& [id, peer] : directory_.peers()) {
-    sendUpdates(id, peer);
+    sendReport(id, peer, report);
   }
 }
 
 void PeerExchange::collectPlacements() {
   for (Core::UnreportedPlacement& placement : core_.unreported_placements) {
-    addPlacement({placement.server, std::move(placement.keys)}, Origin::kOwn);
+    updates_.addPlacement({placement.server, std::move(placement.keys)}, UpdateOrigin::kOwn);
   }
   core_.unreported_placements.clear();
 }
@@ -164,53 +156,37 @@
 
 void PeerExchange::collectCapabilities() {
   for (const Core::UnreportedCapability& update : core_.unreported_capabilities) {
-    addCapability({update.server, messageOf(update.capability)}, Origin::kOwn);
+    updates_.addCapability({update.server, messageOf(update.capability)}, UpdateOrigin::kOwn);
   }
   core_.unreported_capabilities.clear();
 }
 
-void PeerExchange::addCapability(const CapabilityDigest& capability, Origin origin) {
-  std::erase_if(capability_updates_, [&capability](const CapabilityUpdate& update) {
-    return update.capability.server == capability.server;
-  });
-  capability_updates_.push_back({++last_update_, capability, origin});
-  if (capability_updates_.size() > kMaxCapabilityUpdates) {
-    capability_updates_.pop_front();
-  }
-}
-
-void PeerExchange::addPlacement(PlacementDigest placement, Origin origin) {
-  placement_updates_.push_back({++last_update_, std::move(placement), origin});
-  if (placement_updates_.size() > kMaxPlacementUpdates) {
-    placement_updates_.pop_front();
-  }
-}
-
 bool PeerExchange::isFarReader(const Peer& peer, absl::Time now) const {
   return !isNear(peer) && peer.is_zone_reader && now - peer.last_received <= kFarReaderTimeout;
 }
 
-bool PeerExchange::isRelevantTo(Origin origin, const Peer& peer) const {
-  return isNear(peer) ? origin != Origin::kZone
-                      : was_zone_reader_ && peer.is_zone_reader && origin != Origin::kFar;
-}
-
-bool PeerExchange::hasPlacementUpdatesFor(const Peer& peer) const {
-  return std::any_of(placement_updates_.begin(), placement_updates_.end(),
-                     [&](const PlacementUpdate& update) {
-                       return update.number > peer.last_placement_update && isRelevantTo(update.origin, peer);
-                     });
+// A reader forwards the updates of its zone to the readers of other zones, and theirs to its zone.
+PeerSubscription PeerExchange::subscriptionOf(const Peer& peer) const {
+  PeerSubscription subscription;
+  const bool is_near = isNear(peer);
+  const bool is_reader_to_reader = !is_near && was_zone_reader_ && peer.is_zone_reader;
+  subscription.own_loads = is_near;
+  subscription.far_zones = is_near && was_zone_reader_;
+  subscription.dead_stores = was_zone_reader_ && directory_.isOwnZone(peer);
+  subscription.origins = {is_near || is_reader_to_reader, is_reader_to_reader, is_near};
+  return subscription;
 }
 
 void PeerExchange::sendInTurn(bool near, size_t max_peers, NodeId& last) {
   auto& peers = directory_.peers();
   auto next = peers.upper_bound(last);
+  const PeerReport report = currentReport();
   size_t sent = 0;
   for (size_t visited = 0; visited < peers.size() && sent < max_peers; ++visited) {
     next = next == peers.end() ? peers.begin() : next;
     auto& [id, peer] = *next++;
     if (isNear(peer) == near) {
-      sendUpdates(id, peer);
+      sendReport(id, peer, report);
       last = id;
       ++sent;
     }
@@ -219,29 +195,15 @@
 
 void PeerExchange::sendEngineUpdates() {
   const absl::Time now = reactor::steadyNow();
-  std::erase_if(engine_updates_, [now](const EngineUpdate& update) { return update.until <= now; });
-  for (EngineUpdate& update : engine_updates_) {
-    if (now >= update.repeat) {
-      update.number = ++last_update_;
-      update.repeat = absl::InfiniteFuture();
-    }
-  }
-  std::sort(engine_updates_.begin(), engine_updates_.end(),
-            [](const EngineUpdate& left, const EngineUpdate& right) { return left.number < right.number; });
-  if (engine_updates_.empty()) {
-    return;
-  }
-  for (auto& [id, peer] : directory_.peers()) {
-    while (peer.last_engine_update < engine_updates_.back().number) {
-      sendUpdates(id, peer);
-    }
-  }
+  updates_.refreshEngines(now);
+  digests_.sendEngineUpdates(directory_.peers(), currentReport(), now);
 }
 
 // Sends zone loads to all readers of other zones, and updates to those heard from recently.
 void PeerExchange::sendToFarReaders() {
   const absl::Time now = reactor::steadyNow();
   const std::vector<LoadPart> parts = splitIntoParts(zoneLoads(), kLoadsPerDatagram);
+  const PeerReport report = currentReport();
   for (auto& [id, peer] : directory_.peers()) {
     if (isNear(peer) || !peer.is_zone_reader) {
       continue;
@@ -252,7 +214,7 @@
       send(id, peer, digest);
     }
     if (isFarReader(peer, now)) {
-      sendUpdates(id, peer);
+      sendReport(id, peer, report);
     }
   }
 }
@@ -291,83 +253,24 @@
   return digest;
 }
 
-// Includes only what fits into a datagram.
-PeerDigest PeerExchange::updatesFor(Peer& peer, std::optional<LoadPart> load, absl::Time now) {
-  PeerDigest digest = digestHeader();
-  digest.has_updates = true;
-  digest.load = std::move(load);
-  if (was_zone_reader_ && directory_.isOwnZone(peer)) {
-    digest.dead_stores.assign(core_.unreachable_cache_stores.begin(), core_.unreachable_cache_stores.end());
-    digest.dead_stores.resize(std::min(digest.dead_stores.size(), kMaxDeadStores));
-  }
-  const size_t load_bytes = digest.load ? kLoadBytes * digest.load->loads.size() : 0;
-  size_t room = kDigestBudgetBytes - load_bytes -
-                std::min(kDigestBudgetBytes - load_bytes, kStoreBytes * digest.dead_stores.size());
-  for (const EngineUpdate& update : engine_updates_) {
-    if (update.number > peer.last_engine_update && room >= kEngineBytes) {
-      EngineDigest engine = update.engine;
-      const absl::Duration left = update.until - now;
-      engine.closed_ms = engine.closed_ms == 0 ? 0 : static_cast<uint32_t>(absl::ToInt64Milliseconds(left));
-      digest.engines.push_back(engine);
-      peer.last_engine_update = update.number;
-      room -= kEngineBytes;
-    }
-  }
-  for (const CapabilityUpdate& update : capability_updates_) {
-    if (update.number <= peer.last_capability_update || !isRelevantTo(update.origin, peer)) {
-      continue;
-    }
-    if (room < kCapabilityBytes) {
-      break;
-    }
-    digest.capabilities.push_back(update.capability);
-    peer.last_capability_update = update.number;
-    room -= kCapabilityBytes;
-  }
-  for (const PlacementUpdate& update : placement_updates_) {
-    if (update.number <= peer.last_placement_update || !isRelevantTo(update.origin, peer)) {
-      continue;
-    }
-    const size_t bytes = kPlacementBytes + kKeyBytes * update.placement.keys.size();
-    if (bytes > room) {
-      break;
+PeerReport PeerExchange::currentReport() const {
+  PeerReport report;
+  report.header = digestHeader();
+  report.own_loads = splitIntoParts(ownLoads(), kLoadsPerDatagram);
+  report.dead_stores.assign(core_.unreachable_cache_stores.begin(), core_.unreachable_cache_stores.end());
+  report.dead_stores.resize(std::min(report.dead_stores.size(), kMaxDeadStores));
+  for (const auto& [name, zone] : far_zones_) {
+    if (zone.is_direct) {
+      for (const LoadPart& part : zone.parts) {
+        report.far_zones.push_back({name, part});
+      }
     }
-    digest.placements.push_back(update.placement);
-    peer.last_placement_update = update.number;
-    room -= bytes;
   }
-  return digest;
+  return report;
 }
 
-// Sends the updates with the last part of the loads as far as they fit, and the remaining ones afterwards.
-void PeerExchange::sendUpdates(const NodeId& id, Peer& peer) {
-  const absl::Time now = reactor::steadyNow();
-  std::vector<LoadPart> parts =
-      isNear(peer) ? splitIntoParts(ownLoads(), kLoadsPerDatagram) : std::vector<LoadPart>();
-  for (size_t index = 0; index + 1 < parts.size(); ++index) {
-    PeerDigest digest = digestHeader();
-    digest.load = std::move(parts[index]);
-    send(id, peer, digest);
-  }
-  std::optional<LoadPart> last = parts.empty() ? std::nullopt : std::optional(std::move(parts.back()));
-  int datagrams = 0;
-  do {
-    send(id, peer, updatesFor(peer, std::exchange(last, std::nullopt), now));
-    ++datagrams;
-  } while (datagrams < kMaxDatagramsPerSend && hasPlacementUpdatesFor(peer));
-  if (!was_zone_reader_ || !isNear(peer)) {
-    return;
-  }
-  for (const auto& [name, zone] : far_zones_) {
-    if (!zone.is_direct) {
-      continue;
-    }
-    for (const LoadPart& part : zone.parts) {
-      PeerDigest digest = digestHeader();
-      digest.zones.push_back({name, part});
-      send(id, peer, digest);
-    }
-  }
+void PeerExchange::sendReport(const NodeId& id, Peer& peer, const PeerReport& report) {
+  digests_.sendReport(id, peer, report, reactor::steadyNow());
 }
 
 void PeerExchange::send(const NodeId& id, const Peer& peer, const PeerDigest& digest) {
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -13,13 +13,14 @@
 #include <array>
 #include <boost/asio/ip/udp.hpp>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <vector>
 
 #include "gateway/core.h"
+#include "gateway/digest_sender.h"
 #include "gateway/peer_digest.h"
 #include "gateway/peer_directory.h"
+#include "gateway/peer_updates.h"
 
 namespace quincewick::gateway {
 
@@ -67,23 +68,6 @@
   bool areNearPeersSilent(absl::Time now) const;
 
  private:
-  struct EngineUpdate {
-    uint64_t number = 0;
-    EngineDigest engine;
-    absl::Time until;
-    absl::Time repeat;  // when it is sent once more, because datagrams get lost
-  };
-  enum class Origin : uint8_t { kOwn, kZone, kFar };
-  struct PlacementUpdate {
-    uint64_t number = 0;
-    PlacementDigest placement;
-    Origin origin = Origin::kOwn;
-  };
-  struct CapabilityUpdate {
-    uint64_t number = 0;
-    CapabilityDigest capability;
-    Origin origin = Origin::kOwn;
-  };
   struct FarZone {
     std::vector<LoadPart> parts;  // by number, as last received
     absl::Time last_received;
@@ -98,23 +82,20 @@
   void collectPlacements();
   void collectVersions();
   void collectCapabilities();
-  void addPlacement(PlacementDigest placement, Origin origin);
-  void addCapability(const CapabilityDigest& capability, Origin origin);
   bool isFarReader(const Peer& peer, absl::Time now) const;
-  bool isRelevantTo(Origin origin, const Peer& peer) const;
+  PeerSubscription subscriptionOf(const Peer& peer) const;
   // Sends to up to `max_peers` near (or far) peers, round-robin, starting after `last`.
   void sendInTurn(bool near, size_t max_peers, NodeId& last);
   void sendEngineUpdates();
   void sendToFarReaders();
   std::vector<LoadDigest> ownLoads() const;
   std::vector<LoadDigest> zoneLoads() const;
-  void sendUpdates(const NodeId& id, Peer& peer);
+  PeerReport currentReport() const;
+  void sendReport(const NodeId& id, Peer& peer, const PeerReport& report);
+  void sendReportToAll();
   void send(const NodeId& id, const Peer& peer, peer::PeerModule module, const std::string& payload);
   void send(const NodeId& id, const Peer& peer, const PeerDigest& digest);
   PeerDigest digestHeader() const;
-  // Returns a digest with the updates not yet sent to the peer, and `load`.
-  PeerDigest updatesFor(Peer& peer, std::optional<LoadPart> load, absl::Time now);
-  bool hasPlacementUpdatesFor(const Peer& peer) const;
   void receive();
   void handleDatagram(std::string_view bytes);
   void handleZones(const Peer& from, const std::vector<ZoneDigest>& zones, absl::Time now);
@@ -131,14 +112,12 @@
   std::array<char, 2048> buffer_{};
   boost::asio::ip::udp::endpoint sender_;
   absl::btree_map<peer::PeerModule, MessageHandler> handlers_;
-  std::deque<EngineUpdate> engine_updates_;          // the latest of each engine, by ascending number
-  std::deque<PlacementUpdate> placement_updates_;    // the latest ones
-  std::deque<CapabilityUpdate> capability_updates_;  // the latest of each engine, by ascending number
+  PeerUpdates updates_;
+  DigestSender digests_;
   absl::btree_map<std::string, FarZone> far_zones_;
   bool was_zone_reader_ = false;
   absl::Time order_lease_until_ = absl::InfinitePast();
   absl::Time last_order_announcement_ = absl::InfinitePast();
-  uint64_t last_update_ = 0;
   NodeId last_near_;  // where the round-robin continues
   NodeId last_far_;
   size_t near_peers_ = 0;
--- a/src/gateway/peer_exchange_receive.cc
+++ b/src/gateway/peer_exchange_receive.cc
@@ -86,26 +86,26 @@
   }
   // Another reader of the own zone forwards its updates itself.
   const bool is_forwarded = was_zone_reader_ && far_peers_ > 0 && !(isNear(peer) && peer.is_zone_reader);
-  const Origin origin = isNear(peer) ? Origin::kZone : Origin::kFar;
+  const UpdateOrigin origin = isNear(peer) ? UpdateOrigin::kZone : UpdateOrigin::kFar;
   for (const PlacementDigest& placement : digest.placements) {
     if (const auto server = core_.directory.findByHash(placement.server)) {
       core_.placement.noteCached(server->slot, placement.keys, now);
     }
     if (is_forwarded) {
-      addPlacement(placement, origin);
+      updates_.addPlacement(placement, origin);
     }
   }
   for (const CapabilityDigest& capability : digest.capabilities) {
     handleCapability(capability, now);
     if (is_forwarded) {
-      addCapability(capability, origin);
+      updates_.addCapability(capability, origin);
     }
   }
   for (const EngineDigest& engine : digest.engines) {
     handleEngine(engine, now);
   }
   if (digest.seeks_reader && was_zone_reader_ && directory_.isOwnZone(peer)) {
-    sendUpdates(from, peer);
+    sendReport(from, peer, currentReport());
   }
 }
 
