Send no update about an engine past its validity, nor a longer closed time than was announced

Callers could see requests kept from an engine that is open again. Cause: the time left of an update was counted from its validity, which is at least 1.5 s, and between two refreshes a digest could hold an update that was no longer valid: the negative time left was sent as up to 49 days. Change: an update keeps the end of the closed time apart from its validity, and one that isn't valid is left out.

--- a/src/gateway/digest_sender.h
+++ b/src/gateway/digest_sender.h
@@ -15,10 +15,10 @@
 
 // What all peers are told in one turn, beside the updates.
 struct PeerReport {
-  PeerDigest header;                   // without loads and updates
-  std::vector<LoadPart> own_loads;     // at least one part, maybe without loads
-  std::vector<uint64_t> dead_stores;   // unreachable cache stores, by name
-  std::vector<ZoneDigest> far_zones;   // loads of other zones
+  PeerDigest header;                  // without loads and updates
+  std::vector<LoadPart> own_loads;    // at least one part, maybe without loads
+  std::vector<uint64_t> dead_stores;  // unreachable cache stores, by name
+  std::vector<ZoneDigest> far_zones;  // loads of other zones
 };
 
 // What one peer is sent of it.
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -20,8 +20,8 @@
 constexpr size_t kNearPeersPerTick = 8;
 constexpr uint32_t kTicksPerFarPeer = 4;  // between digests to single far peers
 constexpr absl::Duration kMinSilenceTimeout = absl::Milliseconds(1200);  // reached on a small site
-constexpr absl::Duration kFarReaderTimeout = absl::Milliseconds(1500);  // for another zone's reader
-constexpr size_t kLoadBytes = 14;  // encoded
+constexpr absl::Duration kFarReaderTimeout = absl::Milliseconds(1500);   // for another zone's reader
+constexpr size_t kLoadBytes = 14;                                        // encoded
 constexpr size_t kLoadsPerDatagram = kDigestBudgetBytes / kLoadBytes;
 constexpr size_t kMaxDeadStores = 32;
 
--- a/src/gateway/peer_updates.cc
+++ b/src/gateway/peer_updates.cc
@@ -18,14 +18,19 @@
 constexpr size_t kStoreBytes = 8;
 constexpr size_t kCapabilityBytes = 16;
 
+// 0 from `until` on.
+uint32_t millisecondsLeft(absl::Time until, absl::Time now) {
+  return static_cast<uint32_t>(absl::ToInt64Milliseconds(std::max(until - now, absl::ZeroDuration())));
+}
+
 }  // namespace
 
 void PeerUpdates::addEngine(const EngineDigest& engine, absl::Time now) {
   std::erase_if(engines_,
                 [&engine](const EngineUpdate& update) { return update.engine.server == engine.server; });
-  const absl::Duration closed = absl::Milliseconds(engine.closed_ms);
-  engines_.push_back(
-      {++last_number_, engine, now + std::max(closed, kMinAnnouncementDuration), now + kRepeatDelay});
+  const absl::Time closed_until = now + absl::Milliseconds(engine.closed_ms);
+  engines_.push_back({++last_number_, engine, closed_until,
+                      std::max(closed_until, now + kMinAnnouncementDuration), now + kRepeatDelay});
 }
 
 void PeerUpdates::addCapability(const CapabilityDigest& capability, UpdateOrigin origin) {
@@ -53,9 +58,8 @@
       update.repeat = absl::InfiniteFuture();
     }
   }
-  std::sort(engines_.begin(), engines_.end(), [](const EngineUpdate& left, const EngineUpdate& right) {
-    return left.number < right.number;
-  });
+  std::sort(engines_.begin(), engines_.end(),
+            [](const EngineUpdate& left, const EngineUpdate& right) { return left.number < right.number; });
 }
 
 bool PeerUpdates::hasEngines(const UpdateCursor& sent) const {
@@ -74,10 +78,9 @@
   size_t room = kDigestBudgetBytes - load_bytes -
                 std::min(kDigestBudgetBytes - load_bytes, kStoreBytes * digest.dead_stores.size());
   for (const EngineUpdate& update : engines_) {
-    if (update.number > sent.engine && room >= kEngineBytes) {
+    if (update.number > sent.engine && now < update.until && room >= kEngineBytes) {
       EngineDigest engine = update.engine;
-      const absl::Duration left = update.until - now;
-      engine.closed_ms = engine.closed_ms == 0 ? 0 : static_cast<uint32_t>(absl::ToInt64Milliseconds(left));
+      engine.closed_ms = millisecondsLeft(update.closed_until, now);
       digest.engines.push_back(engine);
       sent.engine = update.number;
       room -= kEngineBytes;
--- a/src/gateway/peer_updates.h
+++ b/src/gateway/peer_updates.h
@@ -1,6 +1,6 @@
 // What a gateway tells its peers beside its load: engines that load weights, capabilities of engines and
-// placements of shared prompt prefixes. Keeps the latest updates, and which of them each peer was sent. Does no
-// I/O and reads no clock.
+// placements of shared prompt prefixes. Keeps the latest updates, and which of them each peer was sent. Does
+// no I/O and reads no clock.
 #pragma once
 
 #include <absl/time/time.h>
@@ -63,7 +63,8 @@
   struct EngineUpdate {
     uint64_t number = 0;
     EngineDigest engine;
-    absl::Time until;
+    absl::Time closed_until;
+    absl::Time until;   // how long the update is valid
     absl::Time repeat;  // when it is sent once more
   };
   struct CapabilityUpdate {
