Send engine updates in datagrams of their own, a bounded number in one turn

Cause: PeerExchange::sendEngineUpdates repeated until each peer had every update, and updates got only the room that the loads left: with 64 or 65 loads in the last part less than the 28 bytes of one. Evidence: four stacks of the two hung processes, all in that loop; 22,064 and 19,972 calls of sendto in a traced second and nothing else. Why this fix works: updates no longer share a datagram with loads, so each datagram holds one or more of them; a turn of the reactor sends 256 at most, and the rest goes in further turns 5 ms apart. Every update is offered to every peer within ceil(P * ceil(U / 32) / 256) turns (docs/design/peer_updates.md). Test: 'an engine update reaches all peers at once, at however many servers the gateway has requests' and the property 'each turn ends within its bound, and offers every engine update to every peer in time'.

--- a/src/gateway/digest_sender.cc
+++ b/src/gateway/digest_sender.cc
@@ -1,5 +1,6 @@
 #include "gateway/digest_sender.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -44,13 +45,33 @@
   }
 }
 
-void DigestSender::sendEngineUpdates(absl::btree_map<NodeId, Peer>& peers, const PeerReport& report,
+bool DigestSender::sendEngineUpdates(Peers& peers, const PeerDigest& header, NodeId& last,
                                      absl::Time now) const {
-  for (auto& [id, peer] : peers) {
-    while (updates_.hasEngines(peer.sent)) {
-      sendReport(id, peer, report, now);
+  for (size_t sent = 0; sent < kMaxEngineDigestsPerTurn; ++sent) {
+    const auto next = nextWithoutEngineUpdates(peers, last, now);
+    if (next == peers.end()) {
+      return false;
     }
+    auto& [id, peer] = *next;
+    PeerDigest digest = header;
+    updates_.addEnginesTo(digest, peer.sent, now);
+    send_(id, peer, digest);
+    last = id;
+  }
+  return nextWithoutEngineUpdates(peers, last, now) != peers.end();
+}
+
+// The first peer after `last`, in a circle, that wasn't sent all engine updates.
+DigestSender::Peers::iterator DigestSender::nextWithoutEngineUpdates(Peers& peers, const NodeId& last,
+                                                                     absl::Time now) const {
+  const auto is_pending = [&](const auto& entry) { return updates_.hasEngines(entry.second.sent, now); };
+  const auto after_last = peers.upper_bound(last);
+  const auto found = std::find_if(after_last, peers.end(), is_pending);
+  if (found != peers.end()) {
+    return found;
   }
+  const auto wrapped = std::find_if(peers.begin(), after_last, is_pending);
+  return wrapped == after_last ? peers.end() : wrapped;
 }
 
 }  // namespace quincewick::gateway
--- a/src/gateway/digest_sender.h
+++ b/src/gateway/digest_sender.h
@@ -4,7 +4,9 @@
 #include <absl/container/btree_map.h>
 #include <absl/time/time.h>
 
+#include <cstddef>
 #include <functional>
+#include <utility>
 #include <vector>
 
 #include "gateway/peer.h"
@@ -31,6 +33,9 @@
 
 class DigestSender {
  public:
+  static constexpr size_t kMaxEngineDigestsPerTurn = 256;  // to all peers
+
+  using Peers = absl::btree_map<NodeId, Peer>;
   using Send = std::function<void(const NodeId& to, const Peer& peer, const PeerDigest& digest)>;
   using Subscription = std::function<PeerSubscription(const Peer& peer)>;
 
@@ -39,11 +44,13 @@
 
   // Sends a peer the report and the updates that it wasn't sent, as far as they fit into a few datagrams.
   void sendReport(const NodeId& id, Peer& peer, const PeerReport& report, absl::Time now) const;
-  // Sends the engine updates to all peers that weren't sent them.
-  void sendEngineUpdates(absl::btree_map<NodeId, Peer>& peers, const PeerReport& report,
-                         absl::Time now) const;
+  // Sends engine updates to the peers that weren't sent them, a datagram each in turn after `last`. Returns
+  // whether any are left for a further turn.
+  bool sendEngineUpdates(Peers& peers, const PeerDigest& header, NodeId& last, absl::Time now) const;
 
  private:
+  Peers::iterator nextWithoutEngineUpdates(Peers& peers, const NodeId& last, absl::Time now) const;
+
   const PeerUpdates& updates_;
   Subscription subscription_;
   Send send_;
--- a/src/gateway/peer_digest.cc
+++ b/src/gateway/peer_digest.cc
@@ -12,6 +12,24 @@
 
 constexpr uint32_t kMaxElements = 512;
 constexpr uint32_t kMaxNameBytes = 64;
+// Encoded sizes, in bytes.
+constexpr size_t kCountBytes = 4;  // of a list or a text, before its elements
+constexpr size_t kByteOrderBytes = 1;
+constexpr size_t kPortBytes = 2;
+constexpr size_t kCapacityBytes = 8;
+constexpr size_t kGatewaysBytes = 4;
+constexpr size_t kFlagBytes = 1;
+constexpr size_t kFlags = 5;  // including the one that says whether there is a load
+constexpr size_t kPartNumberBytes = 2;
+constexpr size_t kHashBytes = 8;
+
+size_t encodedSize(std::string_view text) {
+  return kCountBytes + text.size();
+}
+
+size_t encodedSize(const LoadPart& load) {
+  return 2 * kPartNumberBytes + kCountBytes + kEncodedLoadBytes * load.loads.size();
+}
 
 }  // namespace
 
@@ -75,6 +93,28 @@
   }
 }
 
+size_t encodedSize(const PlacementDigest& placement) {
+  return kHashBytes + kCountBytes + sizeof(BlockKey) * placement.keys.size();
+}
+
+size_t encodedSize(const PeerDigest& digest) {
+  size_t size = kByteOrderBytes + encodedSize(digest.address.host) + kPortBytes + encodedSize(digest.zone) +
+                kCapacityBytes + kGatewaysBytes + kFlags * kFlagBytes;
+  size += kCountBytes + kHashBytes * digest.dead_stores.size();
+  size += digest.load ? encodedSize(*digest.load) : 0;
+  size += kCountBytes;
+  for (const ZoneDigest& zone : digest.zones) {
+    size += encodedSize(zone.zone) + encodedSize(zone.load);
+  }
+  size += kCountBytes;
+  for (const PlacementDigest& placement : digest.placements) {
+    size += encodedSize(placement);
+  }
+  size += kCountBytes + kEncodedEngineBytes * digest.engines.size();
+  size += kCountBytes + kEncodedCapabilityBytes * digest.capabilities.size();
+  return size;
+}
+
 uint64_t hashOf(std::string_view name) {
   return XXH3_64bits(name.data(), name.size());
 }
--- a/src/gateway/peer_digest.h
+++ b/src/gateway/peer_digest.h
@@ -16,6 +16,7 @@
 
 namespace quincewick::gateway {
 
+inline constexpr size_t kMaxDeadStores = 32;
 // Budget of one datagram's loads and updates, in bytes.
 inline constexpr size_t kDigestBudgetBytes = 920;
 
@@ -82,8 +83,9 @@
   bool holds_order_lease = false;  // the sender holds the order lease
   bool has_updates =
       false;  // the digest holds updates; if false, the lists other than loads are empty and must be ignored
-  std::vector<uint64_t> dead_stores;  // unreachable cache stores, by name; from a reader for its zone
-  std::optional<LoadPart> load;       // of the sender itself
+  // Unreachable cache stores, by name; from a reader for its zone. At most kMaxDeadStores.
+  std::vector<uint64_t> dead_stores;
+  std::optional<LoadPart> load;   // of the sender itself
   std::vector<ZoneDigest> zones;  // from a reader: its zone's load for other readers, and theirs for its zone
   std::vector<PlacementDigest> placements;
   std::vector<EngineDigest> engines;
@@ -95,6 +97,16 @@
 // the number of parts.
 std::vector<LoadPart> splitIntoParts(const std::vector<LoadDigest>& loads, size_t max_loads);
 
+// Encoded sizes of elements, in bytes.
+inline constexpr size_t kEncodedLoadBytes = 14;
+inline constexpr size_t kEncodedEngineBytes = 28;
+inline constexpr size_t kEncodedCapabilityBytes = 16;
+// A digest without loads has room for so many engines beside the longest names.
+inline constexpr size_t kMinEnginesPerDigest = 32;
+size_t encodedSize(const PlacementDigest& placement);
+// The size of an encoded digest.
+size_t encodedSize(const PeerDigest& digest);
+
 // The hash that identifies servers, models and cache stores in digests.
 uint64_t hashOf(std::string_view name);
 
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -18,12 +18,13 @@
 constexpr absl::Duration kDigestInterval = absl::Milliseconds(125);
 constexpr size_t kSmallSitePeers = 16;  // on a site with at most so many peers, all are near
 constexpr size_t kNearPeersPerTick = 8;
+// Between turns that send engine updates: sockets and timers are served meanwhile.
+constexpr absl::Duration kEngineTurnInterval = absl::Milliseconds(5);
 constexpr uint32_t kTicksPerFarPeer = 4;  // between digests to single far peers
 constexpr absl::Duration kMinSilenceTimeout = absl::Milliseconds(1200);  // reached on a small site
 constexpr absl::Duration kFarReaderTimeout = absl::Milliseconds(1500);   // for another zone's reader
 constexpr size_t kLoadBytes = 14;                                        // encoded
 constexpr size_t kLoadsPerDatagram = kDigestBudgetBytes / kLoadBytes;
-constexpr size_t kMaxDeadStores = 32;
 
 LoadDigest digestOf(const forwarding::Server& server, const forwarding::ServerLoad& load) {
   return {server.identity_hash, static_cast<uint16_t>(std::min<uint32_t>(load.running, UINT16_MAX)),
@@ -38,7 +39,8 @@
       socket_(core.reactor),
       digests_(
           updates_, [this](const Peer& peer) { return subscriptionOf(peer); },
-          [this](const NodeId& to, const Peer& peer, const PeerDigest& digest) { send(to, peer, digest); }) {
+          [this](const NodeId& to, const Peer& peer, const PeerDigest& digest) { send(to, peer, digest); }),
+      further_updates_(core.timers, [this] { sendEngineUpdates(); }) {
   setMessageHandler(peer::PeerModule::kRouting,
                     [this](const NodeId& from, std::string_view payload) -> Result<void> {
                       BOOST_OUTCOME_TRY(digest, decodeDigest(payload));
@@ -196,7 +198,10 @@
 void PeerExchange::sendEngineUpdates() {
   const absl::Time now = reactor::steadyNow();
   updates_.refreshEngines(now);
-  digests_.sendEngineUpdates(directory_.peers(), currentReport(), now);
+  const bool is_left = digests_.sendEngineUpdates(directory_.peers(), digestHeader(), last_updated_, now);
+  if (is_left) {
+    further_updates_.wakeAt(now + kEngineTurnInterval);
+  }
 }
 
 // Sends zone loads to all readers of other zones, and updates to those heard from recently.
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -21,6 +21,7 @@
 #include "gateway/peer_digest.h"
 #include "gateway/peer_directory.h"
 #include "gateway/peer_updates.h"
+#include "reactor/wakeup_timer.h"
 
 namespace quincewick::gateway {
 
@@ -114,12 +115,14 @@
   absl::btree_map<peer::PeerModule, MessageHandler> handlers_;
   PeerUpdates updates_;
   DigestSender digests_;
+  reactor::WakeupTimer further_updates_;  // of engines, that the last turn left
   absl::btree_map<std::string, FarZone> far_zones_;
   bool was_zone_reader_ = false;
   absl::Time order_lease_until_ = absl::InfinitePast();
   absl::Time last_order_announcement_ = absl::InfinitePast();
   NodeId last_near_;  // where the round-robin continues
   NodeId last_far_;
+  NodeId last_updated_;
   size_t near_peers_ = 0;
   size_t far_peers_ = 0;
   uint32_t ticks_ = 0;
--- a/src/gateway/peer_updates.h
+++ b/src/gateway/peer_updates.h
@@ -3,11 +3,12 @@
 // no I/O and reads no clock.
 #pragma once
 
+#include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 
 #include "gateway/peer_digest.h"
 
@@ -53,35 +54,41 @@
   // datagrams get lost.
   void refreshEngines(absl::Time now);
 
-  bool hasEngines(const UpdateCursor& sent) const;
+  // Whether there are updates that a peer wasn't sent.
+  bool hasEngines(const UpdateCursor& sent, absl::Time now) const;
   bool hasPlacements(const UpdateCursor& sent, const RelevantOrigins& origins) const;
 
   // Adds to a digest what its peer wasn't sent and what fits into a datagram, and advances the cursor.
   void addTo(PeerDigest& digest, UpdateCursor& sent, const RelevantOrigins& origins, absl::Time now) const;
+  // The same with engine updates alone, of which a digest without loads gets at least kMinEnginesPerDigest,
+  // or all that are pending.
+  void addEnginesTo(PeerDigest& digest, UpdateCursor& sent, absl::Time now) const;
 
  private:
   struct EngineUpdate {
-    uint64_t number = 0;
     EngineDigest engine;
     absl::Time closed_until;
     absl::Time until;   // how long the update is valid
     absl::Time repeat;  // when it is sent once more
   };
   struct CapabilityUpdate {
-    uint64_t number = 0;
     CapabilityDigest capability;
     UpdateOrigin origin = UpdateOrigin::kOwn;
   };
   struct PlacementUpdate {
-    uint64_t number = 0;
     PlacementDigest placement;
     UpdateOrigin origin = UpdateOrigin::kOwn;
   };
+  // Takes the bytes of what it adds off `room`.
+  void addEngines(PeerDigest& digest, UpdateCursor& sent, size_t& room, absl::Time now) const;
 
   uint64_t last_number_ = 0;
-  std::deque<EngineUpdate> engines_;           // the latest of each engine, by ascending number
-  std::deque<CapabilityUpdate> capabilities_;  // the latest of each engine, by ascending number
-  std::deque<PlacementUpdate> placements_;     // the latest ones, by ascending number
+  // By number; of engines and capabilities the latest of each server.
+  absl::btree_map<uint64_t, EngineUpdate> engines_;
+  absl::btree_map<uint64_t, CapabilityUpdate> capabilities_;
+  absl::btree_map<uint64_t, PlacementUpdate> placements_;
+  absl::flat_hash_map<uint64_t, uint64_t> engine_numbers_;  // by server
+  absl::flat_hash_map<uint64_t, uint64_t> capability_numbers_;
 };
 
 }  // namespace quincewick::gateway
--- a/tests/gateway/digest_sender_test.cc
+++ b/tests/gateway/digest_sender_test.cc
@@ -33,6 +33,7 @@
   absl::btree_map<NodeId, Peer> peers;
   PeerSubscription subscription;
   PeerReport report;
+  NodeId last;
   std::vector<Sent> turn;
   size_t largest_datagram = 0;
   DigestSender sender{updates, [this](const Peer&) { return subscription; },
@@ -69,6 +70,11 @@
       updates.addEngine({number + 1, 7, 2, closed_ms}, now);
     }
   }
+  // Returns whether updates are left for a further turn.
+  bool sendEngineUpdates(absl::Time now) {
+    turn.clear();
+    return sender.sendEngineUpdates(peers, report.header, last, now);
+  }
   void sendReports(absl::Time now) {
     turn.clear();
     for (auto& [id, peer] : peers) {
@@ -79,6 +85,78 @@
 
 const absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
 
+size_t roundedUp(size_t dividend, size_t divisor) {
+  return (dividend + divisor - 1) / divisor;
+}
+
+// The turns within which all engine updates are offered to all peers (docs/design/peer_updates.md).
+size_t turnsFor(size_t peers, size_t engines) {
+  return roundedUp(peers * roundedUp(engines, kMinEnginesPerDigest), DigestSender::kMaxEngineDigestsPerTurn);
+}
+
+// 64 or 65 loads leave no room for an update in their datagram: a gateway with requests at so many servers
+// once hung when new weights were named.
+TEST_CASE("an engine update reaches all peers at once, at however many servers the gateway has requests") {
+  for (size_t loads = 0; loads <= 200; ++loads) {
+    SendingGateway gateway;
+    gateway.addPeers(1);
+    gateway.setLoads(loads);
+    gateway.addEngines(1, kStart);
+    REQUIRE_NOTHROW(gateway.sendEngineUpdates(kStart));
+    INFO(loads);
+    CHECK(!gateway.updates.hasEngines(gateway.peers.begin()->second.sent, kStart));
+  }
+}
+
+// Draws what a gateway tells its peers: any number of loads, stores, updates and keys, with the longest
+// names.
+struct DrawnGateway : SendingGateway {
+  size_t engines = *rc::gen::inRange<size_t>(1, 300);
+  size_t capabilities = *rc::gen::inRange<size_t>(0, 600);
+  size_t placements = *rc::gen::inRange<size_t>(0, 40);
+
+  DrawnGateway() {
+    setLoads(*rc::gen::inRange<size_t>(0, 201));
+    report.dead_stores.resize(*rc::gen::inRange<size_t>(0, kMaxDeadStores + 1));
+    report.header.zone = std::string(*rc::gen::inRange<size_t>(1, kMaxNameBytes + 1), 'z');
+    addEngines(engines, kStart);
+    for (size_t number = 0; number < capabilities; ++number) {
+      updates.addCapability({number + 1, {31'000, 5, 1}}, UpdateOrigin::kOwn);
+    }
+    for (size_t number = 0; number < placements; ++number) {
+      std::vector<BlockKey> keys(*rc::gen::inRange<size_t>(1, 200));
+      updates.addPlacement({number + 1, std::move(keys)}, UpdateOrigin::kOwn);
+    }
+  }
+};
+
+TEST_CASE("each turn ends within its bound, and offers every engine update to every peer in time") {
+  CHECK(rc::check([] {
+    DrawnGateway gateway;
+    gateway.addPeers(*rc::gen::inRange<size_t>(1, 1000));
+    std::map<NodeId, std::set<uint64_t>> offered;
+    size_t turns = 0;
+    bool is_left = true;
+    while (is_left) {
+      is_left = gateway.sendEngineUpdates(kStart);
+      ++turns;
+      RC_ASSERT(gateway.turn.size() <= DigestSender::kMaxEngineDigestsPerTurn);
+      for (const Sent& sent : gateway.turn) {
+        RC_ASSERT(!sent.digest.engines.empty());
+        for (const EngineDigest& engine : sent.digest.engines) {
+          offered[sent.to].insert(engine.server);
+        }
+      }
+      RC_ASSERT(turns <= turnsFor(gateway.peers.size(), gateway.engines));
+    }
+    RC_ASSERT(offered.size() == gateway.peers.size());
+    for (const auto& [id, engines] : offered) {
+      RC_ASSERT(engines.size() == gateway.engines);
+    }
+    RC_ASSERT(gateway.largest_datagram <= peer::kMaximumDatagramPayload);
+  }));
+}
+
 // An engine that was open again was once told to be closed for 49 days: the time left of an update that is no
 // longer valid is negative.
 TEST_CASE("an engine update is sent twice while it is valid, and never afterwards") {
@@ -113,5 +191,19 @@
   }));
 }
 
+TEST_CASE("the size of a digest is known without encoding it") {
+  CHECK(rc::check([] {
+    DrawnGateway gateway;
+    gateway.addPeers(1);
+    gateway.sendReports(kStart);
+    for (const Sent& sent : gateway.turn) {
+      RC_ASSERT(encodedSize(sent.digest) == encodeDigest(sent.digest).size());
+    }
+    PeerDigest zones = gateway.report.header;
+    zones.zones.push_back({gateway.report.header.zone, gateway.report.own_loads.front()});
+    RC_ASSERT(encodedSize(zones) == encodeDigest(zones).size());
+  }));
+}
+
 }  // namespace
 }  // namespace quincewick::gateway
