Let no kind of update wait for room beside the loads, and send no digest that is larger than a datagram

Callers could see requests placed by outdated speeds of engines, and prompts fetched from cache stores that are known to be unreachable. Cause: capabilities and placements went with the last part of the loads only, if there was room; with 64 or 65 loads there never is. Beside 32 unreachable stores a zone reader's digest had up to 1,214 bytes, and its receivers dropped it. Change: the room is what the exact encoded size leaves of the datagram; a report goes on in digests without loads, which hold one update of each pending kind; the list of stores goes where it fits; 60 loads a digest fit beside any names.

--- a/src/gateway/digest_sender.cc
+++ b/src/gateway/digest_sender.cc
@@ -1,45 +1,56 @@
 #include "gateway/digest_sender.h"
 
 #include <algorithm>
-#include <optional>
-#include <utility>
 
-namespace quincewick::gateway {
-namespace {
+#include "peer/envelope.h"
 
-constexpr int kMaxDatagramsPerSend = 4;  // to one peer
+namespace quincewick::gateway {
 
-}  // namespace
+bool DigestSender::addStores(PeerDigest& digest, const PeerReport& report,
+                             const PeerSubscription& subscription) {
+  PeerDigest with_stores = digest;
+  with_stores.has_updates = true;
+  if (subscription.dead_stores) {
+    with_stores.dead_stores = report.dead_stores;
+  }
+  const bool fits = encodedSize(with_stores) <= peer::kMaximumDatagramPayload;
+  if (fits) {
+    digest = std::move(with_stores);
+  }
+  return fits;
+}
 
 // The updates go with the last part of the loads as far as they fit, and the remaining ones afterwards.
 void DigestSender::sendReport(const NodeId& id, Peer& peer, const PeerReport& report, absl::Time now) const {
   const PeerSubscription subscription = subscription_(peer);
-  std::optional<LoadPart> load;
+  PeerDigest digest = report.header;
   if (subscription.own_loads) {
-    for (size_t index = 0; index + 1 < report.own_loads.size(); ++index) {
-      PeerDigest digest = report.header;
+    for (size_t index = 0; index < report.own_loads.size(); ++index) {
+      if (index > 0) {
+        send_(id, peer, digest);
+      }
       digest.load = report.own_loads[index];
-      send_(id, peer, digest);
     }
-    load = report.own_loads.back();
   }
-  int datagrams = 0;
-  do {
-    PeerDigest digest = report.header;
-    digest.has_updates = true;
-    digest.load = std::exchange(load, std::nullopt);
-    if (subscription.dead_stores) {
-      digest.dead_stores = report.dead_stores;
-    }
+  if (!addStores(digest, report, subscription)) {
+    send_(id, peer, digest);
+    digest = report.header;
+    addStores(digest, report, subscription);
+  }
+  for (size_t digests = 0; digests < kMaxUpdateDigestsPerReport; ++digests) {
     updates_.addTo(digest, peer.sent, subscription.origins, now);
     send_(id, peer, digest);
-    ++datagrams;
-  } while (datagrams < kMaxDatagramsPerSend && updates_.hasPlacements(peer.sent, subscription.origins));
+    if (!updates_.hasAny(peer.sent, subscription.origins, now)) {
+      break;
+    }
+    digest = report.header;
+    addStores(digest, report, subscription);
+  }
   if (!subscription.far_zones) {
     return;
   }
   for (const ZoneDigest& zone : report.far_zones) {
-    PeerDigest digest = report.header;
+    digest = report.header;
     digest.zones.push_back(zone);
     send_(id, peer, digest);
   }
--- a/src/gateway/digest_sender.h
+++ b/src/gateway/digest_sender.h
@@ -19,7 +19,7 @@
 struct PeerReport {
   PeerDigest header;                  // without loads and updates
   std::vector<LoadPart> own_loads;    // at least one part, maybe without loads
-  std::vector<uint64_t> dead_stores;  // unreachable cache stores, by name
+  std::vector<uint64_t> dead_stores;  // unreachable cache stores, by name; at most kMaxDeadStores
   std::vector<ZoneDigest> far_zones;  // loads of other zones
 };
 
@@ -33,7 +33,9 @@
 
 class DigestSender {
  public:
+  // Bounds on the datagrams of one turn of the reactor.
   static constexpr size_t kMaxEngineDigestsPerTurn = 256;  // to all peers
+  static constexpr size_t kMaxUpdateDigestsPerReport = 4;  // to one peer, beside its loads
 
   using Peers = absl::btree_map<NodeId, Peer>;
   using Send = std::function<void(const NodeId& to, const Peer& peer, const PeerDigest& digest)>;
@@ -50,6 +52,8 @@
 
  private:
   Peers::iterator nextWithoutEngineUpdates(Peers& peers, const NodeId& last, absl::Time now) const;
+  // Returns whether the list of unreachable stores fits beside the digest's loads.
+  static bool addStores(PeerDigest& digest, const PeerReport& report, const PeerSubscription& subscription);
 
   const PeerUpdates& updates_;
   Subscription subscription_;
--- a/src/gateway/peer_digest.h
+++ b/src/gateway/peer_digest.h
@@ -17,8 +17,8 @@
 namespace quincewick::gateway {
 
 inline constexpr size_t kMaxDeadStores = 32;
-// Budget of one datagram's loads and updates, in bytes.
-inline constexpr size_t kDigestBudgetBytes = 920;
+// Fit into a datagram beside the longest names, as an own part or as another zone's.
+inline constexpr size_t kLoadsPerDigest = 60;
 
 // A server is identified by its identity hash, so that a digest applies to one incarnation only.
 struct LoadDigest {
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -24,7 +24,6 @@
 constexpr absl::Duration kMinSilenceTimeout = absl::Milliseconds(1200);  // reached on a small site
 constexpr absl::Duration kFarReaderTimeout = absl::Milliseconds(1500);   // for another zone's reader
 constexpr size_t kLoadBytes = 14;                                        // encoded
-constexpr size_t kLoadsPerDatagram = kDigestBudgetBytes / kLoadBytes;
 
 LoadDigest digestOf(const forwarding::Server& server, const forwarding::ServerLoad& load) {
   return {server.identity_hash, static_cast<uint16_t>(std::min<uint32_t>(load.running, UINT16_MAX)),
@@ -207,7 +206,7 @@
 // Sends zone loads to all readers of other zones, and updates to those heard from recently.
 void PeerExchange::sendToFarReaders() {
   const absl::Time now = reactor::steadyNow();
-  const std::vector<LoadPart> parts = splitIntoParts(zoneLoads(), kLoadsPerDatagram);
+  const std::vector<LoadPart> parts = splitIntoParts(zoneLoads(), kLoadsPerDigest);
   const PeerReport report = currentReport();
   for (auto& [id, peer] : directory_.peers()) {
     if (isNear(peer) || !peer.is_zone_reader) {
@@ -261,7 +260,7 @@
 PeerReport PeerExchange::currentReport() const {
   PeerReport report;
   report.header = digestHeader();
-  report.own_loads = splitIntoParts(ownLoads(), kLoadsPerDatagram);
+  report.own_loads = splitIntoParts(ownLoads(), kLoadsPerDigest);
   report.dead_stores.assign(core_.unreachable_cache_stores.begin(), core_.unreachable_cache_stores.end());
   report.dead_stores.resize(std::min(report.dead_stores.size(), kMaxDeadStores));
   for (const auto& [name, zone] : far_zones_) {
--- a/src/gateway/peer_updates.cc
+++ b/src/gateway/peer_updates.cc
@@ -1,6 +1,7 @@
 #include "gateway/peer_updates.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 #include <vector>
 
@@ -13,13 +14,18 @@
 constexpr absl::Duration kMinAnnouncementDuration = absl::Milliseconds(1500);
 constexpr size_t kMaxCapabilityUpdates = 512;
 constexpr size_t kMaxPlacementUpdates = 512;
-constexpr size_t kStoreBytes = 8;  // encoded
+constexpr size_t kAll = std::numeric_limits<size_t>::max();
 
 // 0 from `until` on.
 uint32_t millisecondsLeft(absl::Time until, absl::Time now) {
   return static_cast<uint32_t>(absl::ToInt64Milliseconds(std::max(until - now, absl::ZeroDuration())));
 }
 
+size_t roomIn(const PeerDigest& digest) {
+  const size_t size = encodedSize(digest);
+  return peer::kMaximumDatagramPayload - std::min(peer::kMaximumDatagramPayload, size);
+}
+
 // Takes an element's bytes off the room; false if they don't fit.
 bool takeRoom(size_t& room, size_t bytes) {
   const bool fits = bytes <= room;
@@ -83,48 +89,33 @@
                      [now](const auto& update) { return now < update.second.until; });
 }
 
-bool PeerUpdates::hasPlacements(const UpdateCursor& sent, const RelevantOrigins& origins) const {
-  return std::any_of(placements_.upper_bound(sent.placement), placements_.end(),
-                     [&origins](const auto& update) { return origins.includes(update.second.origin); });
+bool PeerUpdates::hasAny(const UpdateCursor& sent, const RelevantOrigins& origins, absl::Time now) const {
+  const auto is_relevant = [&origins](const auto& update) { return origins.includes(update.second.origin); };
+  return hasEngines(sent, now) ||
+         std::any_of(capabilities_.upper_bound(sent.capability), capabilities_.end(), is_relevant) ||
+         std::any_of(placements_.upper_bound(sent.placement), placements_.end(), is_relevant);
 }
 
 void PeerUpdates::addEnginesTo(PeerDigest& digest, UpdateCursor& sent, absl::Time now) const {
-  size_t room = peer::kMaximumDatagramPayload - std::min(peer::kMaximumDatagramPayload, encodedSize(digest));
-  addEngines(digest, sent, room, now);
+  size_t room = roomIn(digest);
+  addEngines(digest, sent, kAll, room, now);
 }
 
+// One of each kind first: none waits until all of the others are sent.
 void PeerUpdates::addTo(PeerDigest& digest, UpdateCursor& sent, const RelevantOrigins& origins,
                         absl::Time now) const {
-  const size_t load_bytes = digest.load ? kEncodedLoadBytes * digest.load->loads.size() : 0;
-  size_t room = kDigestBudgetBytes - load_bytes -
-                std::min(kDigestBudgetBytes - load_bytes, kStoreBytes * digest.dead_stores.size());
-  addEngines(digest, sent, room, now);
-  auto capability = capabilities_.upper_bound(sent.capability);
-  for (; capability != capabilities_.end(); ++capability) {
-    if (!origins.includes(capability->second.origin)) {
-      continue;
-    }
-    if (!takeRoom(room, kEncodedCapabilityBytes)) {
-      break;
-    }
-    digest.capabilities.push_back(capability->second.capability);
-    sent.capability = capability->first;
-  }
-  auto placement = placements_.upper_bound(sent.placement);
-  for (; placement != placements_.end(); ++placement) {
-    if (!origins.includes(placement->second.origin)) {
-      continue;
-    }
-    if (!takeRoom(room, encodedSize(placement->second.placement))) {
-      break;
-    }
-    digest.placements.push_back(placement->second.placement);
-    sent.placement = placement->first;
+  size_t room = roomIn(digest);
+  for (const size_t most : {size_t{1}, kAll}) {
+    addEngines(digest, sent, most, room, now);
+    addCapabilities(digest, sent, origins, most, room);
+    addPlacements(digest, sent, origins, most, room);
   }
 }
 
-void PeerUpdates::addEngines(PeerDigest& digest, UpdateCursor& sent, size_t& room, absl::Time now) const {
-  for (auto next = engines_.upper_bound(sent.engine); next != engines_.end(); ++next) {
+void PeerUpdates::addEngines(PeerDigest& digest, UpdateCursor& sent, size_t most, size_t& room,
+                             absl::Time now) const {
+  size_t added = 0;
+  for (auto next = engines_.upper_bound(sent.engine); next != engines_.end() && added < most; ++next) {
     const EngineUpdate& update = next->second;
     if (now >= update.until) {
       continue;
@@ -136,6 +127,41 @@
     engine.closed_ms = millisecondsLeft(update.closed_until, now);
     digest.engines.push_back(engine);
     sent.engine = next->first;
+    ++added;
+  }
+}
+
+void PeerUpdates::addCapabilities(PeerDigest& digest, UpdateCursor& sent, const RelevantOrigins& origins,
+                                  size_t most, size_t& room) const {
+  size_t added = 0;
+  auto next = capabilities_.upper_bound(sent.capability);
+  for (; next != capabilities_.end() && added < most; ++next) {
+    if (!origins.includes(next->second.origin)) {
+      continue;
+    }
+    if (!takeRoom(room, kEncodedCapabilityBytes)) {
+      return;
+    }
+    digest.capabilities.push_back(next->second.capability);
+    sent.capability = next->first;
+    ++added;
+  }
+}
+
+void PeerUpdates::addPlacements(PeerDigest& digest, UpdateCursor& sent, const RelevantOrigins& origins,
+                                size_t most, size_t& room) const {
+  size_t added = 0;
+  auto next = placements_.upper_bound(sent.placement);
+  for (; next != placements_.end() && added < most; ++next) {
+    if (!origins.includes(next->second.origin)) {
+      continue;
+    }
+    if (!takeRoom(room, encodedSize(next->second.placement))) {
+      return;
+    }
+    digest.placements.push_back(next->second.placement);
+    sent.placement = next->first;
+    ++added;
   }
 }
 
--- a/src/gateway/peer_updates.h
+++ b/src/gateway/peer_updates.h
@@ -56,9 +56,10 @@
 
   // Whether there are updates that a peer wasn't sent.
   bool hasEngines(const UpdateCursor& sent, absl::Time now) const;
-  bool hasPlacements(const UpdateCursor& sent, const RelevantOrigins& origins) const;
+  bool hasAny(const UpdateCursor& sent, const RelevantOrigins& origins, absl::Time now) const;
 
-  // Adds to a digest what its peer wasn't sent and what fits into a datagram, and advances the cursor.
+  // Adds to a digest what its peer wasn't sent and what fits into a datagram, and advances the cursor. A
+  // digest without loads gets at least one update of each kind that is pending.
   void addTo(PeerDigest& digest, UpdateCursor& sent, const RelevantOrigins& origins, absl::Time now) const;
   // The same with engine updates alone, of which a digest without loads gets at least kMinEnginesPerDigest,
   // or all that are pending.
@@ -79,8 +80,12 @@
     PlacementDigest placement;
     UpdateOrigin origin = UpdateOrigin::kOwn;
   };
-  // Takes the bytes of what it adds off `room`.
-  void addEngines(PeerDigest& digest, UpdateCursor& sent, size_t& room, absl::Time now) const;
+  // Adds at most `most` updates, and takes their bytes off `room`.
+  void addEngines(PeerDigest& digest, UpdateCursor& sent, size_t most, size_t& room, absl::Time now) const;
+  void addCapabilities(PeerDigest& digest, UpdateCursor& sent, const RelevantOrigins& origins, size_t most,
+                       size_t& room) const;
+  void addPlacements(PeerDigest& digest, UpdateCursor& sent, const RelevantOrigins& origins, size_t most,
+                     size_t& room) const;
 
   uint64_t last_number_ = 0;
   // By number; of engines and capabilities the latest of each server.
