Divide placements of many keys, so that none keeps those behind it waiting

Callers could see prompts prefilled again although a server holds them: placements of one gateway stopped reaching its peers. Cause: a placement of more than 56 keys fits into no datagram, and those behind it waited until 512 newer ones displaced it. Change: a placement is divided into parts of 32 keys where it is made; a key names a block and all before it, so the parts mean the same.

--- a/src/gateway/peer_digest.h
+++ b/src/gateway/peer_digest.h
@@ -19,6 +19,8 @@
 inline constexpr size_t kMaxDeadStores = 32;
 // Fit into a datagram beside the longest names, as an own part or as another zone's.
 inline constexpr size_t kLoadsPerDigest = 60;
+// Fit into a digest without loads beside the list of unreachable stores and one update of each other kind.
+inline constexpr size_t kMaxKeysPerPlacement = 32;
 
 // A server is identified by its identity hash, so that a digest applies to one incarnation only.
 struct LoadDigest {
--- a/src/gateway/peer_updates.cc
+++ b/src/gateway/peer_updates.cc
@@ -55,9 +55,15 @@
   }
 }
 
-void PeerUpdates::addPlacement(PlacementDigest placement, UpdateOrigin origin) {
-  placements_[++last_number_] = {std::move(placement), origin};
-  if (placements_.size() > kMaxPlacementUpdates) {
+void PeerUpdates::addPlacement(const PlacementDigest& placement, UpdateOrigin origin) {
+  for (size_t begin = 0; begin < placement.keys.size(); begin += kMaxKeysPerPlacement) {
+    const size_t end = std::min(begin + kMaxKeysPerPlacement, placement.keys.size());
+    const auto keys = placement.keys.begin();
+    PlacementDigest part{placement.server,
+                         {keys + static_cast<ptrdiff_t>(begin), keys + static_cast<ptrdiff_t>(end)}};
+    placements_[++last_number_] = {std::move(part), origin};
+  }
+  while (placements_.size() > kMaxPlacementUpdates) {
     placements_.erase(placements_.begin());
   }
 }
--- a/src/gateway/peer_updates.h
+++ b/src/gateway/peer_updates.h
@@ -48,7 +48,8 @@
   // Replaces the previous update of the same engine.
   void addEngine(const EngineDigest& engine, absl::Time now);
   void addCapability(const CapabilityDigest& capability, UpdateOrigin origin);
-  void addPlacement(PlacementDigest placement, UpdateOrigin origin);
+  // Divides placements of more keys than fit into a datagram beside everything else.
+  void addPlacement(const PlacementDigest& placement, UpdateOrigin origin);
 
   // Drops engine updates that are no longer valid, and queues the others once more after a while, because
   // datagrams get lost.
--- a/tests/gateway/digest_sender_test.cc
+++ b/tests/gateway/digest_sender_test.cc
@@ -124,7 +124,7 @@
       updates.addCapability({number + 1, {31'000, 5, 1}}, UpdateOrigin::kOwn);
     }
     for (size_t number = 0; number < placements; ++number) {
-      std::vector<BlockKey> keys(*rc::gen::inRange<size_t>(1, 33));
+      std::vector<BlockKey> keys(*rc::gen::inRange<size_t>(1, 200));
       updates.addPlacement({number + 1, std::move(keys)}, UpdateOrigin::kOwn);
     }
   }
@@ -251,6 +251,34 @@
   }));
 }
 
+// A prompt of very many parts once kept every placement behind it waiting.
+TEST_CASE("a placement of more keys than a datagram holds is sent in parts, with all its keys") {
+  SendingGateway gateway;
+  gateway.addPeers(1);
+  std::vector<BlockKey> keys(500);
+  for (size_t index = 0; index < keys.size(); ++index) {
+    keys[index].low = index;
+  }
+  gateway.updates.addPlacement({1, keys}, UpdateOrigin::kOwn);
+  gateway.updates.addPlacement({2, {{3, 4}}}, UpdateOrigin::kOwn);
+  std::vector<BlockKey> received;
+  bool has_second = false;
+  for (int report = 0; report < 8; ++report) {
+    gateway.sendReports(kStart);
+    for (const Sent& sent : gateway.turn) {
+      for (const PlacementDigest& placement : sent.digest.placements) {
+        has_second = has_second || placement.server == 2;
+        if (placement.server == 1) {
+          received.insert(received.end(), placement.keys.begin(), placement.keys.end());
+        }
+      }
+    }
+  }
+  CHECK(received == keys);
+  CHECK(has_second);
+  CHECK(gateway.largest_datagram <= peer::kMaximumDatagramPayload);
+}
+
 TEST_CASE("the size of a digest is known without encoding it") {
   CHECK(rc::check([] {
     DrawnGateway gateway;
