End a turn of the timers also where an action schedules another that is due

Cause: TimerQueue::runDue ran whatever was due, also what an action had just scheduled for now or the past: one that is always due again kept the reactor from all sockets. Change: a turn runs the actions that were scheduled before it.

--- a/src/reactor/timer_queue.cc
+++ b/src/reactor/timer_queue.cc
@@ -39,12 +39,21 @@
   });
 }
 
+// Actions that are scheduled meanwhile wait for the next turn, so that each turn ends.
 void TimerQueue::runDue() {
   const absl::Time now = clock_();
-  while (!actions_.empty() && actions_.begin()->first.first <= now) {
-    const std::function<void()> action = std::move(actions_.begin()->second);
-    actions_.erase(actions_.begin());
+  const uint64_t last_number = last_number_;
+  auto next = actions_.begin();
+  while (next != actions_.end() && next->first.first <= now) {
+    const Key key = next->first;
+    if (key.second > last_number) {
+      ++next;
+      continue;
+    }
+    const std::function<void()> action = std::move(next->second);
+    actions_.erase(next);
     action();
+    next = actions_.upper_bound(key);
   }
   arm();
 }
--- a/src/reactor/timer_queue.h
+++ b/src/reactor/timer_queue.h
@@ -27,8 +27,9 @@
   explicit TimerQueue(boost::asio::io_context& reactor, Clock clock = steadyNow)
       : timer_(reactor), clock_(std::move(clock)) {}
 
-  // Calls `action` once, at `due` or soon after. The system's timers stop while the machine is
-  // suspended: actions that came due meanwhile run with the first timer that expires afterwards.
+  // Calls `action` once, at `due` or soon after; if it is already due, from a later turn of the reactor. The
+  // system's timers stop while the machine is suspended: actions that came due meanwhile run with the first
+  // timer that expires afterwards.
   Key schedule(absl::Time due, std::function<void()> action);
   // Cancels the action if it has not run, and resets `key`.
   void cancel(Key& key);
--- a/tests/reactor/timer_queue_test.cc
+++ b/tests/reactor/timer_queue_test.cc
@@ -3,7 +3,10 @@
 #include <time.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <functional>
 #include <string>
 
 namespace quincewick::reactor {
@@ -60,5 +63,41 @@
   CHECK(ran - due < absl::Hours(1));
 }
 
+// An action that is due again as soon as it has run once kept the reactor from everything else.
+TEST_CASE("an action that schedules another for now or the past doesn't keep the reactor from its sockets") {
+  for (const absl::Duration past : {absl::ZeroDuration(), absl::Seconds(1)}) {
+    boost::asio::io_context reactor;
+    const absl::Time still = steadyNow();
+    TimerQueue timers(reactor, [still] { return still; });
+    constexpr int too_many = 1000;
+    int runs = 0;
+    bool is_served = false;
+    std::function<void()> again = [&] {
+      if (++runs < too_many) {
+        timers.schedule(still - past, again);
+      }
+    };
+    timers.schedule(still, again);
+    boost::asio::steady_timer socket(reactor, std::chrono::seconds(0));  // any other event of the reactor
+    socket.async_wait([&is_served](const boost::system::error_code&) { is_served = true; });
+    while (!is_served) {
+      reactor.run_one();
+    }
+    CHECK(runs < too_many);
+  }
+}
+
+TEST_CASE("an action that an earlier one of the same turn cancels doesn't run") {
+  boost::asio::io_context reactor;
+  const absl::Time start = steadyNow();
+  TimerQueue timers(reactor);
+  bool ran = false;
+  TimerQueue::Key second;
+  timers.schedule(start, [&] { timers.cancel(second); });
+  second = timers.schedule(start, [&ran] { ran = true; });
+  reactor.run();
+  CHECK(!ran);
+}
+
 }  // namespace
 }  // namespace quincewick::reactor
