Watch the reactor's turns from outside, and end a process that never comes back from one

Change: a histogram of how late the reactor's tick of 0.2 s is, a log line with the processor time used where it is 0.5 s late or more, counters of datagrams and bytes sent to peers, and gauges of engine updates that some peer lacks. A message that fits into no datagram is counted and logged instead of sent: receivers dropped it unread. A guard aborts the process when it used 2 s of processor time without a tick, and writes the stack; a stopped or starved process uses none and lives on.

--- a/src/cli/serve_command.cc
+++ b/src/cli/serve_command.cc
@@ -17,10 +17,15 @@
 #include "gateway/gateway.h"
 #include "node/node.h"
 #include "platform/platform_dialect.h"
+#include "reactor/stall_guard.h"
 
 namespace quincewick::cli {
 namespace {
 
+// Processor time of one turn of a gateway's reactor, after which the process is ended.
+// of it.
+constexpr absl::Duration kMaxTurnProcessorTime = absl::Seconds(2);
+
 // Reads and parses a file. Prints its errors and returns std::nullopt if it has any.
 template <class T>
 std::optional<T> parseFile(const std::string& path, configuration::Parsed<T> (*parse)(const std::string&)) {
@@ -80,6 +85,12 @@
   gateway::Gateway gateway(std::move(*settings.value), platform_dialect::makePlatformDialect(),
                            STDOUT_FILENO);
   gateway.setReload(reload_settings);
+  reactor::StallGuard stall_guard(kMaxTurnProcessorTime, STDERR_FILENO);
+  if (const Result<void> guarded = stall_guard.start(); guarded.has_error()) {
+    std::fprintf(stderr, "quincewick serve: goes on without a stall guard: %s\n",
+                 guarded.error().message.c_str());
+  }
+  gateway.setTickObserver([&stall_guard] { stall_guard.reset(); });
   const Result<void> started = gateway.start();
   if (started.has_error()) {
     std::fprintf(stderr, "quincewick serve: %s\n", started.error().message.c_str());
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -15,6 +15,7 @@
 // that still arrive after that are rejected at once.
 constexpr absl::Duration kMinStopTime = absl::Milliseconds(2600);
 constexpr absl::Duration kStopMargin = absl::Milliseconds(400);
+constexpr absl::Duration kLoggedTickDelay = absl::Milliseconds(500);
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 
@@ -194,6 +195,9 @@
   gauges.caller_connections = static_cast<double>(connections_.size());
   gauges.server_connections_opened = static_cast<double>(pool_.openedConnections());
   gauges.requests_under_way = static_cast<double>(core_.requests_under_way);
+  const PeerExchange::Backlog backlog = peers_.backlog(now);
+  gauges.engine_updates_pending = static_cast<double>(backlog.engine_updates);
+  gauges.engine_update_oldest_seconds = absl::ToDoubleSeconds(backlog.oldest);
   gauges.log_lines_dropped = static_cast<double>(core_.log.droppedLines());
   return {kOk, "text/plain; version=0.0.4", core_.metrics.print(gauges)};
 }
@@ -237,6 +241,7 @@
 
 void Gateway::onTick() {
   const absl::Time now = reactor::steadyNow();
+  observeTick(now);
   pool_.sweep(now);
   if (std::exchange(was_ready_, isReady()) != isReady()) {
     core_.log.event("ready", now).with("ready", isReady() ? "true" : "false");
@@ -245,7 +250,23 @@
   if (core_.is_stopping) {
     checkStopped();
   }
-  core_.timers.schedule(now + kTickInterval, [this] { onTick(); });
+  tick_due_ = now + kTickInterval;
+  core_.timers.schedule(tick_due_, [this] { onTick(); });
+}
+
+// A late tick with as much processor time is a long turn; one with little, a process that was stopped or
+// starved.
+void Gateway::observeTick(absl::Time now) {
+  const absl::Duration processor_time = reactor::threadProcessorTime();
+  const absl::Duration used = processor_time - std::exchange(processor_time_, processor_time);
+  const absl::Duration late = std::max(now - tick_due_, absl::ZeroDuration());
+  core_.metrics.observeTickDelay(late);
+  if (late >= kLoggedTickDelay) {
+    core_.log.event("tick_late", now).with("late_ms", late).with("processor_ms", used);
+  }
+  if (tick_observer_) {
+    tick_observer_();
+  }
 }
 
 // Requests in progress are served until the end of the grace period; idle connections stay open until the
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -49,6 +49,8 @@
   void stop() { core_.reactor.stop(); }
   // Starts the graceful stop, as SIGTERM does. Callable from any thread.
   void stopGracefully();
+  // Called at each tick, as long as the reactor takes turns. Set before `start`.
+  void setTickObserver(std::function<void()> on_tick) { tick_observer_ = std::move(on_tick); }
   // Reads the settings on SIGHUP; returns nothing if they can't be read. Set before `run`.
   using Reload = std::function<std::optional<GatewaySettings>()>;
   void setReload(Reload reload) { reload_ = std::move(reload); }
@@ -72,6 +74,8 @@
   void beginStop();
   void reload();
   void onTick();
+  // Notes how late the tick is and how much processor time was used since the last one.
+  void observeTick(absl::Time now);
   void checkStopped();
 
   Core core_;
@@ -102,6 +106,9 @@
   absl::flat_hash_map<CallerConnection*, std::shared_ptr<CallerConnection>> connections_;
   absl::Time stop_began_ = absl::InfiniteFuture();
   bool was_ready_ = false;
+  absl::Time tick_due_ = absl::InfiniteFuture();
+  absl::Duration processor_time_;  // of the thread, at the last tick
+  std::function<void()> tick_observer_;
   Reload reload_;
 };
 
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -111,6 +111,11 @@
                   "Servers' answers that ended with their connection, without a length or chunks.")),
       datagrams_refused_(counter(registry_, "quincewick_datagrams_refused_total",
                                  "Messages of peers that were forged or can't be read.")),
+      datagrams_sent_(counter(registry_, "quincewick_datagrams_sent_total", "Messages sent to peers.")),
+      datagram_bytes_sent_(
+          counter(registry_, "quincewick_datagram_bytes_sent_total", "Bytes of messages sent to peers.")),
+      datagrams_oversized_(counter(registry_, "quincewick_datagrams_oversized_total",
+                                   "Messages to peers that fit into no datagram and were not sent.")),
       store_went_back_(counter(registry_, "quincewick_store_went_back_total",
                                "Times that an answer showed that the store lost what it had acknowledged.")),
       outdated_decisions_(
@@ -134,7 +139,14 @@
           histogram(registry_, "quincewick_first_piece_seconds", "Until a stream's first piece.")),
       answer_seconds_(histogram(registry_, "quincewick_answer_seconds", "Until an answer was whole.")),
       store_call_seconds_(
-          histogram(registry_, "quincewick_store_call_seconds", "Store calls, waits for changes apart.")) {}
+          histogram(registry_, "quincewick_store_call_seconds", "Store calls, waits for changes apart.")),
+      tick_delay_seconds_(histogram(registry_, "quincewick_tick_delay_seconds",
+                                    "How late a timer of every 0.2 s ran: the longest turns.")) {}
+
+void GatewayMetrics::countDatagram(size_t bytes) {
+  datagrams_sent_->Increment();
+  datagram_bytes_sent_->Increment(static_cast<double>(bytes));
+}
 
 void GatewayMetrics::countRequest(std::optional<RepeatKind> kind, std::string_view outcome) {
   requests_.Add({{"kind", nameOf(kind)}, {"outcome", std::string(outcome)}}).Increment();
@@ -239,6 +251,10 @@
   addGauge(families, "quincewick_server_connections_opened", "Since the start.",
            gauges.server_connections_opened);
   addGauge(families, "quincewick_requests_under_way", "Read and not ended.", gauges.requests_under_way);
+  addGauge(families, "quincewick_engine_updates_pending", "Not sent to all peers yet.",
+           gauges.engine_updates_pending);
+  addGauge(families, "quincewick_engine_update_oldest_seconds", "Age of the oldest of these.",
+           gauges.engine_update_oldest_seconds);
   addGauge(families, "quincewick_log_lines_dropped", "Since the start.", gauges.log_lines_dropped);
   return prometheus::TextSerializer().Serialize(families);
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -65,6 +65,11 @@
   void observeFirstPiece(absl::Duration time) { first_piece_seconds_->Observe(absl::ToDoubleSeconds(time)); }
   // Difference between a first piece's predicted and actual time.
   void observeForecast(std::string_view route, absl::Duration error);
+  // How late a periodic timer of the reactor ran.
+  void observeTickDelay(absl::Duration delay) { tick_delay_seconds_->Observe(absl::ToDoubleSeconds(delay)); }
+  void countDatagram(size_t bytes);
+  // A message to a peer that fits into no datagram and isn't sent.
+  void countOversizedDatagram() { datagrams_oversized_->Increment(); }
   void observeResponse(absl::Duration time) { answer_seconds_->Observe(absl::ToDoubleSeconds(time)); }
   void observeStoreCall(absl::Duration time) { store_call_seconds_->Observe(absl::ToDoubleSeconds(time)); }
 
@@ -85,6 +90,8 @@
     double caller_connections = 0;
     double server_connections_opened = 0;
     double requests_under_way = 0;
+    double engine_updates_pending = 0;  // not sent to all peers yet
+    double engine_update_oldest_seconds = 0;
     double log_lines_dropped = 0;
   };
   // All metrics in Prometheus' text format.
@@ -110,6 +117,9 @@
   prometheus::Counter* responses_truncated_;
   prometheus::Counter* ends_inferred_;
   prometheus::Counter* datagrams_refused_;
+  prometheus::Counter* datagrams_sent_;
+  prometheus::Counter* datagram_bytes_sent_;
+  prometheus::Counter* datagrams_oversized_;
   prometheus::Counter* store_went_back_;
   prometheus::Counter* outdated_decisions_;
   prometheus::Counter* services_cut_off_;
@@ -121,6 +131,7 @@
   prometheus::Histogram* first_piece_seconds_;
   prometheus::Histogram* answer_seconds_;
   prometheus::Histogram* store_call_seconds_;
+  prometheus::Histogram* tick_delay_seconds_;
 };
 
 }  // namespace quincewick::gateway
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -20,6 +20,7 @@
 constexpr size_t kNearPeersPerTick = 8;
 // Between turns that send engine updates: sockets and timers are served meanwhile.
 constexpr absl::Duration kEngineTurnInterval = absl::Milliseconds(5);
+constexpr absl::Duration kOversizeLogInterval = absl::Seconds(10);
 constexpr uint32_t kTicksPerFarPeer = 4;  // between digests to single far peers
 constexpr absl::Duration kMinSilenceTimeout = absl::Milliseconds(1200);  // reached on a small site
 constexpr absl::Duration kFarReaderTimeout = absl::Milliseconds(1500);   // for another zone's reader
@@ -290,10 +291,39 @@
 
 void PeerExchange::send(const NodeId& id, const Peer& peer, peer::PeerModule module,
                         const std::string& payload) {
+  if (payload.size() > peer::kMaximumDatagramPayload) {
+    noteOversized(module, payload.size());
+    return;
+  }
   const auto sealed = directory_.authenticator()->seal(peer::Channel::kDatagram, id, module, payload);
   boost::system::error_code ignored;
   const udp::endpoint endpoint(boost::asio::ip::make_address(peer.address.host, ignored), peer.address.port);
   socket_.send_to(boost::asio::buffer(sealed.bytes), endpoint, 0, ignored);
+  core_.metrics.countDatagram(sealed.bytes.size());
+}
+
+// Receivers would drop it. All of a kind may be too large, so not each is logged.
+void PeerExchange::noteOversized(peer::PeerModule module, size_t size) {
+  core_.metrics.countOversizedDatagram();
+  const absl::Time now = reactor::steadyNow();
+  if (now - oversize_logged_ >= kOversizeLogInterval) {
+    oversize_logged_ = now;
+    core_.log.event("datagram_oversized", now)
+        .with("module", static_cast<int64_t>(module))
+        .with("bytes", static_cast<int64_t>(size));
+  }
+}
+
+PeerExchange::Backlog PeerExchange::backlog(absl::Time now) const {
+  Backlog backlog;
+  for (const auto& [id, peer] : directory_.peers()) {
+    const PeerUpdates::Pending pending = updates_.pendingEngines(peer.sent, now);
+    backlog.engine_updates = std::max(backlog.engine_updates, pending.engines);
+    if (pending.engines > 0) {
+      backlog.oldest = std::max(backlog.oldest, now - pending.oldest);
+    }
+  }
+  return backlog;
 }
 
 bool PeerExchange::isLive(const Peer& peer, absl::Time now) const {
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -60,6 +60,12 @@
   absl::Time lastOrderAnnouncement() const { return last_order_announcement_; }
   // Queues an engine's new block or weights version to be sent to all peers soon.
   void announce(const EngineDigest& engine);
+  // Engine updates that some peer wasn't sent yet: the most that one peer lacks, and the age of the oldest.
+  struct Backlog {
+    size_t engine_updates = 0;
+    absl::Duration oldest;
+  };
+  Backlog backlog(absl::Time now) const;
   // Ids of the live peers, sorted.
   std::vector<NodeId> livePeers(absl::Time now) const;
   bool isLive(const Peer& peer, absl::Time now) const;
@@ -96,6 +102,7 @@
   void sendReportToAll();
   void send(const NodeId& id, const Peer& peer, peer::PeerModule module, const std::string& payload);
   void send(const NodeId& id, const Peer& peer, const PeerDigest& digest);
+  void noteOversized(peer::PeerModule module, size_t size);
   PeerDigest digestHeader() const;
   void receive();
   void handleDatagram(std::string_view bytes);
@@ -123,6 +130,7 @@
   NodeId last_near_;  // where the round-robin continues
   NodeId last_far_;
   NodeId last_updated_;
+  absl::Time oversize_logged_ = absl::InfinitePast();
   size_t near_peers_ = 0;
   size_t far_peers_ = 0;
   uint32_t ticks_ = 0;
--- a/src/gateway/peer_updates.cc
+++ b/src/gateway/peer_updates.cc
@@ -40,7 +40,7 @@
   uint64_t& number = engine_numbers_[engine.server];
   engines_.erase(number);
   number = ++last_number_;
-  engines_[number] = {engine, closed_until, std::max(closed_until, now + kMinAnnouncementDuration),
+  engines_[number] = {engine, now, closed_until, std::max(closed_until, now + kMinAnnouncementDuration),
                       now + kRepeatDelay};
 }
 
@@ -95,6 +95,17 @@
                      [now](const auto& update) { return now < update.second.until; });
 }
 
+PeerUpdates::Pending PeerUpdates::pendingEngines(const UpdateCursor& sent, absl::Time now) const {
+  Pending pending;
+  for (auto update = engines_.upper_bound(sent.engine); update != engines_.end(); ++update) {
+    if (now < update->second.until) {
+      ++pending.engines;
+      pending.oldest = std::min(pending.oldest, update->second.added);
+    }
+  }
+  return pending;
+}
+
 bool PeerUpdates::hasAny(const UpdateCursor& sent, const RelevantOrigins& origins, absl::Time now) const {
   const auto is_relevant = [&origins](const auto& update) { return origins.includes(update.second.origin); };
   return hasEngines(sent, now) ||
--- a/src/gateway/peer_updates.h
+++ b/src/gateway/peer_updates.h
@@ -59,6 +59,13 @@
   bool hasEngines(const UpdateCursor& sent, absl::Time now) const;
   bool hasAny(const UpdateCursor& sent, const RelevantOrigins& origins, absl::Time now) const;
 
+  // Engine updates that a peer wasn't sent, and since when the oldest of them is known.
+  struct Pending {
+    size_t engines = 0;
+    absl::Time oldest = absl::InfiniteFuture();
+  };
+  Pending pendingEngines(const UpdateCursor& sent, absl::Time now) const;
+
   // Adds to a digest what its peer wasn't sent and what fits into a datagram, and advances the cursor. A
   // digest without loads gets at least one update of each kind that is pending.
   void addTo(PeerDigest& digest, UpdateCursor& sent, const RelevantOrigins& origins, absl::Time now) const;
@@ -69,6 +76,7 @@
  private:
   struct EngineUpdate {
     EngineDigest engine;
+    absl::Time added;
     absl::Time closed_until;
     absl::Time until;   // how long the update is valid
     absl::Time repeat;  // when it is sent once more
--- a/src/reactor/timer_queue.cc
+++ b/src/reactor/timer_queue.cc
@@ -12,6 +12,12 @@
   return absl::UnixEpoch() + absl::DurationFromTimespec(now);
 }
 
+absl::Duration threadProcessorTime() {
+  timespec used{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+  return absl::DurationFromTimespec(used);
+}
+
 TimerQueue::Key TimerQueue::schedule(absl::Time due, std::function<void()> action) {
   const Key key{due, ++last_number_};
   actions_.emplace(key, std::move(action));
--- a/src/reactor/timer_queue.h
+++ b/src/reactor/timer_queue.h
@@ -17,6 +17,9 @@
 // that a lease, a key or a list has the same age here as on other machines.
 absl::Time steadyNow();
 
+// The processor time that the calling thread has used.
+absl::Duration threadProcessorTime();
+
 class TimerQueue {
  public:
   // Identifies one deadline; a default-constructed key identifies none.
