Let a client be destroyed by its own callback, and the timers' actions use the timers while they are destroyed

Cause: a client couldn't be destroyed in its callback, so RelayFollower and WeightLoader left it to a timer; where the reactor ended first, ~TimerQueue destroyed it, and its destructor cancelled a timer in the map that was being destroyed. Change: HttpClient notices that its callback destroyed it, so both owners just drop theirs; ~TimerQueue takes the actions out of the member before it destroys them, so that whatever an action owns may cancel and schedule meanwhile.

--- a/src/cli/serve_command.cc
+++ b/src/cli/serve_command.cc
@@ -23,7 +23,6 @@
 namespace {
 
 // Processor time of one turn of a gateway's reactor, after which the process is ended.
-// of it.
 constexpr absl::Duration kMaxTurnProcessorTime = absl::Seconds(2);
 
 // Reads and parses a file. Prints its errors and returns std::nullopt if it has any.
--- a/src/gateway/relay_follower.cc
+++ b/src/gateway/relay_follower.cc
@@ -28,12 +28,7 @@
 
 void RelayFollower::stop() {
   ++generation_;
-  if (caller_ == nullptr) {
-    return;
-  }
-  // The caller may be running its callback: destroy it from the reactor's next turn.
-  core_.timers.schedule(reactor::steadyNow(),
-                        [caller = std::shared_ptr<reactor::HttpClient>(std::move(caller_))] {});
+  caller_ = nullptr;
 }
 
 void RelayFollower::sendRequest() {
--- a/src/gateway/weight_loader.cc
+++ b/src/gateway/weight_loader.cc
@@ -313,8 +313,6 @@
       .with("done", is_done ? "true" : "false")
       .with("took_ms", now - load.started_at);
   blockRequests(load.server, load.model, absl::ZeroDuration());
-  // The caller is still running this callback: destroy it from the reactor's next turn.
-  core_.timers.schedule(now, [caller = std::shared_ptr<reactor::HttpClient>(std::move(load.caller))] {});
 }
 
 }  // namespace quincewick::gateway
--- a/src/reactor/http_client.cc
+++ b/src/reactor/http_client.cc
@@ -98,8 +98,11 @@
   reader_ = nullptr;
   const Done done = std::exchange(current_.done, nullptr);
   is_busy_ = false;
+  const std::weak_ptr<void> lifetime = lifetime_;
   done(std::move(result));
-  startNext();
+  if (!lifetime.expired()) {
+    startNext();
+  }
 }
 
 void HttpClient::dropConnection() {
--- a/src/reactor/http_client.h
+++ b/src/reactor/http_client.h
@@ -24,7 +24,8 @@
 class HttpClient final : private ConnectionHandler {
  public:
   // Errors: kUnavailable (not sent), kOutcomeUnknown (sent, no complete response), kDeadlineExceeded (no
-  // complete response in time). The callback must not destroy the client.
+  // complete response in time). The callback may destroy the client; calls that are queued then are dropped
+  // without a result.
   using Done = std::function<void(Result<HttpResponse>)>;
 
   HttpClient(boost::asio::io_context& reactor, TimerQueue& timers, Address address)
@@ -60,6 +61,7 @@
   std::shared_ptr<Connection> connection_;
   bool is_connected_ = false;
   std::unique_ptr<MessageReader> reader_;
+  std::shared_ptr<void> lifetime_ = std::make_shared<char>();  // expires with the client
 };
 
 }  // namespace quincewick::reactor
--- a/src/reactor/timer_queue.cc
+++ b/src/reactor/timer_queue.cc
@@ -18,6 +18,13 @@
   return absl::DurationFromTimespec(used);
 }
 
+TimerQueue::~TimerQueue() {
+  // Destroyed apart from the member, which the owned objects' destructors use.
+  while (!actions_.empty()) {
+    const std::map<Key, std::function<void()>> abandoned = std::exchange(actions_, {});
+  }
+}
+
 TimerQueue::Key TimerQueue::schedule(absl::Time due, std::function<void()> action) {
   const Key key{due, ++last_number_};
   actions_.emplace(key, std::move(action));
--- a/src/reactor/timer_queue.h
+++ b/src/reactor/timer_queue.h
@@ -29,6 +29,10 @@
 
   explicit TimerQueue(boost::asio::io_context& reactor, Clock clock = steadyNow)
       : timer_(reactor), clock_(std::move(clock)) {}
+  // Destroys what the actions own without running them. It may still cancel and schedule actions.
+  ~TimerQueue();
+  TimerQueue(const TimerQueue&) = delete;
+  TimerQueue& operator=(const TimerQueue&) = delete;
 
   // Calls `action` once, at `due` or soon after; if it is already due, from a later turn of the reactor. The
   // system's timers stop while the machine is suspended: actions that came due meanwhile run with the first
--- /dev/null
+++ b/tests/reactor/http_client_test.cc
@@ -0,0 +1,52 @@
+// Guards the life of clients: who may destroy one, and when.
+#include "reactor/http_client.h"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <memory>
+
+#include "reactor/simple_http_server.h"
+
+namespace quincewick::reactor {
+namespace {
+
+struct ClientSite {
+  boost::asio::io_context reactor;
+  TimerQueue timers{reactor};
+  SimpleHttpServer server{reactor, {"127.0.0.1", 0}, [](const HttpHead&) { return SimpleHttpResponse(); }};
+  std::unique_ptr<HttpClient> client;
+
+  Address serverAddress() const { return {"127.0.0.1", server.port()}; }
+  // Calls a server, destroys the client in the callback, and returns the result's error or kInternal.
+  bool destroyInCallback(const Address& address, absl::Duration time_limit) {
+    bool is_called = false;
+    bool has_response = false;
+    client = std::make_unique<HttpClient>(reactor, timers, address);
+    const auto done = [&](const Result<HttpResponse>& response) {
+      has_response = response.has_value();
+      is_called = true;
+      client = nullptr;
+    };
+    client->call({"GET", "/", {}, ""}, time_limit, done);
+    client->call({"GET", "/never", {}, ""}, time_limit, [](const Result<HttpResponse>&) { FAIL(); });
+    while (!is_called) {
+      reactor.run_one();
+    }
+    reactor.poll();
+    return has_response;
+  }
+};
+
+// Owners once left a client to a timer, to be destroyed after its callback; a reactor that ended first
+// destroyed it with the timers.
+TEST_CASE_METHOD(ClientSite, "a client may be destroyed by its own callback, whatever the result") {
+  CHECK(destroyInCallback(serverAddress(), absl::Seconds(20)));
+  CHECK(!destroyInCallback(serverAddress(), absl::ZeroDuration()));
+  Listener closed(reactor, {"127.0.0.1", 0}, [](Connection::Socket) {});
+  const Address nobody{"127.0.0.1", closed.port()};
+  closed.close();
+  CHECK(!destroyInCallback(nobody, absl::Seconds(20)));
+}
+
+}  // namespace
+}  // namespace quincewick::reactor
--- a/tests/reactor/timer_queue_test.cc
+++ b/tests/reactor/timer_queue_test.cc
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <string>
 
 namespace quincewick::reactor {
@@ -99,5 +100,31 @@
   CHECK(!ran);
 }
 
+// A client that was left to the timers once cancelled its timeout in the map that was being destroyed.
+TEST_CASE("what an action owns may cancel and schedule actions while the queue is destroyed") {
+  struct Owned {
+    TimerQueue& timers;
+    TimerQueue::Key key;
+    int& destroyed;
+    ~Owned() {
+      timers.cancel(key);
+      timers.schedule(steadyNow(), [] {});
+      ++destroyed;
+    }
+  };
+  constexpr int owned = 50;
+  boost::asio::io_context reactor;
+  int destroyed = 0;
+  auto timers = std::make_unique<TimerQueue>(reactor);
+  const absl::Time later = steadyNow() + absl::Hours(1);
+  for (int number = 0; number < owned; ++number) {
+    const TimerQueue::Key key = timers->schedule(later + absl::Seconds(owned - number), [] {});
+    auto object = std::make_shared<Owned>(*timers, key, destroyed);
+    timers->schedule(later + absl::Seconds(number), [object] {});
+  }
+  timers = nullptr;
+  CHECK(destroyed == owned);
+}
+
 }  // namespace
 }  // namespace quincewick::reactor
