Close a connection when its peer has the last byte, or takes no more

Cause: a connection that isn't kept was reset 1 s after the end of its exchange, whatever was unsent, and a stopping process ended as soon as no exchange was under way. Change: ClosingConnections owns a connection from its last response on, and counts from the last progress: it is closed when the peer has all and was silent for 1 s (5 s where it goes on sending), and reset where the peer takes nothing for 5 s. The process waits for these within its grace period; near connections_at_most delivered ones are closed first. Why this works: nothing is dropped while its receiver takes bytes, and no peer holds a connection without taking any.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -18,7 +18,6 @@
 constexpr int kHeaderTooLarge = 431;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
-constexpr absl::Duration kLingerTimeout = absl::Seconds(1);
 constexpr size_t kMaxUnreadBytes = 65536;  // of pipelined requests
 // Of sealed requests of other gateways.
 constexpr MessageLimits kDelegationLimits = {8192, peer::kMaximumBodySize};
@@ -266,9 +265,7 @@
   is_open_ = false;
   core_.timers.cancel(timer_);
   if (linger) {
-    connection_->closeWhenSent();
-    core_.timers.schedule(reactor::steadyNow() + kLingerTimeout,
-                          [connection = connection_] { connection->abort(); });
+    core_.closing_connections.add(connection_, reactor::steadyNow());
   } else {
     connection_->abort();
   }
--- a/src/gateway/core.h
+++ b/src/gateway/core.h
@@ -19,6 +19,7 @@
 #include "forwarding/weights_register.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_settings.h"
+#include "reactor/closing_connections.h"
 #include "reactor/timer_queue.h"
 #include "telemetry/event_log.h"
 
@@ -47,6 +48,7 @@
   std::unique_ptr<forwarding::Dialect> dialect;
   boost::asio::io_context reactor;
   reactor::TimerQueue timers;
+  reactor::ClosingConnections closing_connections;  // of callers
   telemetry::EventLog log;
   GatewayMetrics metrics;
   absl::InsecureBitGen random;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -146,7 +146,9 @@
 }
 
 void Gateway::accept(reactor::Connection::Socket socket, Delegations* delegations) {
-  if (connections_.size() >= core_.settings.connections_at_most && !closeLongestIdle()) {
+  const bool is_full =
+      connections_.size() + core_.closing_connections.size() >= core_.settings.connections_at_most;
+  if (is_full && !core_.closing_connections.closeDelivered() && !closeLongestIdle()) {
     return;  // closes the socket unread
   }
   auto connection = std::make_shared<CallerConnection>(
@@ -243,6 +245,7 @@
   const absl::Time now = reactor::steadyNow();
   observeTick(now);
   pool_.sweep(now);
+  core_.closing_connections.sweep(now);
   if (std::exchange(was_ready_, isReady()) != isReady()) {
     core_.log.event("ready", now).with("ready", isReady() ? "true" : "false");
   }
@@ -291,8 +294,8 @@
   for (const auto& connection : idle) {
     connection->closeIfIdle();
   }
-  const bool is_done =
-      core_.requests_under_way == 0 && !weight_loader_.hasPendingOrders(reactor::steadyNow());
+  const bool is_done = core_.requests_under_way == 0 && core_.closing_connections.areAllDelivered() &&
+                       !weight_loader_.hasPendingOrders(reactor::steadyNow());
   if (is_done || grace_is_over) {
     core_.log.event("stopped", reactor::steadyNow())
         .with("under_way", static_cast<int64_t>(core_.requests_under_way));
--- a/src/reactor/connection.cc
+++ b/src/reactor/connection.cc
@@ -1,7 +1,9 @@
 #include "reactor/connection.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 #include <array>
 #include <boost/asio/buffer.hpp>
@@ -109,7 +111,9 @@
       end(error == asio::error::eof ? EndKind::kOrderly : EndKind::kBroken);
       return;
     }
-    if (handler_ != nullptr && !lingering_) {
+    if (lingering_) {
+      discarded_ += size;
+    } else if (handler_ != nullptr) {
       handler_->onBytes({sharedBuffer().data(), size});
     }
     if (size < kReadBytes) {
@@ -197,6 +201,20 @@
   }
 }
 
+size_t Connection::unacknowledgedBytes() {
+  int handed_over = 0;
+  const bool is_known = open_ && ioctl(socket_.native_handle(), SIOCOUTQ, &handed_over) == 0;
+  return unsentBytes() + (is_known ? static_cast<size_t>(handed_over) : 0);
+}
+
+void Connection::close() {
+  handler_ = nullptr;
+  connected_ = nullptr;
+  if (open_) {
+    closeSocket();
+  }
+}
+
 void Connection::abort() {
   handler_ = nullptr;
   connected_ = nullptr;
--- a/src/reactor/connection.h
+++ b/src/reactor/connection.h
@@ -64,6 +64,10 @@
 
   void send(std::string_view bytes);
   size_t unsentBytes() const { return unsent_.size() - unsent_begin_; }
+  // Bytes that the peer hasn't acknowledged, sent or not.
+  size_t unacknowledgedBytes();
+  // Bytes received and discarded since `closeWhenSent`.
+  uint64_t discardedBytes() const { return discarded_; }
   bool isOpen() const { return open_; }
 
   void pauseReading() { paused_ = true; }
@@ -71,6 +75,8 @@
 
   // Sends what is left, shuts down the sending side, and reads and discards input until the peer closes.
   void closeWhenSent();
+  // Closes at once; the system goes on sending what it was handed.
+  void close();
   // Closes at once with a reset; unsent and unread bytes are lost.
   void abort();
 
@@ -95,6 +101,7 @@
   bool reading_ = false;    // a wait for readability is pending
   bool writing_ = false;    // a wait for writability is pending
   bool lingering_ = false;  // discards input until the peer closes
+  uint64_t discarded_ = 0;
 };
 
 // Accepts connections at an address. If the address can't be bound, isListening() is false.
