Reset a caller's connection where the process ends before an answer without a length does

Cause: such an answer is passed on without chunks, for its end is only inferred; the system then closes a killed process's sockets in order, which states that end. Change: while such an answer is under way, its socket is set to be reset when it is closed; that is taken back once all bytes were handed to the system and the connection is shut down in order. Chunks would have stated an end that isn't known.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -155,6 +155,9 @@
   if (!keeps_alive_) {
     fields.push_back({"Connection", "close"});
   }
+  if (has_body && !is_bodyless_ && !is_end_detectable_) {
+    connection_->resetOnExit();
+  }
   connection_->send(
       printResponseHead(status, reason.empty() ? std::string(reasonOf(status)) : reason, fields));
 }
--- a/src/reactor/connection.cc
+++ b/src/reactor/connection.cc
@@ -152,6 +152,13 @@
   });
 }
 
+// The system closes the sockets of a process that ends, however it ends.
+void Connection::resetOnExit() {
+  error_code ignored;
+  socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+  resets_on_exit_ = true;
+}
+
 // A write error is left to the reading side, which first reads what the peer sent before the failure.
 void Connection::writeAvailable() {
   while (unsentBytes() > 0) {
@@ -189,6 +196,9 @@
 
 void Connection::finishSending() {
   error_code ignored;
+  if (std::exchange(resets_on_exit_, false)) {
+    socket_.set_option(asio::socket_base::linger(false, 0), ignored);
+  }
   socket_.shutdown(tcp::socket::shutdown_send, ignored);
 }
 
--- a/src/reactor/connection.h
+++ b/src/reactor/connection.h
@@ -70,6 +70,10 @@
   uint64_t discardedBytes() const { return discarded_; }
   bool isOpen() const { return open_; }
 
+  // From now on the peer sees a reset if the process ends before all bytes were handed to the system, or before
+  // `closeWhenSent`: for bytes whose receiver takes the connection's end for theirs.
+  void resetOnExit();
+
   void pauseReading() { paused_ = true; }
   void resumeReading();
 
@@ -101,6 +105,7 @@
   bool reading_ = false;    // a wait for readability is pending
   bool writing_ = false;    // a wait for writability is pending
   bool lingering_ = false;  // discards input until the peer closes
+  bool resets_on_exit_ = false;
   uint64_t discarded_ = 0;
 };
 
--- a/tests/gateway/ends_of_connections_test.cc
+++ b/tests/gateway/ends_of_connections_test.cc
@@ -89,5 +89,86 @@
   CHECK(kept.bodyBytes() == kBodyBytes);
 }
 
+// A gateway in a process of its own that can be killed. Started before any thread of the test.
+class KilledGateway {
+ public:
+  KilledGateway() {
+    REQUIRE(pipe(to_child_.data()) == 0);
+    REQUIRE(pipe(from_child_.data()) == 0);
+    child_ = fork();
+    if (child_ == 0) {
+      run();
+    }
+  }
+  ~KilledGateway() { kill(); }
+  KilledGateway(const KilledGateway&) = delete;
+  KilledGateway& operator=(const KilledGateway&) = delete;
+
+  // Returns the port for callers once it is ready.
+  uint16_t serve(const StandInSite& site) {
+    const uint16_t store = site.storeAddress().port;
+    uint16_t port = 0;
+    REQUIRE(write(to_child_[1], &store, sizeof(store)) == sizeof(store));
+    REQUIRE(read(from_child_[0], &port, sizeof(port)) == sizeof(port));
+    return port;
+  }
+  void kill() {
+    if (child_ > 0) {
+      ::kill(child_, SIGKILL);
+      waitpid(child_, nullptr, 0);
+      child_ = 0;
+    }
+  }
+
+ private:
+  [[noreturn]] void run() {
+    GatewaySettings settings;
+    settings.gateway_id = NodeId("g");
+    settings.zone = ZoneName("z");
+    settings.listen.callers = {"127.0.0.1", 0};
+    settings.listen.readiness = {"127.0.0.1", 0};
+    settings.store = {"127.0.0.1", 0};
+    settings.site_is_new = true;
+    const bool is_read =
+        read(to_child_[0], &settings.store.port, sizeof(settings.store.port)) == sizeof(settings.store.port);
+    Gateway gateway(settings, platform_dialect::makePlatformDialect(), -1);
+    if (!is_read || gateway.start().has_error()) {
+      _exit(1);
+    }
+    gateway.setTickObserver([this, &gateway, is_told = false]() mutable {
+      if (!is_told && gateway.isReady()) {
+        const uint16_t port = gateway.callersPort();
+        is_told = write(from_child_[1], &port, sizeof(port)) == sizeof(port);
+      }
+    });
+    gateway.run();
+    _exit(0);
+  }
+
+  std::array<int, 2> to_child_{};
+  std::array<int, 2> from_child_{};
+  pid_t child_ = 0;
+};
+
+// Without a length or chunks the end of the connection is the end of the answer: the kernel once ended it in
+// order where its gateway was killed.
+TEST_CASE("a killed gateway resets answers without a length that it hasn't sent completely") {
+  KilledGateway gateway;
+  Fixture fixture;
+  fixture.site.addServer("i-1", [](const Seen&) {
+    // More than a gateway buffers, and no end of the connection.
+    return Script{
+        printResponseHead(200, "OK",
+                          {{"Quincewick-Response-Signature", "s"}, {"Quincewick-Attempt-Id", "attempt-1"}}) +
+        std::string(400'000, 'x')};
+  });
+  SlowCaller caller(gateway.serve(fixture.site), requestWith("close"));
+  caller.read(350'000);
+  gateway.kill();
+  caller.read();
+  CHECK(caller.bodyBytes() > 0);
+  CHECK(caller.wasReset());
+}
+
 }  // namespace
 }  // namespace quincewick::gateway
