Bound what a message reader holds beside the body, whatever arrives and however it is split

Cause: Beast's limits cover heads and bodies; the reader kept everything else until it was complete. Change: the parser sees at most header_bytes from the beginning of a head, a chunk's size or trailers, and an element that is not complete in them is over the limit; the head's bytes are counted here, as Beast's own limit depends on the split.

--- a/src/reactor/message_reader.cc
+++ b/src/reactor/message_reader.cc
@@ -1,8 +1,10 @@
 #include "reactor/message_reader.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
+#include <limits>
 #include <utility>
 #include <variant>
 
@@ -71,9 +73,6 @@
 };
 
 ReadStatus statusOf(const error_code& error) {
-  if (error == http::error::header_limit) {
-    return ReadStatus::kHeaderTooLarge;
-  }
   if (error == http::error::body_limit) {
     return ReadStatus::kBodyTooLarge;
   }
@@ -94,9 +93,9 @@
       collector_.emplace<Collector<false>>();
     }
     visit([&limits](auto& collector) {
-      collector.header_limit(limits.header_bytes);
+      collector.header_limit(std::numeric_limits<uint32_t>::max());  // checked by the reader
       collector.body_limit(limits.body_bytes);
-      collector.eager(true);
+      collector.eager(false);  // one element a call, so that the head's bytes can be told from the body's
     });
   }
 
@@ -114,6 +113,7 @@
   parser_ = std::make_unique<Parser>(kind_, limits_);
   parser_->visit([without_body](auto& collector) { collector.skip(without_body); });
   status_ = ReadStatus::kNeedsMore;
+  head_bytes_ = 0;
 }
 
 ReadStatus MessageReader::take(std::string_view bytes) {
@@ -127,18 +127,26 @@
 
 ReadStatus MessageReader::readOn() {
   return parser_->visit([this](auto& collector) {
+    // A head, a chunk's size and trailers are parsed only when they are seen whole: a longer one never is,
+    // however its bytes are split.
     size_t used = 0;
     while (!collector.is_done() && used < unread_.size()) {
       error_code error;
-      const size_t taken =
-          collector.put(boost::asio::buffer(unread_.data() + used, unread_.size() - used), error);
+      const bool is_in_head = !collector.head_complete;
+      const size_t window = limits_.header_bytes - (is_in_head ? head_bytes_ : 0);
+      const size_t shown = std::min(unread_.size() - used, window);
+      const size_t taken = collector.put(boost::asio::buffer(unread_.data() + used, shown), error);
       used += taken;
-      if (error == http::error::need_more || (!error && taken == 0)) {
-        break;
-      }
-      if (error) {
+      head_bytes_ += is_in_head ? taken : 0;
+      if (error && error != http::error::need_more) {
         return statusOf(error);
       }
+      if (taken == 0) {
+        if (shown == window) {
+          return ReadStatus::kHeaderTooLarge;
+        }
+        break;
+      }
     }
     unread_.erase(0, used);
     return collector.is_done() ? ReadStatus::kDone : ReadStatus::kNeedsMore;
--- a/src/reactor/message_reader.h
+++ b/src/reactor/message_reader.h
@@ -15,7 +15,7 @@
 
 // Limits on the size of one message.
 struct MessageLimits {
-  uint32_t header_bytes = 16384;
+  uint32_t header_bytes = 16384;  // also of a chunk's size with its extension, and of trailers
   uint64_t body_bytes = 4194304;
 };
 
@@ -23,7 +23,7 @@
   kNeedsMore,
   kDone,            // the message is complete; `next` begins the one after it
   kMalformed,       // not valid HTTP/1.1
-  kHeaderTooLarge,  // over MessageLimits::header_bytes
+  kHeaderTooLarge,  // over MessageLimits::header_bytes; trailers and chunk extensions, too
   kBodyTooLarge,    // over MessageLimits::body_bytes
 };
 
@@ -40,7 +40,8 @@
   MessageReader(const MessageReader&) = delete;
   MessageReader& operator=(const MessageReader&) = delete;
 
-  // Appends bytes of the connection and parses on. After kDone further bytes are only buffered.
+  // Appends bytes of the connection and parses on. Holds at most MessageLimits::header_bytes beside the body
+  // and the bytes of this call. After kDone further bytes are only buffered.
   ReadStatus take(std::string_view bytes);
 
   // Signals that the peer closed the connection in order. Gives kDone only for a response that is delimited
@@ -76,6 +77,7 @@
   std::string unread_;
   std::unique_ptr<Parser> parser_;
   ReadStatus status_ = ReadStatus::kNeedsMore;
+  size_t head_bytes_ = 0;  // parsed so far, of the current message
 };
 
 }  // namespace quincewick::reactor
--- a/tests/reactor/message_reader_test.cc
+++ b/tests/reactor/message_reader_test.cc
@@ -74,5 +74,42 @@
   CHECK(reader.take("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n") == ReadStatus::kDone);
 }
 
+// A request with one element that is long: a part of what a sender without end sends.
+std::string drawLongRequest() {
+  const std::string chunked = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const size_t length = *rc::gen::inRange<size_t>(1, 3000);
+  const std::string filler(length, 'a');
+  switch (*rc::gen::inRange(0, 4)) {
+    case 0:  // a head
+      return "POST / HTTP/1.1\r\nContent-Length: 0\r\nX: " + filler + "\r\n\r\n";
+    case 1:  // a chunk's extension
+      return chunked + "1;e=" + filler + "\r\nx\r\n0\r\n\r\n";
+    case 2:  // the digits of a chunk's size
+      return chunked + std::string(length, '0') + "1\r\nx\r\n0\r\n\r\n";
+    default:  // trailers
+      return chunked + "1\r\nx\r\n0\r\nT: " + filler + "\r\n\r\n";
+  }
+}
+
+// 14 MB a second of a chunk's extension, its digits or trailers were once held until the route's timeout.
+TEST_CASE("a reader holds a bounded number of bytes, and its verdict doesn't depend on how they are split") {
+  CHECK(rc::check([] {
+    const MessageLimits limits = {*rc::gen::inRange<uint32_t>(100, 2000), 100'000};
+    const std::string text = drawLongRequest();
+    MessageReader whole(MessageKind::kRequest, limits);
+    const ReadStatus expected = whole.take(text);
+    MessageReader split(MessageKind::kRequest, limits);
+    const size_t most = *rc::gen::inRange<size_t>(1, 5000);
+    for (size_t begin = 0; begin < text.size() && split.status() == ReadStatus::kNeedsMore;) {
+      const size_t size = *rc::gen::inRange<size_t>(1, most + 1);
+      split.take(std::string_view(text).substr(begin, size));
+      RC_ASSERT(split.status() != ReadStatus::kNeedsMore || split.unreadBytes() <= limits.header_bytes);
+      begin += size;
+    }
+    RC_ASSERT(split.status() == expected);
+    RC_ASSERT(expected == ReadStatus::kDone || expected == ReadStatus::kHeaderTooLarge);
+  }));
+}
+
 }  // namespace
 }  // namespace quincewick::reactor
