Break off servers that send bytes without end that are no answer

Cause: nothing bounded what an attempt reads beside the answer itself. Change: 16 interim responses, 1 MB of late or unwanted bytes and 1 MB of one event; past it the attempt ends like one whose connection broke, at once, with a line answer_refused and a counter by cause; a refusal stays one. Result: 8 cases of bytes_without_end_test failed before (with the reader as before its bound, trial); they hold now.

--- a/src/gateway/back_end_connection.cc
+++ b/src/gateway/back_end_connection.cc
@@ -19,6 +19,8 @@
 constexpr absl::Duration kSilenceTimeout = absl::Seconds(1);
 constexpr MessageLimits kResponseLimits = {65536, uint64_t{1} << 40};
 constexpr uint32_t kMaxSkippedResponses = 3;  // late responses to earlier requests on one connection
+constexpr size_t kMaxSkippedBytes = size_t{1} << 20;
+constexpr uint32_t kMaxInterimResponses = 16;
 constexpr absl::Duration kIdleMargin = absl::Seconds(1);
 constexpr absl::Duration kMinIdleLimit = absl::Milliseconds(300);
 constexpr int kFirstFinalStatus = 200;
@@ -34,6 +36,8 @@
   listener_ = listener;
   is_head_delivered_ = false;
   skipped_responses_ = 0;
+  skipped_bytes_ = 0;
+  interim_responses_ = 0;
   if (connection_ == nullptr) {
     connect();
   } else {
@@ -119,7 +123,7 @@
     return;
   }
   if (reader_.take(bytes) == ReadStatus::kMalformed || reader_.status() == ReadStatus::kHeaderTooLarge) {
-    failAttempt();
+    refuseResponse(reader_.status() == ReadStatus::kMalformed ? "malformed" : "framing_too_long");
     return;
   }
   processInput();
@@ -135,16 +139,24 @@
       if (reader_.status() != ReadStatus::kDone) {
         return;
       }
+      if (++interim_responses_ > kMaxInterimResponses) {
+        refuseResponse("interim_responses");
+        return;
+      }
       reader_.next(request_.is_head_method);
       reader_.take({});
       continue;
     }
     if (!is_head_delivered_ && !handleHead()) {
+      if (skipped_bytes_ > kMaxSkippedBytes) {
+        refuseResponse("late_response_too_long");
+        return;
+      }
       if (reader_.status() != ReadStatus::kDone) {
         return;  // more of a late response to an earlier request follows
       }
       if (++skipped_responses_ > kMaxSkippedResponses) {
-        failAttempt();
+        refuseResponse("late_responses");
         return;
       }
       reader_.next(request_.is_head_method);
@@ -170,7 +182,7 @@
     noteBackPressure(pool_.core_, *server_, facts, is_awaited, reactor::steadyNow());
   }
   if (!is_awaited) {
-    reader_.takeBody();
+    skipped_bytes_ += reader_.takeBody().size();
     return false;
   }
   if (facts.idle_limit) {
@@ -194,6 +206,16 @@
   listener->onResponseEnd();
 }
 
+// What the server sends is no answer to the attempt: like a connection that broke.
+void BackEndConnection::refuseResponse(std::string_view cause) {
+  pool_.core_.metrics.countRefusedResponse(cause);
+  pool_.core_.log.event("answer_refused", reactor::steadyNow())
+      .with("server", server_->entry.id)
+      .with("request", request_.attempt_id)
+      .with("why", cause);
+  failAttempt();
+}
+
 void BackEndConnection::failAttempt() {
   AttemptListener* const listener = std::exchange(listener_, nullptr);
   close();
--- a/src/gateway/back_end_connection.h
+++ b/src/gateway/back_end_connection.h
@@ -41,6 +41,7 @@
   void processInput();
   bool handleHead();
   void finish();
+  void refuseResponse(std::string_view cause);
   void failAttempt();
 
   BackEndPool& pool_;
@@ -54,6 +55,8 @@
   bool is_head_delivered_ = false;
   bool is_closed_ = false;
   uint32_t skipped_responses_ = 0;
+  size_t skipped_bytes_ = 0;  // of these
+  uint32_t interim_responses_ = 0;
   absl::Time idle_since_ = absl::InfinitePast();
   absl::Duration idle_limit_ = absl::Seconds(4);
 };
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -154,6 +154,10 @@
   // Whether a stream's end shows that its server broke it off.
   bool isBrokenOff() const;
   void forwardBufferedBody();
+  // Drops bytes of a response that isn't forwarded, up to a limit.
+  void discard(size_t bytes);
+  // Breaks off the attempt, whose server sends what is no answer.
+  void refuseResponse(std::string_view cause);
   void bufferOrForward(std::string bytes);
   void onDeadline();
   void reject(int status, std::string_view why, absl::Duration retry_after);
@@ -247,6 +251,7 @@
   Verdict verdict_ = Verdict::kBroken;
   HttpHead response_head_;
   std::optional<uint64_t> response_length_;
+  size_t discarded_bytes_ = 0;  // of the current response
   reactor::EndOfBody response_end_ = reactor::EndOfBody::kProven;
   std::string buffered_body_;  // of a response that is forwarded once complete
   bool is_buffering_ = true;
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -16,6 +16,8 @@
 
 constexpr size_t kMaxBufferedBytes = 262144;  // a longer response is streamed
 constexpr size_t kMaxUnsentBytes = 262144;    // to a slow caller, before reading pauses
+constexpr size_t kMaxEventBytes = size_t{1} << 20;
+constexpr size_t kMaxDiscardedBytes = size_t{1} << 20;  // of a response that isn't forwarded
 // A stream of fewer pieces rarely overlaps with events that cause pauses, such as the prefill of a long
 // prompt.
 constexpr uint32_t kMinPiecesForPauses = 4;
@@ -58,6 +60,7 @@
   const absl::Time now = reactor::steadyNow();
   response_head_ = head;
   response_end_ = end;
+  discarded_bytes_ = 0;
   verdict_ = delegate_ ? judgeDelegated(head, facts) : judge(head, facts);
   const std::string* const length = findField(head.fields, "Content-Length");
   response_length_ = length == nullptr ? std::nullopt : parseUnsigned(*length);
@@ -80,10 +83,16 @@
 void Exchange::onResponseBody(std::string bytes) {
   const auto self = shared_from_this();
   if (verdict_ == Verdict::kRefused || verdict_ == Verdict::kBroken) {
+    discard(bytes.size());
     return;
   }
   if (isEventStream()) {
     forwardEvents(bytes);
+    if (events_.remainder().size() > kMaxEventBytes) {
+      refuseResponse("event_too_long");
+      onResponseBroken();
+      return;
+    }
   } else {
     bufferOrForward(std::move(bytes));
   }
@@ -92,6 +101,24 @@
   }
 }
 
+// The verdict stands, whatever follows.
+void Exchange::discard(size_t bytes) {
+  discarded_bytes_ += bytes;
+  if (discarded_bytes_ > kMaxDiscardedBytes) {
+    refuseResponse("discarded_too_long");
+    onResponseEnd();
+  }
+}
+
+void Exchange::refuseResponse(std::string_view cause) {
+  core_.metrics.countRefusedResponse(cause);
+  core_.log.event("answer_refused", reactor::steadyNow())
+      .with("server", server_->entry.id)
+      .with("request", facts_.attempt_id)
+      .with("why", cause);
+  attempt_->cancel();
+}
+
 // A response without a type is taken for what its route gives.
 bool Exchange::isEventStream() const {
   const std::string* const type = findField(response_head_.fields, "Content-Type");
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -94,6 +94,8 @@
                                "Requests for servers that named a rate, by whether it let them go there.")),
       permit_decisions_(counters(registry_, "quincewick_permit_decisions_total",
                                  "Requests for permits of brittle servers, by whether one was granted.")),
+      responses_refused_(counters(registry_, "quincewick_responses_refused_total",
+                                  "Bytes of servers that are no answer, by cause.")),
       delegated_(counters(registry_, "quincewick_delegated_requests_total",
                           "Requests handed to other gateways, by what came of them.")),
       stream_lookups_(counters(registry_, "quincewick_stream_lookups_total",
@@ -189,6 +191,10 @@
   back_pressure_.Add({{"what", std::string(change)}}).Increment();
 }
 
+void GatewayMetrics::countRefusedResponse(std::string_view cause) {
+  responses_refused_.Add({{"cause", std::string(cause)}}).Increment();
+}
+
 void GatewayMetrics::countPermitDecision(bool is_granted) {
   permit_decisions_.Add({{"granted", is_granted ? "true" : "false"}}).Increment();
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -47,6 +47,8 @@
   // The owner of a server's rate limit decided on a request.
   void countRateDecision(bool is_granted);
   // The holders of a brittle server's permits decided on a request.
+  // A server's response that is no answer, by cause.
+  void countRefusedResponse(std::string_view cause);
   void countPermitDecision(bool is_granted);
   // A service's servers can't be reached from this gateway any more.
   void countServiceCutOff() { services_cut_off_->Increment(); }
@@ -109,6 +111,7 @@
   prometheus::Family<prometheus::Counter>& back_pressure_;
   prometheus::Family<prometheus::Counter>& rate_decisions_;
   prometheus::Family<prometheus::Counter>& permit_decisions_;
+  prometheus::Family<prometheus::Counter>& responses_refused_;
   prometheus::Family<prometheus::Counter>& delegated_;
   prometheus::Family<prometheus::Counter>& stream_lookups_;
   prometheus::Family<prometheus::Histogram>& forecast_;
--- /dev/null
+++ b/tests/gateway/bytes_without_end_test.cc
@@ -0,0 +1,94 @@
+// Guards against peers that send bytes without end that are no message: requests that wait for their deadline
+// meanwhile, and memory that grows until the process is killed.
+#include <catch2/catch.hpp>
+
+#include "running_gateway.h"
+
+namespace quincewick::gateway {
+namespace {
+
+std::string headOf(const Seen& seen, const HeaderFields& more, int status = 200) {
+  HeaderFields fields = {{"Quincewick-Response-Signature", "s"},
+                         {"Quincewick-Attempt-Id", *findField(seen.head.fields, "Quincewick-Attempt-Id")}};
+  fields.insert(fields.end(), more.begin(), more.end());
+  return printResponseHead(status, "Any", fields);
+}
+
+const HeaderFields kChunked = {{"Transfer-Encoding", "chunked"}};
+// What has arrived by the time that a gateway has to break off: its server never ends what it sends.
+const std::string kEndless(3'000'000, '0');
+
+// A server that sends a beginning, then bytes without end, and a gateway before it.
+struct EndlessServer : Fixture {
+  std::function<std::string(const Seen&)> beginning;
+  std::unique_ptr<RunningGateway> gateway;
+
+  void start(std::function<std::string(const Seen&)> answers) {
+    beginning = std::move(answers);
+    site.addServer("i-1", [this](const Seen& seen) { return Script{beginning(seen)}; });
+    gateway = std::make_unique<RunningGateway>(site);
+  }
+  // The status of a request that may run once, and whose timeout is 5 s.
+  std::string ask(const std::string& target = "/once/a") const { return gateway->ask(target, kKey); }
+};
+
+// These once held all that came, and answered 504 at the route's timeout.
+TEST_CASE_METHOD(EndlessServer, "a chunk's extension without end is a malformed answer at once") {
+  start([](const Seen& seen) { return headOf(seen, kChunked) + "5;e=" + kEndless; });
+  CHECK(has(ask(), "HTTP/1.1 502"));
+}
+
+TEST_CASE_METHOD(EndlessServer, "the digits of a chunk's size without end are a malformed answer at once") {
+  start([](const Seen& seen) { return headOf(seen, kChunked) + kEndless; });
+  CHECK(has(ask(), "HTTP/1.1 502"));
+}
+
+TEST_CASE_METHOD(EndlessServer, "trailers without end are a malformed answer at once") {
+  start([](const Seen& seen) { return headOf(seen, kChunked) + "0\r\nT: " + kEndless; });
+  CHECK(has(ask(), "HTTP/1.1 502"));
+}
+
+TEST_CASE_METHOD(EndlessServer, "interim responses without end are a malformed answer at once") {
+  start([](const Seen&) {
+    std::string interim;
+    for (int count = 0; count < 1000; ++count) {
+      interim += "HTTP/1.1 102 Processing\r\n\r\n";
+    }
+    return interim;
+  });
+  CHECK(has(ask(), "HTTP/1.1 502"));
+}
+
+TEST_CASE_METHOD(EndlessServer,
+                 "a late answer without end to another request is a malformed answer at once") {
+  start([](const Seen&) {
+    return printResponseHead(200, "Any",
+                             {{"Quincewick-Response-Signature", "s"}, {"Quincewick-Attempt-Id", "earlier"}}) +
+           kEndless;
+  });
+  CHECK(has(ask(), "HTTP/1.1 502"));
+}
+
+TEST_CASE_METHOD(EndlessServer,
+                 "an answer without end that can't be passed on is a malformed answer at once") {
+  start([](const Seen& seen) {
+    return printResponseHead(
+               200, "Any",
+               {{"Quincewick-Attempt-Id", *findField(seen.head.fields, "Quincewick-Attempt-Id")}}) +
+           kEndless;
+  });
+  CHECK(has(ask(), "HTTP/1.1 502"));
+}
+
+TEST_CASE_METHOD(EndlessServer, "a refusal with a body without end is a refusal at once") {
+  start([](const Seen& seen) { return headOf(seen, {{"Quincewick-Not-Executed", "1"}}, 503) + kEndless; });
+  CHECK(has(ask(), "HTTP/1.1 503"));
+}
+
+TEST_CASE_METHOD(EndlessServer, "an event without end breaks its stream off") {
+  start([](const Seen& seen) { return headOf(seen, kChunked) + printChunk("data: " + kEndless); });
+  CHECK(has(ask("/stream/a"), "HTTP/1.1 502"));
+}
+
+}  // namespace
+}  // namespace quincewick::gateway
