Stop reading requests of a caller that doesn't take its responses

Cause: only the body of an answer under way paused the reading of its server; responses of the gateway's own had no bound. Change: past 256 KB of unsent responses the next request isn't begun and reading pauses until the caller has taken them.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -19,6 +19,8 @@
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 constexpr size_t kMaxUnreadBytes = 65536;  // of pipelined requests
+// Of responses, before the next request is read.
+constexpr size_t kMaxUnsentResponseBytes = 262144;
 // Of sealed requests of other gateways.
 constexpr MessageLimits kDelegationLimits = {8192, peer::kMaximumBodySize};
 
@@ -76,13 +78,17 @@
     return;
   }
   is_reading_ = true;
-  while (is_open_ && exchange_ == nullptr && reader_.status() == ReadStatus::kDone) {
+  while (is_open_ && exchange_ == nullptr && reader_.status() == ReadStatus::kDone && !isBackedUp()) {
     startExchange();
   }
   is_reading_ = false;
   if (!is_open_ || exchange_ != nullptr) {
     return;
   }
+  if (isBackedUp()) {
+    connection_->pauseReading();  // until the caller takes its responses
+    return;
+  }
   switch (reader_.status()) {
     case ReadStatus::kMalformed:
       rejectInput(kBadRequest);
@@ -191,7 +197,9 @@
   }
   reader_.next();
   reader_.take({});
-  connection_->resumeReading();
+  if (!isBackedUp()) {
+    connection_->resumeReading();
+  }
   armTimer();
   processInput();
 }
@@ -214,7 +222,15 @@
 void CallerConnection::onSent() {
   if (exchange_ != nullptr) {
     exchange_->onCallerDrained();
+    return;
   }
+  const auto self = shared_from_this();
+  connection_->resumeReading();
+  processInput();
+}
+
+bool CallerConnection::isBackedUp() const {
+  return connection_->unsentBytes() > kMaxUnsentResponseBytes;
 }
 
 void CallerConnection::rejectInput(int status) {
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -50,6 +50,8 @@
   void onSent() override;
 
   void processInput();
+  // The caller doesn't take its responses.
+  bool isBackedUp() const;
   void startExchange();
   void startDelegated();
   void rejectInput(int status);
--- a/tests/gateway/bytes_without_end_test.cc
+++ b/tests/gateway/bytes_without_end_test.cc
@@ -1,5 +1,8 @@
 // Guards against peers that send bytes without end that are no message: requests that wait for their deadline
 // meanwhile, and memory that grows until the process is killed.
+#include <poll.h>
+
+#include <array>
 #include <catch2/catch.hpp>
 
 #include "running_gateway.h"
@@ -7,6 +10,8 @@
 namespace quincewick::gateway {
 namespace {
 
+using boost::asio::ip::tcp;
+
 std::string headOf(const Seen& seen, const HeaderFields& more, int status = 200) {
   HeaderFields fields = {{"Quincewick-Response-Signature", "s"},
                          {"Quincewick-Attempt-Id", *findField(seen.head.fields, "Quincewick-Attempt-Id")}};
@@ -90,5 +95,60 @@
   CHECK(has(ask("/stream/a"), "HTTP/1.1 502"));
 }
 
+// A caller's connection that can be written to without waiting.
+class Sender {
+ public:
+  explicit Sender(uint16_t port) : socket_(reactor_) {
+    socket_.connect(tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), port));
+    socket_.non_blocking(true);
+  }
+  // Writes copies of `bytes` until the other side takes no more for some time, or `most` bytes are taken.
+  // Returns how many were.
+  size_t fill(const std::string& bytes, size_t most) {
+    size_t taken = 0;
+    boost::system::error_code error;
+    while (taken < most && !error) {
+      pollfd writable = {socket_.native_handle(), POLLOUT, 0};
+      constexpr int milliseconds = 1500;
+      if (poll(&writable, 1, milliseconds) == 0) {
+        return taken;
+      }
+      const size_t offset = taken % bytes.size();
+      taken += socket_.write_some(boost::asio::buffer(bytes.data() + offset, bytes.size() - offset), error);
+    }
+    return taken;
+  }
+  std::string readAll() {
+    socket_.non_blocking(false);
+    boost::system::error_code error;
+    std::string received;
+    boost::asio::read(socket_, boost::asio::dynamic_buffer(received), error);
+    return received;
+  }
+
+ private:
+  boost::asio::io_context reactor_;
+  tcp::socket socket_;
+};
+
+TEST_CASE_METHOD(EndlessServer, "a caller that sends a chunk's extension without end gets 431") {
+  start([](const Seen& seen) { return headOf(seen, {}); });
+  Sender caller(gateway->callersPort());
+  caller.fill("POST /once/a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5;e=" + kEndless,
+              100'000);
+  CHECK(has(caller.readAll(), "HTTP/1.1 431"));
+  CHECK(site.seen().empty());
+}
+
+// A gateway once read on and held all responses, at 14 MB/s and without a key.
+TEST_CASE_METHOD(EndlessServer, "a caller that sends requests but reads no responses isn't read any more") {
+  start([](const Seen&) { return signedAnswer("served"); });
+  Sender caller(gateway->callersPort());
+  const std::string request = "GET /once/a HTTP/1.1\r\nHost: h\r\n\r\n";  // without a key: 401
+  constexpr size_t most = 40'000'000;
+  CHECK(caller.fill(request, most) < most);
+  CHECK(has(ask("/safe/a"), "served"));  // others are served meanwhile
+}
+
 }  // namespace
 }  // namespace quincewick::gateway
