Limit the responses to own calls by what each call needs, and what readiness and metrics hold

Change: 64 KB for engines' reports and orders, 4 MB for peers, 64 MB for the store; 64 KB held for a session, then it is closed. Result: reactor_test passes (44 assertions in 18 cases); no test of its own covers these limits.

--- a/src/gateway/relay_follower.cc
+++ b/src/gateway/relay_follower.cc
@@ -22,7 +22,8 @@
   after_ = after;
   update_count_ = 0;
   peer_restores_.reset();
-  caller_ = std::make_unique<reactor::HttpClient>(core_.reactor, core_.timers, address);
+  caller_ =
+      std::make_unique<reactor::HttpClient>(core_.reactor, core_.timers, address, peer::kMaximumBodySize);
   sendRequest();
 }
 
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -29,7 +29,8 @@
  public:
   using Done = std::function<void(StoreStatus status, const forwarding::StoreRows& rows)>;
 
-  explicit StoreClient(Core& core) : core_(core), caller_(core.reactor, core.timers, core.settings.store) {}
+  explicit StoreClient(Core& core)
+      : core_(core), caller_(core.reactor, core.timers, core.settings.store, kMaxResponseBytes) {}
 
   // Timeout of a call.
   static constexpr absl::Duration kCallLimit = absl::Milliseconds(1500);
@@ -59,6 +60,8 @@
   bool noteStoreHistory(const HttpHead& head, uint64_t version, const Sent& sent);
 
   Core& core_;
+  static constexpr uint64_t kMaxResponseBytes = uint64_t{64} << 20;  // many rows
+
   reactor::HttpClient caller_;
 };
 
--- a/src/gateway/weight_loader.cc
+++ b/src/gateway/weight_loader.cc
@@ -28,6 +28,7 @@
     absl::Milliseconds(700);  // after which a report must show an accepted order
 constexpr absl::Duration kLoadTimeout = absl::Seconds(6);
 constexpr uint32_t kMaxReportFailures = 3;
+constexpr uint64_t kMaxReportBytes = 65536;
 constexpr int kOk = 200;
 constexpr int kAccepted = 202;
 constexpr int kFenced = 412;
@@ -127,7 +128,8 @@
   load.target = core_.weights.newest(model);
   load.started_at = now;
   reserved_.erase(server->identity_hash);
-  load.caller = std::make_unique<reactor::HttpClient>(core_.reactor, core_.timers, server->entry.address);
+  load.caller = std::make_unique<reactor::HttpClient>(core_.reactor, core_.timers, server->entry.address,
+                                                      kMaxReportBytes);
   loads_.emplace(server_id, std::move(load));
   blockRequests(server, model, kLoadBlockDuration);
   requestReport(server_id);
--- a/src/reactor/connection.h
+++ b/src/reactor/connection.h
@@ -70,8 +70,8 @@
   uint64_t discardedBytes() const { return discarded_; }
   bool isOpen() const { return open_; }
 
-  // From now on the peer sees a reset if the process ends before all bytes were handed to the system, or before
-  // `closeWhenSent`: for bytes whose receiver takes the connection's end for theirs.
+  // From now on the peer sees a reset if the process ends before all bytes were handed to the system, or
+  // before `closeWhenSent`: for bytes whose receiver takes the connection's end for theirs.
   void resetOnExit();
 
   void pauseReading() { paused_ = true; }
--- a/src/reactor/http_client.cc
+++ b/src/reactor/http_client.cc
@@ -7,8 +7,7 @@
 namespace quincewick::reactor {
 namespace {
 
-// A response of the store may hold many rows.
-constexpr MessageLimits kResponseLimits = {16384, uint64_t{64} << 20};
+constexpr uint32_t kMaxHeaderBytes = 16384;
 
 }  // namespace
 
@@ -51,7 +50,8 @@
 }
 
 void HttpClient::sendCurrent() {
-  reader_ = std::make_unique<MessageReader>(MessageKind::kResponse, kResponseLimits);
+  reader_ = std::make_unique<MessageReader>(MessageKind::kResponse,
+                                            MessageLimits{kMaxHeaderBytes, max_body_bytes_});
   HeaderFields fields = std::move(current_.call.fields);
   fields.push_back({"Host", absl::StrCat(address_.host, ":", address_.port)});
   if (!current_.call.body.empty()) {
--- a/src/reactor/http_client.h
+++ b/src/reactor/http_client.h
@@ -28,8 +28,9 @@
   // without a result.
   using Done = std::function<void(Result<HttpResponse>)>;
 
-  HttpClient(boost::asio::io_context& reactor, TimerQueue& timers, Address address)
-      : reactor_(reactor), timers_(timers), address_(std::move(address)) {}
+  // `max_body_bytes`: of a response; a larger one is malformed.
+  HttpClient(boost::asio::io_context& reactor, TimerQueue& timers, Address address, uint64_t max_body_bytes)
+      : reactor_(reactor), timers_(timers), address_(std::move(address)), max_body_bytes_(max_body_bytes) {}
   ~HttpClient() override;
 
   // Calls are queued behind the current one; the time limit starts when the call leaves the queue.
@@ -53,6 +54,7 @@
   boost::asio::io_context& reactor_;
   TimerQueue& timers_;
   Address address_;
+  uint64_t max_body_bytes_;
   std::deque<QueuedCall> queue_;
   bool is_busy_ = false;
   bool is_sent_ = false;
--- a/src/reactor/simple_http_server.cc
+++ b/src/reactor/simple_http_server.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr MessageLimits kRequestLimits = {8192, 8192};
+// Behind a request that is being handled, and of responses that the peer doesn't take while it sends more.
+constexpr size_t kMaxHeldBytes = 65536;
 
 }  // namespace
 
@@ -27,6 +29,10 @@
  private:
   void onBytes(std::string_view bytes) override {
     reader_.take(bytes);
+    if (reader_.unreadBytes() > kMaxHeldBytes || connection_->unsentBytes() > kMaxHeldBytes) {
+      end(false);
+      return;
+    }
     if (!is_handling_request_) {
       readOn();
     }
--- a/tests/reactor/http_client_test.cc
+++ b/tests/reactor/http_client_test.cc
@@ -21,7 +21,7 @@
   bool destroyInCallback(const Address& address, absl::Duration time_limit) {
     bool is_called = false;
     bool has_response = false;
-    client = std::make_unique<HttpClient>(reactor, timers, address);
+    client = std::make_unique<HttpClient>(reactor, timers, address, 65536);
     const auto done = [&](const Result<HttpResponse>& response) {
       has_response = response.has_value();
       is_called = true;
--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -17,6 +17,7 @@
 constexpr absl::Duration kPollInterval = absl::Seconds(1);
 constexpr int kMaxFailedPolls = 2;
 constexpr int kOk = 200;
+constexpr uint64_t kMaxReadinessBytes = 4096;
 constexpr uint64_t kMaxThinkTimeMs = 120;
 constexpr absl::Duration kPauseAfterFailure = absl::Milliseconds(150);
 constexpr absl::Duration kDeadline = absl::Seconds(4);
@@ -50,8 +51,8 @@
 
 void LoadBalancer::poll(size_t gateway) {
   Gateway& polled = gateways_[gateway];
-  polled.caller =
-      std::make_unique<reactor::HttpClient>(reactor_, timers_, processes_.endpoints(gateway).readiness);
+  polled.caller = std::make_unique<reactor::HttpClient>(
+      reactor_, timers_, processes_.endpoints(gateway).readiness, kMaxReadinessBytes);
   polled.caller->call({"GET", "/ready", {{"Host", "h"}}, ""}, kPollInterval,
                       [this, gateway](const Result<reactor::HttpResponse>& reply) {
                         Gateway& state = gateways_[gateway];
--- a/tests/soak/store_test.cc
+++ b/tests/soak/store_test.cc
@@ -24,7 +24,7 @@
             [](const std::string& /*table*/, const std::string& /*key*/, const std::string& value,
                size_t /*gateway*/) { return value; },
             sends_era),
-        gateway(reactor, timers, store.addressFor(0)) {}
+        gateway(reactor, timers, store.addressFor(0), uint64_t{1} << 20) {}
 
   reactor::HttpResponse sendRequest(const HttpCall& call) {
     std::optional<reactor::HttpResponse> reply;
