Resume reading from a server's connection before it is kept

Cause, by reading: a slow caller may pause the reading at the last bytes of an answer, and the connection went back to the pool paused. Change: it is resumed there, so that no kept connection is paused.

--- a/src/gateway/back_end_connection.cc
+++ b/src/gateway/back_end_connection.cc
@@ -198,6 +198,7 @@
   const bool reusable = reader_.keepsAlive() && reader_.endOfBody() == reactor::EndOfBody::kProven &&
                         reader_.unreadBytes() == 0 && isOpen() && connection_->unsentBytes() == 0;
   if (reusable) {
+    connection_->resumeReading();  // a slow caller may have paused it at the last bytes
     idle_since_ = reactor::steadyNow();
     pool_.returnIdle(shared_from_this());
   } else {
