Bound the closing connections by themselves, not by the callers' limit

Change: 512 closing connections at most; the oldest delivered one makes room, or else the one without progress for longest.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -146,9 +146,7 @@
 }
 
 void Gateway::accept(reactor::Connection::Socket socket, Delegations* delegations) {
-  const bool is_full =
-      connections_.size() + core_.closing_connections.size() >= core_.settings.connections_at_most;
-  if (is_full && !core_.closing_connections.closeDelivered() && !closeLongestIdle()) {
+  if (connections_.size() >= core_.settings.connections_at_most && !closeLongestIdle()) {
     return;  // closes the socket unread
   }
   auto connection = std::make_shared<CallerConnection>(
--- a/src/reactor/closing_connections.cc
+++ b/src/reactor/closing_connections.cc
@@ -23,6 +23,12 @@
 
 void ClosingConnections::add(std::shared_ptr<Connection> connection, absl::Time now) {
   connection->closeWhenSent();
+  if (closing_.size() >= kMaxConnections) {
+    sweep(now);
+  }
+  if (closing_.size() >= kMaxConnections) {
+    makeRoom();
+  }
   closing_.push_back({std::move(connection), CloseProgress(now)});
 }
 
@@ -45,15 +51,20 @@
   }
 }
 
-bool ClosingConnections::closeDelivered() {
-  const auto delivered = std::find_if(closing_.begin(), closing_.end(),
-                                      [](const Closing& closing) { return closing.progress.isDelivered(); });
-  if (delivered == closing_.end()) {
-    return false;
+void ClosingConnections::makeRoom() {
+  const auto chosen =
+      std::min_element(closing_.begin(), closing_.end(), [](const Closing& one, const Closing& other) {
+        const auto rank = [](const CloseProgress& progress) {
+          return std::pair(!progress.isDelivered(), progress.lastProgress());
+        };
+        return rank(one.progress) < rank(other.progress);
+      });
+  if (chosen->progress.isDelivered()) {
+    chosen->connection->close();
+  } else {
+    chosen->connection->abort();
   }
-  delivered->connection->close();
-  closing_.erase(delivered);
-  return true;
+  closing_.erase(chosen);
 }
 
 bool ClosingConnections::areAllDelivered() const {
--- a/src/reactor/closing_connections.h
+++ b/src/reactor/closing_connections.h
@@ -31,6 +31,7 @@
   // The peer has acknowledged all bytes.
   bool isDelivered() const { return delivered_ != absl::InfiniteFuture(); }
   bool isOver(absl::Time now) const;
+  absl::Time lastProgress() const { return last_progress_; }
 
  private:
   size_t unacknowledged_ = SIZE_MAX;
@@ -41,12 +42,13 @@
 
 class ClosingConnections {
  public:
+  // More make room by their oldest, so that they don't use up the process's descriptors.
+  static constexpr size_t kMaxConnections = 512;
+
   // Closes the connection when its unsent bytes are delivered, or its peer takes no more.
   void add(std::shared_ptr<Connection> connection, absl::Time now);
   // Called every few hundred milliseconds.
   void sweep(absl::Time now);
-  // Closes one whose bytes are delivered, to make room for a new one; false if there is none.
-  bool closeDelivered();
 
   size_t size() const { return closing_.size(); }
   bool areAllDelivered() const;
@@ -56,6 +58,9 @@
     std::shared_ptr<Connection> connection;
     CloseProgress progress;
   };
+  // Closes one that is delivered, or else resets the one without progress for longest.
+  void makeRoom();
+
   std::list<Closing> closing_;
 };
 
--- a/tests/reactor/closing_connections_test.cc
+++ b/tests/reactor/closing_connections_test.cc
@@ -5,7 +5,11 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
+#include <memory>
+#include <utility>
+#include <vector>
 
 namespace quincewick::reactor {
 namespace {
@@ -50,5 +54,24 @@
   }));
 }
 
+// Connections of callers that are gone without a word must not use up the process's descriptors.
+TEST_CASE("closing connections are bounded in number") {
+  boost::asio::io_context reactor;
+  std::vector<std::shared_ptr<Connection>> accepted;
+  Listener listener(reactor, {"127.0.0.1", 0}, [&accepted](Connection::Socket socket) {
+    accepted.push_back(std::make_shared<Connection>(std::move(socket)));
+  });
+  ClosingConnections closing;
+  std::vector<std::shared_ptr<Connection>> peers;
+  for (size_t number = 0; number < ClosingConnections::kMaxConnections + 50; ++number) {
+    peers.push_back(Connection::connect(reactor, {"127.0.0.1", listener.port()}, [](ConnectResult) {}));
+    while (accepted.size() <= number) {
+      reactor.run_one();
+    }
+    closing.add(accepted.back(), kStart);
+    CHECK(closing.size() <= ClosingConnections::kMaxConnections);
+  }
+}
+
 }  // namespace
 }  // namespace quincewick::reactor
