Soak: new weights while gateways have requests at 64 servers, and a promise that readiness checks are answered

What: the number of servers for streams, the pace of events and series of new weights are options; a gateway that leaves five polls in a row unanswered without being disturbed breaks a promise (checked untimed; a unit test shows it broken and kept). The counts of promises in history_test rise by one.

--- a/tests/soak/back_ends.cc
+++ b/tests/soak/back_ends.cc
@@ -13,7 +13,6 @@
 
 constexpr absl::Duration kMinWork = absl::Milliseconds(5);
 constexpr uint64_t kWorkSpreadMs = 40;
-constexpr absl::Duration kEventInterval = absl::Milliseconds(20);
 constexpr const char* kAttemptHeader = "Quincewick-Attempt-Id";
 constexpr const char* kSignatureHeader = "Quincewick-Response-Signature";
 
@@ -171,7 +170,7 @@
       return;
     }
     sendPart(event);
-    runAfter(kEventInterval, [this, number] { sendEvent(number + 1); });
+    runAfter(back_end_.event_interval_, [this, number] { sendEvent(number + 1); });
   }
 
   void sendPart(const std::string& bytes) { connection_->send(is_unframed_ ? bytes : printChunk(bytes)); }
--- a/tests/soak/back_ends.h
+++ b/tests/soak/back_ends.h
@@ -60,6 +60,8 @@
   absl::Time started() const { return started_; }
   RequestFaults& request_faults() { return request_faults_; }
   Announcements& announcements() { return announcements_; }
+  // Between the events of a stream.
+  void setEventInterval(absl::Duration interval) { event_interval_ = interval; }
   // The address for this gateway.
   Address addressFor(size_t gateway) const;
   std::vector<uint16_t> ports() const;
@@ -88,6 +90,7 @@
   std::vector<std::string> gateways_;
   std::mt19937_64 random_;
   RequestFaults request_faults_;
+  absl::Duration event_interval_ = absl::Milliseconds(20);
   Announcements announcements_;
   std::vector<std::unique_ptr<reactor::Listener>> listeners_;
   std::vector<std::unique_ptr<reactor::Listener>> closed_listeners_;  // their last callbacks may still come
--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -41,9 +41,13 @@
 
 }  // namespace
 
-LoadBalancer::LoadBalancer(boost::asio::io_context& reactor, reactor::TimerQueue& timers,
+LoadBalancer::LoadBalancer(boost::asio::io_context& reactor, reactor::TimerQueue& timers, History& history,
                            const Processes& processes)
-    : reactor_(reactor), timers_(timers), processes_(processes), gateways_(processes.count()) {
+    : reactor_(reactor),
+      timers_(timers),
+      history_(history),
+      processes_(processes),
+      gateways_(processes.count()) {
   for (size_t gateway = 0; gateway < gateways_.size(); ++gateway) {
     poll(gateway);
   }
@@ -53,13 +57,15 @@
   Gateway& polled = gateways_[gateway];
   polled.caller = std::make_unique<reactor::HttpClient>(
       reactor_, timers_, processes_.endpoints(gateway).readiness, kMaxReadinessBytes);
-  polled.caller->call({"GET", "/ready", {{"Host", "h"}}, ""}, kPollInterval,
-                      [this, gateway](const Result<reactor::HttpResponse>& reply) {
-                        Gateway& state = gateways_[gateway];
-                        const bool is_ready = reply.has_value() && reply.value().head.status == kOk;
-                        state.failed_polls = is_ready ? 0 : state.failed_polls + 1;
-                        state.is_ready = is_ready || (state.is_ready && state.failed_polls < kMaxFailedPolls);
-                      });
+  polled.caller->call(
+      {"GET", "/ready", {{"Host", "h"}}, ""}, kPollInterval,
+      [this, gateway, sent = reactor::steadyNow()](const Result<reactor::HttpResponse>& reply) {
+        history_.readiness_polls.push_back({processes_.endpoints(gateway).id, sent, reply.has_value()});
+        Gateway& state = gateways_[gateway];
+        const bool is_ready = reply.has_value() && reply.value().head.status == kOk;
+        state.failed_polls = is_ready ? 0 : state.failed_polls + 1;
+        state.is_ready = is_ready || (state.is_ready && state.failed_polls < kMaxFailedPolls);
+      });
   timers_.schedule(reactor::steadyNow() + kPollInterval, [this, gateway] { poll(gateway); });
 }
 
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -22,7 +22,8 @@
 
 class LoadBalancer {
  public:
-  LoadBalancer(boost::asio::io_context& reactor, reactor::TimerQueue& timers, const Processes& processes);
+  LoadBalancer(boost::asio::io_context& reactor, reactor::TimerQueue& timers, History& history,
+               const Processes& processes);
   // Returns the gateway for a new connection of this caller.
   size_t choose(uint64_t caller);
   bool isReady(size_t gateway) const { return gateways_[gateway].is_ready; }
@@ -37,6 +38,7 @@
 
   boost::asio::io_context& reactor_;
   reactor::TimerQueue& timers_;
+  History& history_;
   const Processes& processes_;
   std::vector<Gateway> gateways_;
   uint64_t choices_ = 0;
--- a/tests/soak/history.cc
+++ b/tests/soak/history.cc
@@ -16,6 +16,7 @@
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
 constexpr int kNotFound = 404;
+constexpr int kUnansweredPolls = 5;  // one a second: more than a busy machine delays
 
 using ArrivalsByAttempt = absl::flat_hash_map<std::string, std::vector<const Arrival*>>;
 
@@ -407,6 +408,28 @@
   return consecutive;
 }
 
+// A gateway whose reactor hangs answers nothing, its readiness address neither.
+PromiseResult checkReadinessAnswers(const History& history, const Bounds& bounds) {
+  PromiseResult result{"an undisturbed gateway answers when it is asked whether it is ready", 0, {}};
+  const auto is_undisturbed = [&](const ReadinessPoll& poll) {
+    return std::none_of(history.disturbances.begin(), history.disturbances.end(),
+                        [&](const Disturbance& disturbance) {
+                          return disturbance.gateway == poll.gateway && disturbance.begin <= poll.sent &&
+                                 poll.sent <= disturbance.end + bounds.settling_time;
+                        });
+  };
+  absl::flat_hash_map<std::string, int> unanswered;  // in a row
+  for (const ReadinessPoll& poll : history.readiness_polls) {
+    ++result.checks;
+    int& count = unanswered[poll.gateway];
+    count = poll.is_answered || !is_undisturbed(poll) ? 0 : count + 1;
+    if (count == kUnansweredPolls) {
+      addViolation(result, absl::StrCat(poll.gateway, " left ", count, " polls in a row unanswered"), "");
+    }
+  }
+  return result;
+}
+
 std::vector<PromiseResult> checkPromises(const History& history, const Bounds& bounds, bool timed) {
   const ArrivalsByAttempt arrivals = byAttempt(history);
   std::vector<PromiseResult> results = {
@@ -416,7 +439,7 @@
       checkRetryBudget(history, bounds),  checkProcesses(history, bounds),
       checkPermanentRoutes(history),      checkFences(history),
       checkRejections(history, bounds),   checkSoftwareVersions(history),
-      checkConfigurationClaims(history),
+      checkConfigurationClaims(history),  checkReadinessAnswers(history, bounds),
   };
   if (timed) {
     results.push_back(checkLeaving(history, bounds));
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -112,6 +112,13 @@
   int wait_status = 0;
 };
 
+// The load balancer asked a gateway whether it is ready; any answer counts.
+struct ReadinessPoll {
+  std::string gateway;
+  absl::Time sent;
+  bool is_answered = false;
+};
+
 // A sample of a process's resource usage.
 struct ProcessSize {
   std::string gateway;
@@ -138,6 +145,7 @@
   std::vector<Disturbance> disturbances;
   std::vector<UnexpectedExit> unexpected_exits;
   std::vector<Order> orders;
+  std::vector<ReadinessPoll> readiness_polls;  // of each gateway in order
   std::vector<ProcessSize> sizes;
   int events_per_stream = 0;
   absl::Duration recovery = absl::InfiniteDuration();  // from the last fault until the site serves again
--- a/tests/soak/history_test.cc
+++ b/tests/soak/history_test.cc
@@ -77,8 +77,20 @@
 
 TEST_CASE_METHOD(CleanHistory, "a clean history keeps all promises") {
   CHECK(broken().empty());
-  CHECK(checkPromises(history, Bounds(), true).size() == 21);
-  CHECK(checkPromises(history, Bounds(), false).size() == 13);
+  CHECK(checkPromises(history, Bounds(), true).size() == 22);
+  CHECK(checkPromises(history, Bounds(), false).size() == 14);
+}
+
+TEST_CASE_METHOD(CleanHistory,
+                 "a gateway that answers no readiness polls is a violation, unless it is disturbed") {
+  const absl::Time begin = history.requests.front().sent;
+  for (int second = 0; second < 5; ++second) {
+    CHECK(broken().empty());
+    history.readiness_polls.push_back({"g-hung", begin + absl::Seconds(second), false});
+  }
+  CHECK(breaks("an undisturbed gateway answers when it is asked whether it is ready"));
+  history.disturbances.push_back({"g-hung", begin, begin + absl::Seconds(1), false});
+  CHECK(broken().empty());
 }
 
 TEST_CASE_METHOD(CleanHistory, "a second execution of a request that may run once is a violation") {
--- a/tests/soak/run.cc
+++ b/tests/soak/run.cc
@@ -27,7 +27,6 @@
 
 constexpr size_t kZones = 3;
 constexpr size_t kCallServers = 4;
-constexpr size_t kStreamServers = 4;
 constexpr absl::Duration kTick = absl::Milliseconds(50);
 constexpr absl::Duration kMinAgeForReload = absl::Seconds(1);
 constexpr absl::Duration kRestartDelay = absl::Milliseconds(400);
@@ -86,7 +85,7 @@
     for (size_t index = 0; index < kCallServers; ++index) {
       addBackEnd("calls", {});
     }
-    for (size_t index = 0; index < kStreamServers; ++index) {
+    for (size_t index = 0; index < settings_.stream_servers; ++index) {
       addBackEnd("streams", {});
     }
     engines_ = std::make_unique<Engines>(reactor_, timers_, history_, *store_, kZones);
@@ -98,7 +97,7 @@
       processes_->start(gateway, true);
       restart_at_.push_back(absl::InfiniteFuture());
     }
-    load_balancer_ = std::make_unique<LoadBalancer>(reactor_, timers_, *processes_);
+    load_balancer_ = std::make_unique<LoadBalancer>(reactor_, timers_, history_, *processes_);
     tick();
   }
 
@@ -126,6 +125,7 @@
     }
     back_ends_.push_back(std::make_unique<BackEnd>(reactor_, timers_, history_, id, service, gateway_ids_,
                                                    settings_.seed + ++starts_, absl::Now(), ports));
+    back_ends_.back()->setEventInterval(settings_.event_interval);
     putServer(*back_ends_.back(), "ready");
     serving_.push_back(back_ends_.back().get());
     return *back_ends_.back();
--- a/tests/soak/run.h
+++ b/tests/soak/run.h
@@ -17,6 +17,8 @@
   uint64_t seed = 1;
   uint32_t gateways = 6;  // in three zones
   uint32_t callers = 36;
+  uint32_t stream_servers = 4;
+  absl::Duration event_interval = absl::Milliseconds(20);  // of streams
   absl::Duration length = absl::Seconds(20);
   // How long to wait after the last fault until the site serves all requests again; then the run ends anyway.
   absl::Duration recovery_timeout = absl::Seconds(60);
--- a/tests/soak/schedule.cc
+++ b/tests/soak/schedule.cc
@@ -72,6 +72,8 @@
 constexpr uint64_t kFourthSeedMask = 0x27d4eb2f;
 constexpr uint64_t kFifthSeedMask = 0x165667b1;
 constexpr uint64_t kSixthSeedMask = 0x9e3779b1;
+constexpr uint64_t kSeventhSeedMask = 0x85ebca6b;
+constexpr int kWeightsSeries = 4;
 
 // Draws faults of the kinds in [first_kind, end_kind), without repetitions, from a separate generator.
 void drawLaterKinds(std::mt19937_64 random, size_t first_kind, size_t end_kind, absl::Duration last,
@@ -135,6 +137,20 @@
   return schedule;
 }
 
+void addWeightsSeries(uint64_t seed, absl::Duration length, Schedule& schedule) {
+  std::mt19937_64 random(seed ^ kSeventhSeedMask);
+  const auto last = static_cast<uint64_t>(absl::ToInt64Milliseconds(length));
+  for (int series = 0; series < kWeightsSeries; ++series) {
+    absl::Duration at = absl::Milliseconds(static_cast<int64_t>(random() % last));
+    for (int count = 0; count < kMaxSeries; ++count) {
+      schedule.push_back({at, FaultKind::kVersionPublished, 0, absl::ZeroDuration()});
+      at += absl::Milliseconds(static_cast<int64_t>(100 + random() % 1500));
+    }
+  }
+  std::stable_sort(schedule.begin(), schedule.end(),
+                   [](const Fault& one, const Fault& other) { return one.at < other.at; });
+}
+
 std::string printSchedule(const Schedule& schedule) {
   std::string text;
   for (const Fault& fault : schedule) {
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -71,6 +71,9 @@
 // kVersionPublished to kHolderRefused and from kRouteStorm on, without changing the others.
 Schedule drawSchedule(uint64_t seed, absl::Duration length, bool draws_restores = false);
 
+// Adds series of new weights, close together, at drawn times.
+void addWeightsSeries(uint64_t seed, absl::Duration length, Schedule& schedule);
+
 // One line per fault: "AT_MS KIND TARGET DURATION_MS".
 std::string printSchedule(const Schedule& schedule);
 // Errors: kInvalidArgument, with the offending line.
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -165,11 +165,15 @@
        cxxopts::value<std::string>()->default_value("20s"))                                             //
       ("gateways", "how many, in three zones", cxxopts::value<uint32_t>()->default_value("6"))          //
       ("callers", "how many, with a connection each", cxxopts::value<uint32_t>()->default_value("36"))  //
-      ("store-goes-back", "also draw restores of the store and faults of the order lease's holder")     //
-      ("no-era", "the store doesn't report restores")                                                   //
-      ("timed", "also check promises with a time limit")                                                //
-      ("output", "text or json", cxxopts::value<std::string>()->default_value("text"))                  //
-      ("replay", "a file with a schedule", cxxopts::value<std::string>())                               //
+      ("stream-servers", "how many", cxxopts::value<uint32_t>()->default_value("4"))                    //
+      ("event-interval", "between the events of a stream",
+       cxxopts::value<std::string>()->default_value("20ms"))                                         //
+      ("weights", "also name new weights in series")                                                 //
+      ("store-goes-back", "also draw restores of the store and faults of the order lease's holder")  //
+      ("no-era", "the store doesn't report restores")                                                //
+      ("timed", "also check promises with a time limit")                                             //
+      ("output", "text or json", cxxopts::value<std::string>()->default_value("text"))               //
+      ("replay", "a file with a schedule", cxxopts::value<std::string>())                            //
       ("shrink", "remove faults while the same promise is still broken")("help", "this text");
   return options;
 }
@@ -179,9 +183,10 @@
   const auto parsed = described.parse(argc, argv);
   Options options;
   absl::Duration length;
-  const bool is_usable = parsed.count("program") == 1 &&
-                         absl::ParseDuration(parsed["duration"].as<std::string>(), &length) &&
-                         parsed["gateways"].as<uint32_t>() > 0;
+  const bool is_usable =
+      parsed.count("program") == 1 && absl::ParseDuration(parsed["duration"].as<std::string>(), &length) &&
+      absl::ParseDuration(parsed["event-interval"].as<std::string>(), &options.run.event_interval) &&
+      parsed["gateways"].as<uint32_t>() > 0;
   if (parsed.count("help") > 0 || !is_usable) {
     std::cout << described.help() << "\n";
     return parsed.count("help") > 0 ? kExitKept : kExitUsage;
@@ -190,6 +195,7 @@
   options.run.length = length;
   options.run.gateways = parsed["gateways"].as<uint32_t>();
   options.run.callers = parsed["callers"].as<uint32_t>();
+  options.run.stream_servers = parsed["stream-servers"].as<uint32_t>();
   options.timed = parsed.count("timed") > 0;
   options.run.reloads_during_startup = options.timed;
   options.run.store_sends_era = parsed.count("no-era") == 0;
@@ -201,6 +207,9 @@
   for (options.run.seed = first; options.run.seed < last; ++options.run.seed) {
     options.run.folder = absl::StrCat(parsed["folder"].as<std::string>(), "/seed-", options.run.seed);
     Schedule schedule = drawSchedule(options.run.seed, length, parsed.count("store-goes-back") > 0);
+    if (parsed.count("weights") > 0) {
+      addWeightsSeries(options.run.seed, length, schedule);
+    }
     if (parsed.count("replay") > 0) {
       auto read = parseSchedule(readFile(parsed["replay"].as<std::string>()));
       if (read.has_error()) {
