--- a/src/gateway/back_end_connection.cc
+++ b/src/gateway/back_end_connection.cc
@@ -209,11 +209,7 @@
 
 // What the server sends is no answer to the attempt: like a connection that broke.
 void BackEndConnection::refuseResponse(std::string_view cause) {
-  pool_.core_.metrics.countRefusedResponse(cause);
-  pool_.core_.log.event("answer_refused", reactor::steadyNow())
-      .with("server", server_->entry.id)
-      .with("request", request_.attempt_id)
-      .with("why", cause);
+  pool_.core_.noteRefusedResponse(*server_, request_.attempt_id, cause);
   failAttempt();
 }
 
--- a/src/gateway/core.cc
+++ b/src/gateway/core.cc
@@ -97,4 +97,13 @@
   return configurationAge(now) < settings.bounds.key_revocation - kRevocationMargin;
 }
 
+void Core::noteRefusedResponse(const forwarding::Server& server, const std::string& attempt_id,
+                               std::string_view cause) {
+  metrics.countRefusedResponse(cause);
+  log.event("answer_refused", reactor::steadyNow())
+      .with("server", server.entry.id)
+      .with("request", attempt_id)
+      .with("why", cause);
+}
+
 }  // namespace quincewick::gateway
--- a/src/gateway/core.h
+++ b/src/gateway/core.h
@@ -102,6 +102,9 @@
   std::vector<forwarding::CacheStoreTraits> liveCacheStores() const;
   // Forgets the cached prompts of servers that were removed.
   void clearFreedSlots();
+  // Logs and counts that what a server sends is no answer to this attempt.
+  void noteRefusedResponse(const forwarding::Server& server, const std::string& attempt_id,
+                           std::string_view cause);
   // Whether a server may have started at that time, by this node's clock. A start time far in the future
   // would make every later incarnation look older.
   bool isPlausibleStart(absl::Time started) const;
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -111,11 +111,7 @@
 }
 
 void Exchange::refuseResponse(std::string_view cause) {
-  core_.metrics.countRefusedResponse(cause);
-  core_.log.event("answer_refused", reactor::steadyNow())
-      .with("server", server_->entry.id)
-      .with("request", facts_.attempt_id)
-      .with("why", cause);
+  core_.noteRefusedResponse(*server_, facts_.attempt_id, cause);
   attempt_->cancel();
 }
 
--- a/src/gateway/peer_digest.h
+++ b/src/gateway/peer_digest.h
@@ -83,8 +83,8 @@
   bool is_zone_reader = false;  // the sender reads the store for its zone
   bool seeks_reader = false;    // the sender neither reads the store nor follows a reader
   bool holds_order_lease = false;  // the sender holds the order lease
-  bool has_updates =
-      false;  // the digest holds updates; if false, the lists other than loads are empty and must be ignored
+  // `dead_stores` is complete; otherwise it is empty and must be ignored. Engine updates alone go without it.
+  bool has_updates = false;
   // Unreachable cache stores, by name; from a reader for its zone. At most kMaxDeadStores.
   std::vector<uint64_t> dead_stores;
   std::optional<LoadPart> load;   // of the sender itself
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -24,7 +24,6 @@
 constexpr uint32_t kTicksPerFarPeer = 4;  // between digests to single far peers
 constexpr absl::Duration kMinSilenceTimeout = absl::Milliseconds(1200);  // reached on a small site
 constexpr absl::Duration kFarReaderTimeout = absl::Milliseconds(1500);   // for another zone's reader
-constexpr size_t kLoadBytes = 14;                                        // encoded
 
 LoadDigest digestOf(const forwarding::Server& server, const forwarding::ServerLoad& load) {
   return {server.identity_hash, static_cast<uint16_t>(std::min<uint32_t>(load.running, UINT16_MAX)),
