Refuse messages whose truth values are neither 0 nor 1

Seen: UndefinedBehaviorSanitizer in gateway_test, a flag of a rollout's message that held 194 (asan preset). Cause: the archive copied the byte of a peer's message into a bool, whose value is then undefined. Change: the archive reads the byte and refuses the message.

--- a/src/types/bounded_input_archive.h
+++ b/src/types/bounded_input_archive.h
@@ -14,7 +14,7 @@
 // Checks each length against the bytes that are left before cereal allocates for it: cereal resizes a text or
 // list to the length that it reads, whatever follows. Every element takes one byte at least, so a false
 // length allocates at most as many elements as the message has bytes. Throws cereal::Exception where bytes
-// are missing or a length is false.
+// are missing, a length is false or a truth value is neither 0 nor 1.
 class BoundedInputArchive : public cereal::InputArchive<BoundedInputArchive, cereal::AllowEmptyClassElision> {
  public:
   // `bytes` outlive the archive.
@@ -58,7 +58,16 @@
 // Functions that cereal finds by their names.
 template <class T>
 std::enable_if_t<std::is_arithmetic_v<T>> load(BoundedInputArchive& archive, T& value) {
-  archive.readValues<sizeof(T)>(std::addressof(value), sizeof(value));
+  if constexpr (std::is_same_v<T, bool>) {
+    uint8_t byte = 0;  // a bool that holds another byte than 0 or 1 has no defined value
+    archive.template readValues<1>(&byte, 1);
+    if (byte > 1) {
+      throw cereal::Exception("a truth value is neither 0 nor 1");
+    }
+    value = byte == 1;
+  } else {
+    archive.readValues<sizeof(T)>(std::addressof(value), sizeof(value));
+  }
 }
 
 template <class T>
