Log first events on weights past their bound, which engine refused last, and when orders are due

The record of the incident can't tell a request that waits at its engine from one that is sent late, a late order from a late naming, nor whether a burst of refusals is one engine's queue. Adds begun_on_old_weights (deadline, choice and sending, in ms ago), load_postponed, due_in_ms and planned_ms_ago of orders, unnamed_ms_ago of weights_named, last_server of refused, and two metrics.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -295,6 +295,7 @@
 
 void Exchange::onSending() {
   rate_grant_.reset();
+  attempt_sent_ = reactor::steadyNow();
   ledger_.noteSent();
 }
 
@@ -430,10 +431,17 @@
       .with("service", service_.value())
       .with("configuration", configurationVersion())
       .with("configuration_age_ms", configuration_age_)
-      .with("tried", static_cast<int64_t>(tried_.size()));
+      .with("tried", static_cast<int64_t>(tried_.size()))
+      .with("last_server", lastServerId());
   complete(why);
 }
 
+// The server of the last attempt; empty if there was none or it is no longer listed.
+std::string Exchange::lastServerId() const {
+  const auto server = tried_.empty() ? nullptr : core_.directory.findByHash(tried_.back());
+  return server == nullptr ? "" : server->entry.id;
+}
+
 void Exchange::complete(std::string_view outcome) {
   if (is_done_) {
     return;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -143,6 +143,8 @@
   void recordPiece();
   absl::Duration longestPauseNow() const;
   void onPromptRead();
+  // Logs and counts an attempt that began at weights whose bound is over.
+  void noteBegun();
   void reserveStarted();
   void forwardHead();
   BodyFraming framingForCaller() const;
@@ -162,6 +164,7 @@
   void onDeadline();
   void reject(int status, std::string_view why, absl::Duration retry_after);
   void giveUp(bool out_of_time, std::string_view why);
+  std::string lastServerId() const;
   void complete(std::string_view outcome);
 
   Core& core_;
@@ -245,7 +248,9 @@
   std::unique_ptr<Attempt> attempt_;
   bool is_at_server_ = false;                        // sent, and not known to have ended there
   std::optional<SoftwareVersion> attempt_software_;  // of its server when the request was sent, if proven
+  absl::Time engine_chosen_;                         // when the placement of the current attempt was chosen
   absl::Time attempt_began_;
+  absl::Time attempt_sent_;               // later if a connection had to be established
   absl::Duration predicted_first_piece_;  // from arrival to the first piece, for the first attempt
   bool yields_ = false;                   // predicted to miss its target latency: runs at lower priority
   Verdict verdict_ = Verdict::kBroken;
--- a/src/gateway/exchange_placement.cc
+++ b/src/gateway/exchange_placement.cc
@@ -34,6 +34,7 @@
     return false;
   }
   server_ = engine_->server;
+  engine_chosen_ = now;
   return true;
 }
 
@@ -87,6 +88,24 @@
   }
 }
 
+void Exchange::noteBegun() {
+  const absl::Time now = reactor::steadyNow();
+  core_.metrics.observeEngineWait(now - attempt_sent_);
+  const absl::Time deadline = core_.weights.deadlineOf(facts_.model, engine_->version);
+  if (now <= deadline) {
+    return;
+  }
+  core_.metrics.countBegunOnOldWeights();
+  core_.log.event("begun_on_old_weights", now)
+      .with("request", facts_.attempt_id)
+      .with("server", server_->entry.id)
+      .with("weights", static_cast<int64_t>(engine_->version.value()))
+      .with("newest", static_cast<int64_t>(core_.weights.newest(facts_.model).value()))
+      .with("deadline_ms_ago", now - deadline)
+      .with("chosen_ms_ago", now - engine_chosen_)
+      .with("sent_ms_ago", now - attempt_sent_);
+}
+
 // A request that yielded has started and now occupies a slot like any other.
 void Exchange::reserveStarted() {
   constexpr double no_limit = std::numeric_limits<double>::infinity();
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -164,6 +164,9 @@
   if (reservation_ && !is_prompt_read_) {
     core_.occupancy->notePrefillDone(*reservation_);
   }
+  if (engine_ && !delegate_ && !is_prompt_read_) {
+    noteBegun();
+  }
   is_prompt_read_ = true;
   if (counted_.running == 0) {
     ++server_->own.running;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -137,6 +137,10 @@
                       .Add({{"side", "target"}})),
       configuration_age_(histogram(registry_, "quincewick_decision_configuration_age_seconds",
                                    "Since the configuration was confirmed that a request was decided by.")),
+      begun_on_old_weights_(counter(registry_, "quincewick_begun_on_old_weights_total",
+                                    "Requests that began at weights that were past their bound.")),
+      engine_wait_seconds_(histogram(registry_, "quincewick_engine_wait_seconds",
+                                     "From a request's sending to an engine to its first event.")),
       first_piece_seconds_(
           histogram(registry_, "quincewick_first_piece_seconds", "Until a stream's first piece.")),
       answer_seconds_(histogram(registry_, "quincewick_answer_seconds", "Until an answer was whole.")),
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -65,6 +65,10 @@
   void countPassedOverRows(std::string_view table, size_t rows);
   void countPromptTokens(uint64_t cached, uint64_t fetched, uint64_t prefilled);
   void observeFirstPiece(absl::Duration time) { first_piece_seconds_->Observe(absl::ToDoubleSeconds(time)); }
+  // From the sending of an attempt at an engine to its first event.
+  void observeEngineWait(absl::Duration time) { engine_wait_seconds_->Observe(absl::ToDoubleSeconds(time)); }
+  // An attempt began at weights whose bound is over.
+  void countBegunOnOldWeights() { begun_on_old_weights_->Increment(); }
   // Difference between a first piece's predicted and actual time.
   void observeForecast(std::string_view route, absl::Duration error);
   // How late a periodic timer of the reactor ran.
@@ -131,6 +135,8 @@
   prometheus::Counter* to_base_;
   prometheus::Counter* to_target_;
   prometheus::Histogram* configuration_age_;
+  prometheus::Counter* begun_on_old_weights_;
+  prometheus::Histogram* engine_wait_seconds_;
   prometheus::Histogram* first_piece_seconds_;
   prometheus::Histogram* answer_seconds_;
   prometheus::Histogram* store_call_seconds_;
--- a/src/gateway/site_follower.cc
+++ b/src/gateway/site_follower.cc
@@ -348,11 +348,12 @@
                                                     bool from_store) {
   const absl::Time now = reactor::steadyNow();
   checkRestores(now);
+  const absl::Time confirmed = table.cache.confirmed();
   forwarding::AppliedUpdate effect = table.cache.take(update, now);
   noteContradictions(table, update, effect,
                      update.digest && role_.follows ? role_.follows->value() : "store");
   if (&table == &operator_rows_) {
-    applyOperatorRows(effect.changes, from_store);
+    applyOperatorRows(effect.changes, confirmed, from_store);
   } else if (&table == &servers_) {
     list_.applyUpdate(effect.changes, now);
   } else if (&table == &rollout_rows_) {
@@ -399,13 +400,13 @@
 }
 
 // Only a complete read of the store confirms the configuration: a delayed delta must not count as newer.
-void SiteFollower::applyOperatorRows(const TableUpdate& update, bool from_store) {
+void SiteFollower::applyOperatorRows(const TableUpdate& update, absl::Time unnamed, bool from_store) {
   const forwarding::StoreTables& tables = core_.dialect->tables();
   for (const StoreRow& row : update.rows) {
     if (row.key == tables.configuration_key) {
       applyConfiguration(row, from_store);
     } else if (row.key.starts_with(tables.weights_prefix) && !row.is_gone) {
-      applyWeights(row, from_store);
+      applyWeights(row, unnamed, from_store);
     } else if (core_.rollouts != nullptr && row.key.starts_with(tables.rollout_prefix)) {
       core_.rollouts->handleOperatorRow(row);
     }
@@ -416,7 +417,8 @@
   }
 }
 
-void SiteFollower::applyWeights(const StoreRow& row, bool from_store) {
+// `unnamed`: the start of the last complete read before this one.
+void SiteFollower::applyWeights(const StoreRow& row, absl::Time unnamed, bool from_store) {
   const auto weights = core_.dialect->readNamedWeights(row.value);
   const absl::Time now = reactor::steadyNow();
   if (weights.has_error()) {
@@ -429,7 +431,8 @@
   }
   core_.log.event("weights_named", now)
       .with("model", weights.value().model.value())
-      .with("version", static_cast<int64_t>(weights.value().version.value()));
+      .with("version", static_cast<int64_t>(weights.value().version.value()))
+      .with("unnamed_ms_ago", now - unnamed);
   if (has_snapshot_ && from_store) {
     weights_record_.record(weights.value(), [this] { rereadWeightsRecord(); });
   }
--- a/src/gateway/site_follower.h
+++ b/src/gateway/site_follower.h
@@ -71,8 +71,8 @@
   bool handleRelayedConfiguration(forwarding::TableUpdate update);
   void handleConfirmation(const forwarding::TableUpdate& update);
   forwarding::AppliedUpdate applyUpdate(Table& table, const forwarding::TableUpdate& update, bool from_store);
-  void applyOperatorRows(const forwarding::TableUpdate& update, bool from_store);
-  void applyWeights(const forwarding::StoreRow& row, bool from_store);
+  void applyOperatorRows(const forwarding::TableUpdate& update, absl::Time unnamed, bool from_store);
+  void applyWeights(const forwarding::StoreRow& row, absl::Time unnamed, bool from_store);
   void rereadWeightsRecord();
   void applyConfiguration(const forwarding::StoreRow& row, bool from_store);
 
--- a/src/gateway/weight_loader.cc
+++ b/src/gateway/weight_loader.cc
@@ -45,6 +45,7 @@
   const absl::Time now = reactor::steadyNow();
   if (!lease_.holds(now)) {
     reserved_.clear();
+    postponed_.clear();
   }
   is_work_due_ = !loads_.empty();
   std::vector<std::pair<ModelName, forwarding::RolloutPlan>> plans;
@@ -80,8 +81,7 @@
   return kLeaseTurns.after(before);
 }
 
-std::vector<forwarding::RolloutEngine> WeightLoader::rolloutEngines(const ModelName& model,
-                                                                    absl::Time now) const {
+std::vector<forwarding::RolloutEngine> WeightLoader::rolloutEngines(const ModelName& model, absl::Time now) {
   std::vector<forwarding::RolloutEngine> engines;
   for (const auto& [id, server] : core_.directory.all()) {
     const auto version = server->versionOf(model);
@@ -94,6 +94,9 @@
         engine.reserved_since = reserved->second;
       }
       engine.is_reachable = now >= server->ejected_until && !server->back_pressure->isBackingOff(now);
+      if (!engine.is_reachable && *version < core_.weights.newest(model)) {
+        notePostponed(*server, now);
+      }
       engine.running = server->running();
       engines.push_back(std::move(engine));
     }
@@ -101,6 +104,18 @@
   return engines;
 }
 
+// Once a period: an engine is postponed for as long as its ejection or back-off lasts.
+void WeightLoader::notePostponed(const forwarding::Server& server, absl::Time now) {
+  const absl::Time until = std::max(server.ejected_until, server.back_pressure->backOffUntil());
+  absl::Time& noted = postponed_[server.identity_hash];
+  if (std::exchange(noted, until) != until) {
+    core_.log.event("load_postponed", now)
+        .with("server", server.entry.id)
+        .with("ejected", now < server.ejected_until ? "true" : "false")
+        .with("for_ms", until - now);
+  }
+}
+
 void WeightLoader::executePlan(const ModelName& model, const forwarding::RolloutPlan& plan, absl::Time now) {
   for (const std::string& id : plan.order) {
     beginLoad(id, model, now);
@@ -240,7 +255,9 @@
       .with("version", static_cast<int64_t>(load.target.value()))
       .with("fence", static_cast<int64_t>(load.fence.value()))
       .with("row_version", static_cast<int64_t>(lease_.rowVersion()))
-      .with("orders_taken", static_cast<int64_t>(orders_taken));
+      .with("orders_taken", static_cast<int64_t>(orders_taken))
+      .with("planned_ms_ago", now - load.started_at)
+      .with("due_in_ms", dueIn(load, now));
   load.caller->call(core_.dialect->loadWeights({load.model, load.target}, core_.settings.gateway_id.value(),
                                                load.fence, orders_taken, server_id),
                     kCallTimeout, [this, server_id](const Result<reactor::HttpResponse>& reply) {
@@ -248,6 +265,12 @@
                     });
 }
 
+// Negative if the engine's weights are past their bound; infinite if they are the newest.
+absl::Duration WeightLoader::dueIn(const Load& load, absl::Time now) const {
+  const WeightsVersion version = load.server->versionOf(load.model).value_or(WeightsVersion());
+  return core_.weights.deadlineOf(load.model, version) - now;
+}
+
 void WeightLoader::handleOrderResponse(const std::string& server_id,
                                        const Result<reactor::HttpResponse>& reply) {
   Load& load = loads_.at(server_id);
--- a/src/gateway/weight_loader.h
+++ b/src/gateway/weight_loader.h
@@ -42,7 +42,9 @@
 
   void tick();
   void executePlan(const ModelName& model, const forwarding::RolloutPlan& plan, absl::Time now);
-  std::vector<forwarding::RolloutEngine> rolloutEngines(const ModelName& model, absl::Time now) const;
+  std::vector<forwarding::RolloutEngine> rolloutEngines(const ModelName& model, absl::Time now);
+  // Logs that the engine can't be ordered now.
+  void notePostponed(const forwarding::Server& server, absl::Time now);
   absl::Duration leaseTurnDelay(absl::Time now) const;
 
   void beginLoad(const std::string& server_id, const ModelName& model, absl::Time now);
@@ -56,6 +58,7 @@
   // server directory.
   bool isSameIncarnation(const Load& load, const forwarding::EngineReport& report);
   void sendOrder(const std::string& server_id, uint64_t orders_taken);
+  absl::Duration dueIn(const Load& load, absl::Time now) const;
   void handleOrderResponse(const std::string& server_id, const Result<reactor::HttpResponse>& reply);
   void requestReportLater(const std::string& server_id, absl::Duration after);
   void finishLoad(const std::string& server_id, bool is_done);
@@ -67,6 +70,8 @@
   forwarding::LoadTime load_time_;
   absl::flat_hash_map<std::string, Load> loads_;        // by server id
   absl::flat_hash_map<uint64_t, absl::Time> reserved_;  // reservation times by the server's identity hash
+  // By the server's identity hash, until when its load was last logged to be postponed.
+  absl::flat_hash_map<uint64_t, absl::Time> postponed_;
 };
 
 }  // namespace quincewick::gateway
