--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "engine.h"
 #include "reactor/connection.h"
 #include "reactor/message_reader.h"
 
@@ -22,11 +23,30 @@
 constexpr absl::Duration kPauseAfterFailure = absl::Milliseconds(150);
 constexpr absl::Duration kDeadline = absl::Seconds(4);
 constexpr absl::Duration kRequestTimeout = absl::Seconds(6);
+// Callers of engines give a stream up after this time without an event.
+constexpr absl::Duration kPatience = absl::Seconds(4);
+constexpr absl::Duration kHintDeadline = absl::Seconds(15);
+constexpr absl::Duration kCheckDeadline = absl::Seconds(5);
+constexpr uint64_t kSharedParts = 40;   // of prompts
 constexpr int kMaxTakeUps = 3;          // of one stream
 constexpr uint64_t kAbandonOneIn = 40;  // a caller abandons one in this many requests early
 
-const char* pathOf(RequestKind kind) {
-  switch (kind) {
+bool usesEngine(const Request& request) {
+  return request.service == Engine::kService;
+}
+
+absl::Duration deadlineOf(const Request& request) {
+  if (!usesEngine(request)) {
+    return kDeadline;
+  }
+  return request.kind == RequestKind::kStream ? kHintDeadline : kCheckDeadline;
+}
+
+const char* pathOf(const Request& request) {
+  if (usesEngine(request)) {
+    return request.kind == RequestKind::kStream ? "/hint/" : "/check/";
+  }
+  switch (request.kind) {
     case RequestKind::kRepeatable:
       return "/safe/";
     case RequestKind::kNonRepeatable:
@@ -90,14 +110,15 @@
   bool isUsable() const { return connection_ != nullptr && connection_->isOpen() && keeps_open_; }
   size_t gateway() const { return gateway_; }
 
+  // `timeout`: until the response is whole, or for streams of engines until the next event.
   void sendRequest(const Request& request, const std::string& bytes, absl::Duration timeout) {
+    timeout_ = timeout;
     request_index_ = caller_.history_.requests.size();
     caller_.history_.requests.push_back(request);
     bytes_ = bytes;
     is_busy_ = true;
     const auto self = shared_from_this();
-    timeout_timer_ = caller_.timers_.schedule(reactor::steadyNow() + timeout,
-                                              [self] { self->finish(RequestOutcome::kAbandoned); });
+    startTimeout();
     if (connection_ != nullptr) {
       send();
       return;
@@ -123,6 +144,13 @@
  private:
   Request& record() { return caller_.history_.requests[request_index_]; }
 
+  void startTimeout() {
+    caller_.timers_.cancel(timeout_timer_);
+    timeout_timer_ = caller_.timers_.schedule(reactor::steadyNow() + timeout_, [self = shared_from_this()] {
+      self->finish(RequestOutcome::kAbandoned);
+    });
+  }
+
   void send() {
     record().sent = reactor::steadyNow();
     if (has_sent_request_) {
@@ -148,6 +176,11 @@
             findField(reader_.head().fields, "Quincewick-Response-Signature")) {
       record().signature = *signature;
     }
+    const std::string* const retry_after = findField(reader_.head().fields, "Retry-After");
+    double seconds = 0;
+    if (retry_after != nullptr && absl::SimpleAtod(*retry_after, &seconds) && usesEngine(record())) {
+      caller_.retry_after_ = absl::Seconds(seconds);
+    }
     onBody(reader_.takeBody());
     if (reader_.status() == reactor::ReadStatus::kDone) {
       keeps_open_ = reader_.keepsAlive() && reader_.endOfBody() == reactor::EndOfBody::kProven;
@@ -173,6 +206,9 @@
   void onEvent(const std::string& event) {
     const std::vector<std::string> lines = absl::StrSplit(event, '\n');
     int id = 0;
+    if (usesEngine(record())) {
+      startTimeout();
+    }
     const bool is_read =
         lines.size() == 2 && absl::SimpleAtoi(lines[0].substr(std::min<size_t>(4, lines[0].size())), &id);
     record().events.push_back(id);
@@ -217,6 +253,7 @@
   std::shared_ptr<reactor::Connection> connection_;
   reactor::MessageReader reader_;
   reactor::TimerQueue::Key timeout_timer_;
+  absl::Duration timeout_;
   size_t request_index_ = 0;
   std::string bytes_;
   std::string events_;  // bytes of the last, incomplete event
@@ -227,13 +264,14 @@
 
 Caller::Caller(boost::asio::io_context& reactor, reactor::TimerQueue& timers, History& history,
                LoadBalancer& load_balancer, const Processes& processes, const Traffic& traffic,
-               uint64_t number, uint64_t seed)
+               Workload workload, uint64_t number, uint64_t seed)
     : reactor_(reactor),
       timers_(timers),
       history_(history),
       load_balancer_(load_balancer),
       processes_(processes),
       traffic_(traffic),
+      workload_(workload),
       number_(number),
       random_(seed) {
   scheduleNextRequest();
@@ -244,12 +282,14 @@
 void Caller::scheduleNextRequest() {
   const bool had_failure = gateway_connection_ != nullptr && !gateway_connection_->isUsable();
   const absl::Duration think_time = absl::Milliseconds(static_cast<int64_t>(random_() % kMaxThinkTimeMs));
-  timers_.schedule(
-      reactor::steadyNow() + think_time + (had_failure ? kPauseAfterFailure : absl::ZeroDuration()), [this] {
-        if (!traffic_.is_finished) {
-          sendNextRequest();
-        }
-      });
+  const absl::Duration pause = had_failure ? kPauseAfterFailure : absl::ZeroDuration();
+  timers_.schedule(reactor::steadyNow() + think_time + std::max(pause, std::exchange(retry_after_, {})),
+                   [this] {
+                     const bool is_idle = workload_ != Workload::kMixed && !traffic_.loads_engines;
+                     if (!traffic_.is_finished && !is_idle) {
+                       sendNextRequest();
+                     }
+                   });
 }
 
 // A resumable stream that ended early is taken up again, a few times, also after it was abandoned.
@@ -269,6 +309,42 @@
   unfinished_->last_event_before = last;
 }
 
+Request Caller::makeEngineRequest() {
+  Request request;
+  request.attempt = absl::StrCat("c", number_, "-", request_count_);
+  request.kind = random_() % 3 == 0 ? RequestKind::kResumableStream : RequestKind::kStream;
+  request.service = Engine::kService;
+  request.key = traffic_.keys[random_() % traffic_.keys.size()];
+  return request;
+}
+
+absl::Duration Caller::patience(const Request& request) const {
+  if (!usesEngine(request)) {
+    return kRequestTimeout;
+  }
+  return workload_ == Workload::kPatientEngines ? deadlineOf(request) : kPatience;
+}
+
+HeaderFields Caller::fieldsFor(const Request& request, size_t body_size) const {
+  const int64_t deadline_ms = absl::ToInt64Milliseconds(deadlineOf(request));
+  HeaderFields fields = {{"Host", "h"},
+                         {"Quincewick-Attempt-Id", request.attempt},
+                         {"Quincewick-Deadline-Ms", absl::StrCat(deadline_ms)},
+                         {"Authorization", "Bearer " + request.key},
+                         {"Content-Length", absl::StrCat(body_size)}};
+  if (usesEngine(request)) {
+    fields.push_back({"Quincewick-Model", Engine::kModel});
+    fields.push_back({"Quincewick-Token-Usage", "828,73"});
+    fields.push_back({"Quincewick-Prompt-Prefix", absl::StrCat("a", number_ % kSharedParts, ":200,c", number_,
+                                                               "d", request_count_, ":628")});
+  }
+  if (!request.stream.empty()) {
+    fields.push_back({"Resumes", request.stream});
+    fields.push_back({"Last-Event-Id", absl::StrCat(request.last_event_before)});
+  }
+  return fields;
+}
+
 Request Caller::makeRequest() {
   Request request;
   request.attempt = absl::StrCat("c", number_, "-", ++request_count_);
@@ -280,6 +356,9 @@
     request.last_event_before = unfinished_->last_event_before;
     return request;
   }
+  if (workload_ != Workload::kMixed) {
+    return makeEngineRequest();
+  }
   const uint64_t drawn = random_() % 10;
   request.kind = drawn < 3   ? RequestKind::kRepeatable
                  : drawn < 6 ? RequestKind::kNonRepeatable
@@ -300,20 +379,12 @@
   request.sent = reactor::steadyNow();
   const bool asks_new_route = traffic_.has_new_route && request.kind == RequestKind::kRepeatable;
   request.uses_added_route = asks_new_route;
-  const std::string target = absl::StrCat(asks_new_route ? "/new/" : pathOf(request.kind), request.attempt);
+  const std::string target = absl::StrCat(asks_new_route ? "/new/" : pathOf(request), request.attempt);
   const std::string body = "about " + request.attempt;
-  HeaderFields fields = {{"Host", "h"},
-                         {"Quincewick-Attempt-Id", request.attempt},
-                         {"Quincewick-Deadline-Ms", absl::StrCat(absl::ToInt64Milliseconds(kDeadline))},
-                         {"Authorization", "Bearer " + request.key},
-                         {"Content-Length", absl::StrCat(body.size())}};
-  if (!request.stream.empty()) {
-    fields.push_back({"Resumes", request.stream});
-    fields.push_back({"Last-Event-Id", absl::StrCat(request.last_event_before)});
-  }
+  const HeaderFields fields = fieldsFor(request, body.size());
   const bool abandons_early = random_() % kAbandonOneIn == 0;
   gateway_connection_->sendRequest(request, printRequestHead("POST", target, fields) + body,
-                                   abandons_early ? absl::Milliseconds(30) : kRequestTimeout);
+                                   abandons_early ? absl::Milliseconds(30) : patience(request));
 }
 
 }  // namespace quincewick::soak
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -44,18 +44,26 @@
   uint64_t choices_ = 0;
 };
 
+// What a caller sends.
+enum class Workload : uint8_t {
+  kMixed,           // calls and streams
+  kEngines,         // streams of engines, given up when no event comes for a while
+  kPatientEngines,  // the same, waiting until the deadline
+};
+
 // What callers may request at present.
 struct Traffic {
   std::vector<std::string> keys;  // of tenants; some may have been revoked
   bool has_new_route = false;
+  bool loads_engines = true;
   bool is_finished = false;
 };
 
 class Caller {
  public:
   Caller(boost::asio::io_context& reactor, reactor::TimerQueue& timers, History& history,
-         LoadBalancer& load_balancer, const Processes& processes, const Traffic& traffic, uint64_t number,
-         uint64_t seed);
+         LoadBalancer& load_balancer, const Processes& processes, const Traffic& traffic, Workload workload,
+         uint64_t number, uint64_t seed);
   ~Caller();
 
  private:
@@ -63,6 +71,10 @@
   void scheduleNextRequest();
   void sendNextRequest();
   Request makeRequest();
+  Request makeEngineRequest();
+  HeaderFields fieldsFor(const Request& request, size_t body_size) const;
+  // How long the caller waits for the first event and for each further one.
+  absl::Duration patience(const Request& request) const;
   void noteEnded(const Request& request);
 
   boost::asio::io_context& reactor_;
@@ -71,11 +83,13 @@
   LoadBalancer& load_balancer_;
   const Processes& processes_;
   const Traffic& traffic_;
+  Workload workload_;
   uint64_t number_;
   std::mt19937_64 random_;
   uint64_t request_count_ = 0;
   std::optional<Request> unfinished_;  // a stream that is taken up next
   int take_ups_ = 0;                   // of that stream
+  absl::Duration retry_after_;         // that the last response asked for
   std::shared_ptr<GatewayConnection> gateway_connection_;
 };
 
--- a/tests/soak/history.cc
+++ b/tests/soak/history.cc
@@ -9,6 +9,7 @@
 #include "back_pressure_promises.h"
 #include "order_promises.h"
 #include "promise_support.h"
+#include "weights_promises.h"
 
 namespace quincewick::soak {
 namespace {
@@ -433,13 +434,14 @@
 std::vector<PromiseResult> checkPromises(const History& history, const Bounds& bounds, bool timed) {
   const ArrivalsByAttempt arrivals = byAttempt(history);
   std::vector<PromiseResult> results = {
-      checkAtMostOnce(history, arrivals), checkRefusals(history, arrivals),
-      checkResponses(history, arrivals),  checkStreams(history),
-      checkServices(history, arrivals),   checkPlannedStops(history, bounds, arrivals),
-      checkRetryBudget(history, bounds),  checkProcesses(history, bounds),
-      checkPermanentRoutes(history),      checkFences(history),
-      checkRejections(history, bounds),   checkSoftwareVersions(history),
-      checkConfigurationClaims(history),  checkReadinessAnswers(history, bounds),
+      checkAtMostOnce(history, arrivals),   checkRefusals(history, arrivals),
+      checkResponses(history, arrivals),    checkStreams(history),
+      checkServices(history, arrivals),     checkPlannedStops(history, bounds, arrivals),
+      checkRetryBudget(history, bounds),    checkProcesses(history, bounds),
+      checkPermanentRoutes(history),        checkFences(history),
+      checkRejections(history, bounds),     checkSoftwareVersions(history),
+      checkConfigurationClaims(history),    checkReadinessAnswers(history, bounds),
+      checkWeightsInForce(history, bounds),
   };
   if (timed) {
     results.push_back(checkLeaving(history, bounds));
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -134,9 +134,26 @@
   absl::Time at;
 };
 
+// A request's first token at an engine.
+struct Begin {
+  std::string attempt;
+  std::string engine;
+  uint64_t weights = 0;  // that it began under
+  absl::Time at;
+  absl::Time arrived;  // at the engine
+};
+
+// The store acknowledged that the operator named this version of the weights.
+struct WeightsNaming {
+  uint64_t version = 0;
+  absl::Time at;
+};
+
 struct History {
   std::vector<Request> requests;
   std::vector<Arrival> arrivals;
+  std::vector<Begin> begins;
+  std::vector<WeightsNaming> weights_namings;  // in order
   std::vector<BackEndDeparture> departures;
   std::vector<KeyRemoval> key_removals;
   std::vector<RouteChange> route_changes;                  // in order
@@ -165,6 +182,7 @@
   absl::Duration configuration_in_force = absl::Seconds(3);
   absl::Duration stop_grace = absl::Seconds(8);
   absl::Duration order_lease = absl::Seconds(3);
+  absl::Duration weights_in_force = absl::Seconds(8);
   absl::Duration settling_time = absl::Seconds(3);  // after the last disturbance of a gateway
   absl::Duration recovery = absl::Seconds(12);
   double retry_ratio = 0.2;
--- a/tests/soak/history_test.cc
+++ b/tests/soak/history_test.cc
@@ -77,8 +77,8 @@
 
 TEST_CASE_METHOD(CleanHistory, "a clean history keeps all promises") {
   CHECK(broken().empty());
-  CHECK(checkPromises(history, Bounds(), true).size() == 22);
-  CHECK(checkPromises(history, Bounds(), false).size() == 14);
+  CHECK(checkPromises(history, Bounds(), true).size() == 23);
+  CHECK(checkPromises(history, Bounds(), false).size() == 15);
 }
 
 TEST_CASE_METHOD(CleanHistory,
@@ -93,6 +93,31 @@
   CHECK(broken().empty());
 }
 
+TEST_CASE_METHOD(CleanHistory, "a first token under weights that are past their bound is a violation") {
+  const std::string promise = "no request begins under weights that are past their bound";
+  history.weights_namings = {{2, kStart}, {3, kStart + absl::Seconds(4)}};
+  const std::string attempt = stream().attempt;
+  const auto begin_at = [&](uint64_t weights, absl::Duration at) {
+    history.begins = {{attempt, "e", weights, kStart + at, kStart}};
+  };
+  begin_at(1, absl::Seconds(8));
+  CHECK(broken().empty());
+  begin_at(1, absl::Milliseconds(8001));
+  CHECK(breaks(promise));
+  begin_at(2, absl::Milliseconds(8001));
+  CHECK(broken().empty());
+  begin_at(2, absl::Milliseconds(12001));
+  CHECK(breaks(promise));
+  begin_at(3, absl::Minutes(1));
+  CHECK(broken().empty());
+  // Time counts anew once its gateway has settled after a disturbance.
+  begin_at(1, absl::Milliseconds(8001));
+  history.disturbances.push_back({stream().gateway, kStart + absl::Seconds(2), kStart + absl::Seconds(2)});
+  CHECK(broken().empty());
+  begin_at(1, absl::Milliseconds(13001));
+  CHECK(breaks(promise));
+}
+
 TEST_CASE_METHOD(CleanHistory, "a second execution of a request that may run once is a violation") {
   history.arrivals.push_back(arrivalOfOnce());
   CHECK(breaks("what may run once runs at most once"));
--- a/tests/soak/processes.cc
+++ b/tests/soak/processes.cc
@@ -59,6 +59,7 @@
        << ", server_drain: " << absl::FormatDuration(bounds_.server_drain)
        << ", stop_grace: " << absl::FormatDuration(bounds_.stop_grace)
        << ", order_lease: " << absl::FormatDuration(bounds_.order_lease)
+       << ", weights_in_force: " << absl::FormatDuration(bounds_.weights_in_force)
        << ", retry_ratio: " << bounds_.retry_ratio << ", retry_constant: " << bounds_.retry_constant << "}\n";
 }
 
--- a/tests/soak/run.cc
+++ b/tests/soak/run.cc
@@ -40,6 +40,7 @@
 // The site has recovered once this many consecutive requests were served.
 constexpr size_t kRequiredConsecutiveServed = 60;
 constexpr const char* kPermanentKey = "key-0";
+constexpr uint64_t kPatientOneIn = 4;  // of the callers of engines
 constexpr absl::Duration kStormInterval = absl::Milliseconds(150);
 constexpr uint32_t kRestoreModulusSeconds = 10;  // 0 seconds: restore the empty store
 
@@ -88,7 +89,8 @@
     for (size_t index = 0; index < settings_.stream_servers; ++index) {
       addBackEnd("streams", {});
     }
-    engines_ = std::make_unique<Engines>(reactor_, timers_, history_, *store_, kZones);
+    engines_ = std::make_unique<Engines>(reactor_, timers_, history_, *store_, kZones, settings_.engines,
+                                         settings_.seed);
     traffic_.keys = {kPermanentKey, "key-1", "key-2", "key-3"};
     putConfiguration();
     processes_ = std::make_unique<Processes>(settings_.program, settings_.folder, std::move(all_endpoints),
@@ -143,7 +145,9 @@
     for (size_t index = 0; index < keys.size(); ++index) {
       keys[index] = is_key_removed_[index] ? "" : keys[index];
     }
-    store_->put("op", "config", printConfiguration(++configuration_version_, traffic_.has_new_route, keys));
+    store_->put(
+        "op", "config",
+        printConfiguration(++configuration_version_, traffic_.has_new_route, keys, settings_.engines.slots));
     noteStoredConfiguration();
   }
 
@@ -175,9 +179,10 @@
       timers_.schedule(now + kTick, [this, latest] { startWhenReady(latest); });
       return;
     }
-    for (uint64_t number = 0; number < settings_.callers; ++number) {
+    for (uint64_t number = 0; number < settings_.callers + settings_.engine_callers; ++number) {
       callers_.push_back(std::make_unique<Caller>(reactor_, timers_, history_, *load_balancer_, *processes_,
-                                                  traffic_, number, settings_.seed * 1000 + number));
+                                                  traffic_, workloadOf(number), number,
+                                                  settings_.seed * 1000 + number));
     }
     faults_began_ = now;
     for (const Fault& fault : schedule_) {
@@ -185,11 +190,19 @@
     }
     timers_.schedule(faults_began_ + settings_.length, [this] {
       faults_ended_ = reactor::steadyNow();
+      traffic_.loads_engines = false;
       recovery_first_request_ = history_.requests.size();
       awaitRecovery();
     });
   }
 
+  Workload workloadOf(uint64_t caller) const {
+    if (caller < settings_.callers) {
+      return Workload::kMixed;
+    }
+    return caller % kPatientOneIn == 0 ? Workload::kPatientEngines : Workload::kEngines;
+  }
+
   // Restarts ended processes after a delay.
   void tick() {
     const absl::Time now = reactor::steadyNow();
--- a/tests/soak/run.h
+++ b/tests/soak/run.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <string>
 
+#include "engine.h"
 #include "history.h"
 #include "schedule.h"
 
@@ -17,7 +18,9 @@
   uint64_t seed = 1;
   uint32_t gateways = 6;  // in three zones
   uint32_t callers = 36;
+  uint32_t engine_callers = 0;  // beside these
   uint32_t stream_servers = 4;
+  EngineSettings engines;
   absl::Duration event_interval = absl::Milliseconds(20);  // of streams
   absl::Duration length = absl::Seconds(20);
   // How long to wait after the last fault until the site serves all requests again; then the run ends anyway.
--- a/tests/soak/schedule.cc
+++ b/tests/soak/schedule.cc
@@ -151,6 +151,14 @@
                    [](const Fault& one, const Fault& other) { return one.at < other.at; });
 }
 
+void addWeightsAtIntervals(absl::Duration interval, absl::Duration length, Schedule& schedule) {
+  for (absl::Duration at = interval; at > absl::ZeroDuration() && at < length; at += interval) {
+    schedule.push_back({at, FaultKind::kVersionPublished, 0, absl::ZeroDuration()});
+  }
+  std::stable_sort(schedule.begin(), schedule.end(),
+                   [](const Fault& one, const Fault& other) { return one.at < other.at; });
+}
+
 std::string printSchedule(const Schedule& schedule) {
   std::string text;
   for (const Fault& fault : schedule) {
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -74,6 +74,9 @@
 // Adds series of new weights, close together, at drawn times.
 void addWeightsSeries(uint64_t seed, absl::Duration length, Schedule& schedule);
 
+// Adds new weights at this interval; none if it is zero.
+void addWeightsAtIntervals(absl::Duration interval, absl::Duration length, Schedule& schedule);
+
 // One line per fault: "AT_MS KIND TARGET DURATION_MS".
 std::string printSchedule(const Schedule& schedule);
 // Errors: kInvalidArgument, with the offending line.
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -65,6 +65,14 @@
       }));
 }
 
+absl::Duration longestWaitAtEngine(const History& history) {
+  absl::Duration longest = absl::ZeroDuration();
+  for (const Begin& begin : history.begins) {
+    longest = std::max(longest, begin.at - begin.arrived);
+  }
+  return longest;
+}
+
 void printText(const Options& options, const Outcome& outcome) {
   const History& history = outcome.history;
   const auto served =
@@ -78,8 +86,9 @@
             << countOutcomes(history, RequestOutcome::kUnsent) << " without a connection, "
             << countOutcomes(history, RequestOutcome::kAbandoned) << " left; " << countTakenUp(history, false)
             << " streams taken up, " << countTakenUp(history, true) << " went on; " << history.arrivals.size()
-            << " arrivals, " << history.orders.size() << " orders; serves all again after "
-            << absl::FormatDuration(history.recovery) << "\n";
+            << " arrivals, " << history.orders.size() << " orders; " << history.begins.size()
+            << " begun at engines, after " << absl::FormatDuration(longestWaitAtEngine(history))
+            << " at most; serves all again after " << absl::FormatDuration(history.recovery) << "\n";
   for (const PromiseResult& result : outcome.promises) {
     if (!result.violations.empty()) {
       std::cout << "BROKEN " << result.promise << ": " << result.violations.size() << " of " << result.checks
@@ -166,6 +175,19 @@
       ("gateways", "how many, in three zones", cxxopts::value<uint32_t>()->default_value("6"))          //
       ("callers", "how many, with a connection each", cxxopts::value<uint32_t>()->default_value("36"))  //
       ("stream-servers", "how many", cxxopts::value<uint32_t>()->default_value("4"))                    //
+      ("engine-callers", "how many send streams to engines",
+       cxxopts::value<uint32_t>()->default_value("0"))                                    //
+      ("engines", "how many", cxxopts::value<uint32_t>()->default_value("3"))             //
+      ("engine-slots", "of each engine", cxxopts::value<uint32_t>()->default_value("8"))  //
+      ("prefill", "of a prompt", cxxopts::value<std::string>()->default_value("20ms"))    //
+      ("load-time", "of weights", cxxopts::value<std::string>()->default_value("300ms"))  //
+      ("lost-orders", "share of the orders that are executed seconds later, without a response",
+       cxxopts::value<double>()->default_value("0"))  //
+      ("heedless", "share of the engines' requests that outlive their connection",
+       cxxopts::value<double>()->default_value("0"))  //
+      ("no-faults", "only new weights, if any")       //
+      ("version-gap", "names new weights at this interval, beside the schedule",
+       cxxopts::value<std::string>()->default_value("0s"))  //
       ("event-interval", "between the events of a stream",
        cxxopts::value<std::string>()->default_value("20ms"))                                         //
       ("weights", "also name new weights in series")                                                 //
@@ -183,15 +205,24 @@
   const auto parsed = described.parse(argc, argv);
   Options options;
   absl::Duration length;
+  absl::Duration version_gap;
   const bool is_usable =
       parsed.count("program") == 1 && absl::ParseDuration(parsed["duration"].as<std::string>(), &length) &&
       absl::ParseDuration(parsed["event-interval"].as<std::string>(), &options.run.event_interval) &&
+      absl::ParseDuration(parsed["prefill"].as<std::string>(), &options.run.engines.prefill) &&
+      absl::ParseDuration(parsed["load-time"].as<std::string>(), &options.run.engines.load_time) &&
+      absl::ParseDuration(parsed["version-gap"].as<std::string>(), &version_gap) &&
       parsed["gateways"].as<uint32_t>() > 0;
   if (parsed.count("help") > 0 || !is_usable) {
     std::cout << described.help() << "\n";
     return parsed.count("help") > 0 ? kExitKept : kExitUsage;
   }
   options.run.program = parsed["program"].as<std::string>();
+  options.run.engine_callers = parsed["engine-callers"].as<uint32_t>();
+  options.run.engines.count = parsed["engines"].as<uint32_t>();
+  options.run.engines.slots = parsed["engine-slots"].as<uint32_t>();
+  options.run.engines.lost_orders = parsed["lost-orders"].as<double>();
+  options.run.engines.heedless = parsed["heedless"].as<double>();
   options.run.length = length;
   options.run.gateways = parsed["gateways"].as<uint32_t>();
   options.run.callers = parsed["callers"].as<uint32_t>();
@@ -206,7 +237,11 @@
   const uint64_t last = first + parsed["seeds"].as<uint64_t>();
   for (options.run.seed = first; options.run.seed < last; ++options.run.seed) {
     options.run.folder = absl::StrCat(parsed["folder"].as<std::string>(), "/seed-", options.run.seed);
-    Schedule schedule = drawSchedule(options.run.seed, length, parsed.count("store-goes-back") > 0);
+    Schedule schedule;
+    if (parsed.count("no-faults") == 0) {
+      schedule = drawSchedule(options.run.seed, length, parsed.count("store-goes-back") > 0);
+    }
+    addWeightsAtIntervals(version_gap, length, schedule);
     if (parsed.count("weights") > 0) {
       addWeightsSeries(options.run.seed, length, schedule);
     }
