Bound the wait of requests at engines by acts when the time is over

Cause: the version that an engine must have was asked for when the engine was chosen, with 0.4 s for the wait there; nothing looked at an attempt again.

Now an attempt without an event is withdrawn when its engine's weights come to their bound, and goes on elsewhere if it may; where requests wait for longer than they run, the engine gets the bound as their deadline and refuses them truthfully; an engine gets no request that isn't expected to begin in time, also if reservations or permits took long after the choice. What waits at engines, not a margin that was assumed, decides that.

--- a/src/forwarding/weights_register.cc
+++ b/src/forwarding/weights_register.cc
@@ -6,11 +6,9 @@
 namespace quincewick::forwarding {
 namespace {
 
-// Gateways learn of a version some time after it was named.
-constexpr absl::Duration kPropagationMargin = absl::Milliseconds(600);
-// A request may wait at a full engine before it begins.
-constexpr absl::Duration kQueueMargin = absl::Milliseconds(400);
-constexpr absl::Duration kPreferenceMargin = absl::Milliseconds(1200);
+// What a gateway does about a request takes effect at the engine within this time.
+constexpr absl::Duration kMessageTime = absl::Milliseconds(250);
+constexpr absl::Duration kPreferenceMargin = absl::Milliseconds(1550);
 // From a certain time after a version was named, work on older versions is worth less. This is that time
 // minus the time that a request takes to reach an engine.
 constexpr absl::Duration kFullValueTime = absl::Milliseconds(1300);
@@ -39,12 +37,12 @@
   return found == versions_.end() ? WeightsVersion() : found->second.back().first;
 }
 
-WeightsVersion WeightsRegister::required(const ModelName& model, absl::Time now) const {
-  return namedBefore(model, now + kQueueMargin + kPropagationMargin - in_force_);
+WeightsVersion WeightsRegister::required(const ModelName& model, absl::Time begins) const {
+  return namedBefore(model, begins + kMessageTime - in_force_);
 }
 
 WeightsVersion WeightsRegister::preferred(const ModelName& model, absl::Time now) const {
-  return namedBefore(model, now + kPreferenceMargin + kPropagationMargin - in_force_);
+  return required(model, now + kPreferenceMargin);
 }
 
 WeightsVersion WeightsRegister::wanted(const ModelName& model, absl::Time now) const {
@@ -82,11 +80,16 @@
   if (found != versions_.end()) {
     for (const auto& [known, named] : found->second) {
       if (known > version) {
-        return named + in_force_ - kPropagationMargin;
+        return named + in_force_ - kMessageTime;
       }
     }
   }
   return absl::InfiniteFuture();
 }
 
+absl::Time WeightsRegister::provenDeadlineOf(const ModelName& model, WeightsVersion version,
+                                             absl::Time confirmed) const {
+  return std::min(deadlineOf(model, version), confirmed + in_force_ - kMessageTime);
+}
+
 }  // namespace quincewick::forwarding
--- a/src/forwarding/weights_register.h
+++ b/src/forwarding/weights_register.h
@@ -17,22 +17,24 @@
   explicit WeightsRegister(absl::Duration in_force) : in_force_(in_force) {}
 
   void setInForce(absl::Duration in_force) { in_force_ = in_force; }
-  // Records that the version was named at or before `named`; the earliest time counts. Returns whether the
+  // Records a version that was named at `named` or later; the earliest time counts. Returns whether the
   // version is new and the newest.
   bool note(const NamedWeights& weights, absl::Time named);
   // The newest named version, or zero if none was named.
   WeightsVersion newest(const ModelName& model) const;
-  // The lowest version that an engine must have for a request to be sent to it now; allows for the time that
-  // the request may wait at the engine.
-  WeightsVersion required(const ModelName& model, absl::Time now) const;
+  // The lowest version that an engine must have for a request to begin there at `begins`.
+  WeightsVersion required(const ModelName& model, absl::Time begins) const;
   // The lowest version that an engine should have if there is a choice.
   WeightsVersion preferred(const ModelName& model, absl::Time now) const;
   // The lowest version on which a request has its full value.
   WeightsVersion wanted(const ModelName& model, absl::Time now) const;
-  // When the version was named, as far as known; InfiniteFuture if it was not.
+  // The earliest time at which the version may have been named; InfiniteFuture if it was not.
   absl::Time namedAt(const ModelName& model, WeightsVersion version) const;
-  // When an engine with that version must have a newer one; InfiniteFuture if it has the newest.
+  // Until when requests may begin at an engine with that version, less the time that a message to it takes;
+  // InfiniteFuture if it has the newest.
   absl::Time deadlineOf(const ModelName& model, WeightsVersion version) const;
+  // The same if a version that was named after `confirmed` may not be known yet.
+  absl::Time provenDeadlineOf(const ModelName& model, WeightsVersion version, absl::Time confirmed) const;
   const absl::flat_hash_map<ModelName, std::vector<std::pair<WeightsVersion, absl::Time>>>& all() const {
     return versions_;
   }
--- a/src/gateway/core.h
+++ b/src/gateway/core.h
@@ -15,6 +15,7 @@
 #include "forwarding/retry_budget.h"
 #include "forwarding/server_directory.h"
 #include "forwarding/site_configuration.h"
+#include "forwarding/start_limit.h"
 #include "forwarding/store_history.h"
 #include "forwarding/weights_register.h"
 #include "gateway/gateway_metrics.h"
@@ -57,6 +58,7 @@
   forwarding::EnginePlacement placement;
   forwarding::RetryBudget budget;
   forwarding::WeightsRegister weights;
+  forwarding::EngineWaits engine_waits;
   // Placements since the last digest to peers.
   struct UnreportedPlacement {
     uint64_t server = 0;  // its identity hash
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -149,8 +149,9 @@
   if (has_waited && !maySend()) {
     return;
   }
-  // The server may have left or asked for a back-off period while the owner of its occupancy was queried.
-  if (!server_->mayReceive(now) || !mayStillUseServer()) {
+  // The server may have left or asked for a back-off period, or its weights may be past their bound, while
+  // the owner of its occupancy was queried.
+  if (!server_->mayReceive(now) || !mayStillUseServer() || !areWeightsInForce(now)) {
     releaseServer();
     tryNext();
     return;
@@ -219,6 +220,7 @@
 // State of an attempt that starts.
 void Exchange::resetAttempt() {
   attempt_began_ = reactor::steadyNow();
+  attempt_sent_ = absl::InfiniteFuture();
   rates_requested_ = 0;
   verdict_ = Verdict::kBroken;
   attempt_software_.reset();
@@ -257,8 +259,9 @@
   server_->own.prefill_tokens += counted_.prefill_tokens;
 
   forwarding::SendFacts send;
-  if (deadline_ != absl::InfiniteFuture()) {
-    send.time_left = deadline_ - attempt_began_;
+  const absl::Time deadline = deadlineAtServer(attempt_began_);
+  if (deadline != absl::InfiniteFuture()) {
+    send.time_left = deadline - attempt_began_;
   }
   send.server_id = server_->entry.id;
   if (tenant_ != nullptr) {
@@ -290,6 +293,7 @@
   core_.crash_detector->noteSent(subject_);
   noteRolloutSent();
   noteUnaccepted();
+  limitStart();
   attempt_ = pool_.start(server_, std::move(request), this);
 }
 
@@ -348,6 +352,7 @@
 }
 
 void Exchange::releaseServer() {
+  core_.timers.cancel(start_timer_);
   settleRollout();
   releaseRate();
   releasePermit();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -143,7 +143,18 @@
   void recordPiece();
   absl::Duration longestPauseNow() const;
   void onPromptRead();
-  // Logs and counts an attempt that began at weights whose bound is over.
+  // At the chosen engine, or at any.
+  absl::Duration expectedWait() const;
+  // The lowest version of the weights that is in force when the wait is over.
+  WeightsVersion requiredWeights(absl::Time now) const;
+  bool areWeightsInForce(absl::Time now) const;
+  // Until when the current attempt may begin at its engine, also if newer weights may not be known yet.
+  absl::Time beginBy() const;
+  absl::Time deadlineAtServer(absl::Time now) const;
+  void limitStart();
+  void onStartLimit();
+  void withdraw();
+  // The first event of an attempt at an engine arrived.
   void noteBegun();
   void reserveStarted();
   void forwardHead();
@@ -250,7 +261,8 @@
   std::optional<SoftwareVersion> attempt_software_;  // of its server when the request was sent, if proven
   absl::Time engine_chosen_;                         // when the placement of the current attempt was chosen
   absl::Time attempt_began_;
-  absl::Time attempt_sent_;               // later if a connection had to be established
+  absl::Time attempt_sent_;               // InfiniteFuture until its bytes leave
+  reactor::TimerQueue::Key start_timer_;  // set until the first event of an attempt at an engine
   absl::Duration predicted_first_piece_;  // from arrival to the first piece, for the first attempt
   bool yields_ = false;                   // predicted to miss its target latency: runs at lower priority
   Verdict verdict_ = Verdict::kBroken;
--- a/src/gateway/exchange_placement.cc
+++ b/src/gateway/exchange_placement.cc
@@ -1,4 +1,5 @@
 // Choice of an engine for a request, and the reservation of a slot there.
+#include <algorithm>
 #include <limits>
 #include <utility>
 #include <vector>
@@ -26,9 +27,14 @@
   const auto choose = [&](WeightsVersion least) {
     return core_.placement.choose(request, servers, core_.directory, cache_stores, excluded, least, now);
   };
-  engine_ = choose(core_.weights.preferred(facts_.model, now));
+  const WeightsVersion least = requiredWeights(now);
+  engine_ = choose(std::max(core_.weights.preferred(facts_.model, now), least));
   if (!engine_) {
-    engine_ = choose(core_.weights.required(facts_.model, now));
+    engine_ = choose(least);
+  }
+  // The expected wait depends on the engine; each round requires a higher version.
+  while (engine_ && !areWeightsInForce(now)) {
+    engine_ = choose(requiredWeights(now));
   }
   if (!engine_) {
     return false;
@@ -88,24 +94,6 @@
   }
 }
 
-void Exchange::noteBegun() {
-  const absl::Time now = reactor::steadyNow();
-  core_.metrics.observeEngineWait(now - attempt_sent_);
-  const absl::Time deadline = core_.weights.deadlineOf(facts_.model, engine_->version);
-  if (now <= deadline) {
-    return;
-  }
-  core_.metrics.countBegunOnOldWeights();
-  core_.log.event("begun_on_old_weights", now)
-      .with("request", facts_.attempt_id)
-      .with("server", server_->entry.id)
-      .with("weights", static_cast<int64_t>(engine_->version.value()))
-      .with("newest", static_cast<int64_t>(core_.weights.newest(facts_.model).value()))
-      .with("deadline_ms_ago", now - deadline)
-      .with("chosen_ms_ago", now - engine_chosen_)
-      .with("sent_ms_ago", now - attempt_sent_);
-}
-
 // A request that yielded has started and now occupies a slot like any other.
 void Exchange::reserveStarted() {
   constexpr double no_limit = std::numeric_limits<double>::infinity();
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -304,6 +304,7 @@
   recordServerResult(now);
   if (engine_ && first_piece_ != absl::InfiniteFuture()) {
     core_.placement.noteServed(now - first_piece_);
+    core_.engine_waits.noteRun(now - first_piece_);
   }
   noteServed();
   forwardBufferedBody();
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -137,6 +137,9 @@
                       .Add({{"side", "target"}})),
       configuration_age_(histogram(registry_, "quincewick_decision_configuration_age_seconds",
                                    "Since the configuration was confirmed that a request was decided by.")),
+      withdrawn_(
+          counter(registry_, "quincewick_withdrawn_total",
+                  "Requests withdrawn from engines that hadn't begun them before their weights' bound.")),
       begun_on_old_weights_(counter(registry_, "quincewick_begun_on_old_weights_total",
                                     "Requests that began at weights that were past their bound.")),
       engine_wait_seconds_(histogram(registry_, "quincewick_engine_wait_seconds",
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -69,6 +69,8 @@
   void observeEngineWait(absl::Duration time) { engine_wait_seconds_->Observe(absl::ToDoubleSeconds(time)); }
   // An attempt began at weights whose bound is over.
   void countBegunOnOldWeights() { begun_on_old_weights_->Increment(); }
+  // A request that hadn't begun was withdrawn from its engine.
+  void countWithdrawn() { withdrawn_->Increment(); }
   // Difference between a first piece's predicted and actual time.
   void observeForecast(std::string_view route, absl::Duration error);
   // How late a periodic timer of the reactor ran.
@@ -135,6 +137,7 @@
   prometheus::Counter* to_base_;
   prometheus::Counter* to_target_;
   prometheus::Histogram* configuration_age_;
+  prometheus::Counter* withdrawn_;
   prometheus::Counter* begun_on_old_weights_;
   prometheus::Histogram* engine_wait_seconds_;
   prometheus::Histogram* first_piece_seconds_;
--- a/tests/soak/engine.cc
+++ b/tests/soak/engine.cc
@@ -177,8 +177,7 @@
                            "");
 }
 
-// A request whose first token would come later than its deadline is processed all the same: only the queue is
-// checked.
+// Work on a prompt stops at the request's deadline, which counts as run.
 void Engine::processNextPrompt() {
   while (prompt_ == nullptr && running_ < settings_.slots && !queue_.empty()) {
     const auto work = queue_.begin()->second;
@@ -192,7 +191,10 @@
     timers_.schedule(done, [this, work, done] {
       if (prompt_ == work) {
         prompt_ = nullptr;
-        if (!isDropped(*work)) {
+        if (done >= work->deadline) {
+          history_.arrivals[work->arrival].ran = true;
+          work->connection->respond(504, {{"Quincewick-Attempt-Id", work->attempt}, {kInstanceId, id_}}, "");
+        } else if (!isDropped(*work)) {
           begin(work, done);
         }
         processNextPrompt();
--- a/tests/soak/processes.cc
+++ b/tests/soak/processes.cc
@@ -54,6 +54,7 @@
        << "\", delegation: \"" << printAddress(endpoints.delegation) << "\", metrics: \""
        << printAddress(endpoints.metrics) << "\"}\nstore: \"" << printAddress(endpoints.store) << "\"\n"
        << "site_is_new: " << (is_new ? "true" : "false") << "\n"
+       << "placement: {late_within_class: true, learned_speed: true}\n"
        << "bounds: {key_revocation: " << absl::FormatDuration(bounds_.key_revocation)
        << ", configuration_in_force: " << absl::FormatDuration(bounds_.configuration_in_force)
        << ", server_drain: " << absl::FormatDuration(bounds_.server_drain)
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -220,6 +220,7 @@
   options.run.program = parsed["program"].as<std::string>();
   options.run.engine_callers = parsed["engine-callers"].as<uint32_t>();
   options.run.engines.count = parsed["engines"].as<uint32_t>();
+  options.run.engines.event_interval = options.run.event_interval;
   options.run.engines.slots = parsed["engine-slots"].as<uint32_t>();
   options.run.engines.lost_orders = parsed["lost-orders"].as<double>();
   options.run.engines.heedless = parsed["heedless"].as<double>();
