Keep an engine closed for as long as it is busy with an order

What callers saw: requests went to engines that still loaded and were refused there, each a repeat or a 503. Found by reading for that.

Reports of a busy engine now renew the time for all gateways, and giving up leaves it closed.

--- a/src/gateway/weight_loader.cc
+++ b/src/gateway/weight_loader.cc
@@ -163,6 +163,13 @@
   peers_.announce(digest);
 }
 
+// A load takes as long as it takes.
+void WeightLoader::renewBlock(const Load& load, absl::Time now) {
+  if (load.server->loading_until - now < kLoadBlockDuration / 2) {
+    blockRequests(load.server, load.model, kLoadBlockDuration);
+  }
+}
+
 void WeightLoader::requestReport(const std::string& server_id) {
   loads_.at(server_id).caller->call(
       core_.dialect->requestReport(), kCallTimeout,
@@ -214,7 +221,11 @@
     finishLoad(server_id, true);
     return;
   }
-  const bool may_be_under_way = report.value().is_busy || now - load.last_order_at < kOrderReportDelay;
+  load.is_busy = report.value().is_busy;
+  if (load.is_busy) {
+    renewBlock(load, now);
+  }
+  const bool may_be_under_way = load.is_busy || now - load.last_order_at < kOrderReportDelay;
   if (may_be_under_way) {
     requestReportLater(server_id, kReportInterval);
     return;
@@ -337,7 +348,9 @@
       .with("server", server_id)
       .with("done", is_done ? "true" : "false")
       .with("took_ms", now - load.started_at);
-  blockRequests(load.server, load.model, absl::ZeroDuration());
+  if (is_done || !load.is_busy) {
+    blockRequests(load.server, load.model, absl::ZeroDuration());
+  }
 }
 
 }  // namespace quincewick::gateway
--- a/src/gateway/weight_loader.h
+++ b/src/gateway/weight_loader.h
@@ -38,6 +38,7 @@
     Epoch fence;               // of the last order
     std::unique_ptr<reactor::HttpClient> caller;
     uint32_t failures = 0;
+    bool is_busy = false;  // by its last report
   };
 
   void tick();
@@ -50,6 +51,7 @@
   void beginLoad(const std::string& server_id, const ModelName& model, absl::Time now);
   void blockRequests(const forwarding::ServerDirectory::ServerPointer& server, const ModelName& model,
                      absl::Duration block_duration);
+  void renewBlock(const Load& load, absl::Time now);
   // Records the back pressure that the engine signals in its reply.
   void applyBackPressure(const Load& load, const Result<reactor::HttpResponse>& reply);
   void requestReport(const std::string& server_id);
