--- a/tests/gateway/order_back_pressure_test.cc
+++ b/tests/gateway/order_back_pressure_test.cc
@@ -63,8 +63,8 @@
   CHECK(engines.calls("/v1/order") == 0);
 }
 
-// Guards against requests to an engine that takes long to load: it was closed to them for 3.5 s, whatever its reports
-// said, and then refused each, which was repeated elsewhere.
+// Guards against requests to an engine that takes long to load: it was closed to them for 3.5 s, whatever its
+// reports said, and then refused each, which was repeated elsewhere.
 TEST_CASE("an engine gets no requests for as long as it is busy with an order") {
   EngineSite engines(HeaderFields{});
   const RunningGateway gateway(RunningGateway::settings("a", engines.site.storeAddress(), engines.site));
