Send nothing without a permit once a holder told what the server stands

What callers saw: nothing; a brittle server may have to reject more than it stands.

Cause: a gateway that knows nothing of a service and whose first holder is silent sent after 500 ms without a permit, also where another holder had told it how many rejections the server stands; so did one that had heard the service sound long ago.

Change: a denial says whether the server is brittle as far as the requester or a holder knows.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -251,6 +251,7 @@
   bool has_permit_ = false;                // a permit was granted, or is unneeded
   bool skips_permit_ = false;              // sent without one
   bool is_permit_unavailable_ = false;     // the last result said so
+  bool is_told_brittle_ = false;           // any result said that a server of the service is brittle
   std::optional<uint64_t> permit_;         // held until the request is sent
   std::optional<uint64_t> unaccepted_;     // sent, and not yet accepted by the server
   std::vector<uint64_t> without_permit_;   // servers without a free permit, passed over until the next wait
--- a/src/gateway/permit_exchange.cc
+++ b/src/gateway/permit_exchange.cc
@@ -175,7 +175,7 @@
     waiting_.erase(waiting);
     core_.metrics.countPermitDecision(decision.is_granted);
     on_result({decision.is_granted, decision.is_unneeded ? std::nullopt : std::optional(decision.number),
-               decision.is_unavailable});
+               decision.is_unavailable, decision.is_brittle});
   }
   for (const uint64_t permit : actions.lost) {
     if (const auto request = request_of_permit_.find(permit); request != request_of_permit_.end()) {
--- a/src/gateway/permit_exchange.h
+++ b/src/gateway/permit_exchange.h
@@ -22,6 +22,8 @@
   std::optional<uint64_t> permit;  // if granted; nothing: none is needed
   // Denied because nothing is known of the server, and the gateway that decides who finds out doesn't answer.
   bool is_unavailable = false;
+  // Denied, and this gateway or one that it asked knows that the server is brittle.
+  bool is_brittle = false;
 };
 
 class PermitExchange {
--- a/src/quota/shared_permits.cc
+++ b/src/quota/shared_permits.cc
@@ -101,10 +101,12 @@
 }
 
 void SharedPermits::deny(uint64_t number, PermitActions& actions) {
+  const Pending& pending = pending_.at(number);
   PermitDecision decision;
   decision.number = number;
-  decision.retry_after = std::min(pending_.at(number).retry_after, kMaxRetryAfter);
-  decision.is_unavailable = pending_.at(number).is_first_silent;
+  decision.retry_after = std::min(pending.retry_after, kMaxRetryAfter);
+  decision.is_brittle = pending.max_rejections > 0;
+  decision.is_unavailable = pending.is_first_silent && !decision.is_brittle;
   pending_.erase(number);
   actions.decisions.push_back(decision);
 }
@@ -118,7 +120,7 @@
   held.lease_until = pending.asked_at + kLease;
   held.renew_at = pending.asked_at + kRenewInterval;
   pending_.erase(number);
-  actions.decisions.push_back({number, true, false, absl::ZeroDuration(), false});
+  actions.decisions.push_back({number, true, false, absl::ZeroDuration(), false, false});
 }
 
 void SharedPermits::end(uint64_t number, PermitEnd how, absl::Time now, PermitActions& actions) {
@@ -285,7 +287,7 @@
       return;
     case PermitMessageKind::kUnneeded:
       pending_.erase(found);
-      actions.decisions.push_back({message.number, true, true, absl::ZeroDuration(), false});
+      actions.decisions.push_back({message.number, true, true, absl::ZeroDuration(), false, false});
       return;
     case PermitMessageKind::kDeny:
       pending.retry_after = std::min(pending.retry_after, message.retry_after);
--- a/src/quota/shared_permits.h
+++ b/src/quota/shared_permits.h
@@ -42,6 +42,8 @@
   absl::Duration retry_after;  // if denied
   // Denied because nothing is known of the server, and its first holder doesn't answer.
   bool is_unavailable = false;
+  // Denied, and the server is brittle as far as the requester or a holder knows.
+  bool is_brittle = false;
 };
 
 struct PermitActions {
