Keep a site in one part when the store loses the key of its gateways' messages

The site was in two parts that never heard each other again; each held limits and permits of its own.

Cause: the store was restored from a copy without the row of the key while gateways started. These found no key and created another; those that ran kept theirs, which they had read, for good. Each part dropped the other's messages as forged.

Change: the store's key is the valid one. A gateway that reads another one seals with it from then on and still opens what was sealed with the last three. A gateway that starts on a site that isn't new waits up to 4 s for those that know the key to write it again before it creates one. Log lines peer_key_written, peer_key_changed.

--- a/src/gateway/peer_directory.cc
+++ b/src/gateway/peer_directory.cc
@@ -30,6 +30,9 @@
 constexpr absl::Duration kRowsInterval = absl::Minutes(2);
 // All gateways reread the rows after a restore of the store.
 constexpr absl::Duration kRestoreSpread = absl::Seconds(3);
+// A restore that lost the key is noticed and the key written again within this time, by gateways that know
+// it.
+constexpr absl::Duration kKeyReturnTime = absl::Seconds(4);
 
 std::string newSecret() {
   std::string secret(peer::kMinimumSecretSize, '\0');
@@ -113,8 +116,9 @@
   });
 }
 
-// The key's row is written once, by the first gateway that finds none. The own row is written before the last
-// read of the others' rows, so that of two gateways that start together at least one finds the other.
+// The first gateway that finds no key creates one; the store's key is the valid one, whatever was known
+// before. The own row is written before the last read of the others' rows, so that of two gateways that start
+// together at least one finds the other.
 void PeerDirectory::applyRows(const TableSnapshot& table) {
   const std::string own_key = core_.settings.gateway_id.value();
   const std::string own_value = printPeer(core_.settings);
@@ -141,7 +145,10 @@
     }
   }
   retired_.noteRows(std::move(listed));
-  if (!has_key) {
+  key_missing_since_ = has_key ? absl::InfiniteFuture() : std::min(key_missing_since_, reactor::steadyNow());
+  if (!has_key && !mayWriteKey()) {
+    readRowsLater(nextRetryDelay());
+  } else if (!has_key) {
     writeKey();
   } else if (!has_own_row) {
     writeOwnRow(own_version);
@@ -152,7 +159,15 @@
   }
 }
 
+// On a site that isn't new the store has lost the key: those that know it write it again. Another one would
+// cut this gateway off from them until they have read it.
+bool PeerDirectory::mayWriteKey() const {
+  return !secret_.empty() || core_.settings.site_is_new ||
+         reactor::steadyNow() - key_missing_since_ >= kKeyReturnTime;
+}
+
 void PeerDirectory::writeKey() {
+  core_.log.event("peer_key_written", reactor::steadyNow()).with("again", !secret_.empty());
   forwarding::StoreRow row;
   row.table = kTable;
   row.key = kKeyRow;
@@ -182,16 +197,21 @@
 }
 
 void PeerDirectory::applyKey(const std::string& secret, absl::Duration store_clock) {
-  if (authenticator_ != nullptr) {
+  if (secret == secret_) {
     return;
   }
-  const peer::KeyId id(1);
+  const peer::KeyId id(1);  // also of keys that replace others: earlier builds know no other id
   auto ring = peer::KeyRing::make({{id, secret}}, id);
   if (ring.has_error()) {
     core_.log.event("peers_unheard", reactor::steadyNow()).with("why", ring.error().message);
     return;
   }
   secret_ = secret;
+  if (authenticator_ != nullptr) {
+    core_.log.event("peer_key_changed", reactor::steadyNow());
+    authenticator_->addKeyRing(std::move(ring.value()));
+    return;
+  }
   // The store's clock is monotonic, unlike a machine's wall clock.
   const Incarnation incarnation(static_cast<uint64_t>(absl::ToInt64Milliseconds(store_clock)));
   authenticator_ =
--- a/src/gateway/peer_directory.h
+++ b/src/gateway/peer_directory.h
@@ -48,6 +48,7 @@
   void readRows();
   void applyRows(const TableSnapshot& table);
   void applyKey(const std::string& secret, absl::Duration store_clock);
+  bool mayWriteKey() const;
   void writeKey();
   void writeOwnRow(uint64_t expected_version);
   void readRowsLater(absl::Duration after);
@@ -58,10 +59,11 @@
   StoreClient store_;
   SnapshotReader reader_;
   std::function<void()> ready_;
-  std::string secret_;               // the key; empty until it is known
-  reactor::TimerQueue::Key reread_;  // of the next read of the rows
-  absl::Duration retry_delay_;       // until the next call after a failed one
-  bool had_conflict_ = false;        // the last write met a row that the previous read did not show
+  std::string secret_;                                     // the key; empty until it is known
+  reactor::TimerQueue::Key reread_;                        // of the next read of the rows
+  absl::Duration retry_delay_;                             // until the next call after a failed one
+  absl::Time key_missing_since_ = absl::InfiniteFuture();  // the first of the latest reads without the key
+  bool had_conflict_ = false;  // the last write met a row that the previous read did not show
   std::unique_ptr<peer::Authenticator> authenticator_;
   absl::btree_map<NodeId, Peer> peers_;
   RefusedRows refused_rows_;
--- a/src/peer/authenticator.cc
+++ b/src/peer/authenticator.cc
@@ -9,6 +9,11 @@
 #include <utility>
 
 namespace quincewick::peer {
+namespace {
+
+constexpr size_t kEarlierRings = 3;
+
+}  // namespace
 
 std::string_view dropReasonName(DropReason reason) {
   switch (reason) {
@@ -37,6 +42,14 @@
   auto replacement = std::make_shared<const KeyRing>(std::move(keys));
   const absl::MutexLock lock(&mutex_);
   keys_ = std::move(replacement);
+  earlier_keys_.clear();
+}
+
+void Authenticator::addKeyRing(KeyRing keys) {
+  auto replacement = std::make_shared<const KeyRing>(std::move(keys));
+  const absl::MutexLock lock(&mutex_);
+  earlier_keys_.insert(earlier_keys_.begin(), std::exchange(keys_, std::move(replacement)));
+  earlier_keys_.resize(std::min(earlier_keys_.size(), kEarlierRings));
 }
 
 Authenticator::Sealed Authenticator::seal(Channel channel, const NodeId& recipient, PeerModule module,
@@ -69,14 +82,9 @@
   if (!envelope) {
     return drop(DropReason::kMalformed);
   }
-  const std::shared_ptr<const KeyRing> ring = keys();
-  const std::string* secret = ring->find(envelope.value().key);
-  if (secret == nullptr) {
-    return drop(DropReason::kUnknownKey);
-  }
-  const Mac mac = macOf(*secret, channel, self_, in_answer_to, signed_bytes);
-  if (CRYPTO_memcmp(mac.data(), claimed_mac.data(), kMacSize) != 0) {
-    return drop(DropReason::kBadMac);
+  const SignedMessage message{channel, in_answer_to, envelope.value().key, signed_bytes, claimed_mac};
+  if (const std::optional<DropReason> refusal = refusalOf(message)) {
+    return drop(*refusal);
   }
   const ReplayVerdict verdict = checkReplay(channel, envelope.value());
   if (verdict != ReplayVerdict::kFresh) {
@@ -105,11 +113,38 @@
   return mac;
 }
 
+std::optional<DropReason> Authenticator::refusalUnder(const KeyRing& ring,
+                                                      const SignedMessage& message) const {
+  const std::string* secret = ring.find(message.key);
+  if (secret == nullptr) {
+    return DropReason::kUnknownKey;
+  }
+  const Mac mac = macOf(*secret, message.channel, self_, message.in_answer_to, message.bytes);
+  return CRYPTO_memcmp(mac.data(), message.mac.data(), kMacSize) == 0 ? std::nullopt
+                                                                      : std::optional(DropReason::kBadMac);
+}
+
+std::optional<DropReason> Authenticator::refusalOf(const SignedMessage& message) const {
+  const std::optional<DropReason> refusal = refusalUnder(*keys(), message);
+  if (!refusal) {
+    return std::nullopt;
+  }
+  const std::vector<std::shared_ptr<const KeyRing>> earlier = earlierKeys();
+  const bool is_accepted = std::any_of(earlier.begin(), earlier.end(),
+                                       [&](const auto& ring) { return !refusalUnder(*ring, message); });
+  return is_accepted ? std::nullopt : refusal;
+}
+
 std::shared_ptr<const KeyRing> Authenticator::keys() const {
   const absl::MutexLock lock(&mutex_);
   return keys_;
 }
 
+std::vector<std::shared_ptr<const KeyRing>> Authenticator::earlierKeys() const {
+  const absl::MutexLock lock(&mutex_);
+  return earlier_keys_;
+}
+
 ReplayVerdict Authenticator::checkReplay(Channel channel, const Envelope& envelope) {
   if (channel == Channel::kResponse) {
     return ReplayVerdict::kFresh;
--- a/src/peer/authenticator.h
+++ b/src/peer/authenticator.h
@@ -7,8 +7,10 @@
 #include <array>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "peer/envelope.h"
 #include "peer/key_ring.h"
@@ -43,6 +45,9 @@
 
   // Replaces the keys at once, for sealing and opening.
   void setKeyRing(KeyRing keys);
+  // Seals with these keys from now on, and goes on opening what is sealed with the last few rings before:
+  // nodes learn of new keys at different times.
+  void addKeyRing(KeyRing keys);
 
   // A sealed message and the sequence number it got.
   struct Sealed {
@@ -63,10 +68,22 @@
 
  private:
   using Mac = std::array<unsigned char, kMacSize>;
+  struct SignedMessage {
+    Channel channel;
+    Sequence in_answer_to;
+    KeyId key;
+    std::string_view bytes;
+    std::string_view mac;  // as claimed
+  };
 
   Mac macOf(const std::string& secret, Channel channel, const NodeId& recipient, Sequence in_answer_to,
             std::string_view bytes) const;
+  // Why the message isn't accepted under the ring's keys; nothing if it is.
+  std::optional<DropReason> refusalUnder(const KeyRing& ring, const SignedMessage& message) const;
+  // The same under the present ring or an earlier one.
+  std::optional<DropReason> refusalOf(const SignedMessage& message) const;
   std::shared_ptr<const KeyRing> keys() const;
+  std::vector<std::shared_ptr<const KeyRing>> earlierKeys() const;
   ReplayVerdict checkReplay(Channel channel, const Envelope& envelope);
   Error drop(DropReason reason);
 
@@ -74,6 +91,7 @@
   const Incarnation incarnation_;
   mutable absl::Mutex mutex_;
   std::shared_ptr<const KeyRing> keys_ ABSL_GUARDED_BY(mutex_);
+  std::vector<std::shared_ptr<const KeyRing>> earlier_keys_ ABSL_GUARDED_BY(mutex_);  // the latest first
   Sequence last_datagram_ ABSL_GUARDED_BY(mutex_);
   Sequence last_body_ ABSL_GUARDED_BY(mutex_);
   ReplayWindow datagrams_ ABSL_GUARDED_BY(mutex_);
--- a/tests/peer/authenticator_test.cc
+++ b/tests/peer/authenticator_test.cc
@@ -125,6 +125,29 @@
   CHECK(dropped(receiver, DropReason::kBadMac) == 1);
 }
 
+// Guards against nodes that never hear each other again because they learned of another key at different
+// times.
+TEST_CASE("an added key replaces the one that seals, and messages sealed with the earlier ones are opened") {
+  Authenticator sender = node("sender");
+  Authenticator receiver = node("receiver");
+  const auto passes = [&] {
+    return receiver.open(Channel::kDatagram, sealFor(sender, "receiver")).has_value();
+  };
+  const auto keyNumber = [](char number) {
+    return ring({{kOldKey.id, std::string(kMinimumSecretSize, number)}}, kOldKey.id);
+  };
+  for (const char number : {'1', '2', '3'}) {
+    receiver.addKeyRing(keyNumber(number));
+    CHECK(passes());
+  }
+  receiver.addKeyRing(keyNumber('4'));
+  CHECK(!passes());  // sealed with the fourth key before
+  sender.addKeyRing(keyNumber('4'));
+  CHECK(passes());
+  receiver.setKeyRing(keyNumber('5'));
+  CHECK(!passes());
+}
+
 TEST_CASE("bad key rings are refused") {
   CHECK(!KeyRing::make({{KeyId(1), "short"}}, KeyId(1)));
   CHECK(!KeyRing::make({kOldKey, kOldKey}, kOldKey.id));
