--- a/src/gateway/weight_loader.cc
+++ b/src/gateway/weight_loader.cc
@@ -163,7 +163,7 @@
   peers_.announce(digest);
 }
 
-// A load takes as long as it takes.
+// Loads have no fixed duration: the block is renewed while the engine reports that it is busy.
 void WeightLoader::renewBlock(const Load& load, absl::Time now) {
   if (load.server->loading_until - now < kLoadBlockDuration / 2) {
     blockRequests(load.server, load.model, kLoadBlockDuration);
