--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -476,7 +476,8 @@
       .with("took_ms", now - began_);
   if (facts_.resumed_attempt || facts_.last_event_id) {
     line.with("resumes", facts_.resumed_attempt.value_or(""))
-        .with("after_event", facts_.last_event_id.value_or(""));
+        .with("after_event", facts_.last_event_id.value_or(""))
+        .with("origin_proof", origin_proof_);
   }
   if (is_quota_decided_) {
     line.with("keeper", quota_owner_.value()).with("quota_ms", quota_wait_);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -219,6 +219,7 @@
   std::optional<SoftwareVersion> begun_software_;
   bool is_stream_begun_ = false;            // an event was forwarded
   std::optional<uint64_t> pending_origin_;  // lookup of the stream that the caller takes up
+  std::string_view origin_proof_;           // by what its version was to be proven, for the log
   // Software version of the servers that this attempt may use, if the site stages rollouts.
   std::optional<SoftwareVersion> software_;
   Servers servers_of_software_;
--- a/src/gateway/exchange_stream.cc
+++ b/src/gateway/exchange_stream.cc
@@ -11,6 +11,8 @@
 using forwarding::RepeatKind;
 
 constexpr std::string_view kOriginUnknown = "stream_origin_unknown";
+constexpr std::string_view kProvenByList = "list";
+constexpr std::string_view kProvenByRecord = "record";
 constexpr absl::Duration kUnknownOriginRetryAfter = absl::Seconds(1);
 // Callers may give each attempt a deadline of its own.
 constexpr absl::Duration kTakeUpMargin = absl::Seconds(10);
@@ -30,9 +32,11 @@
 
 void Exchange::findOrigin() {
   if (!facts_.resumed_attempt) {
+    origin_proof_ = kProvenByList;
     onOriginFound(onlyListedOrigin());
     return;
   }
+  origin_proof_ = kProvenByRecord;
   const auto is_found = std::make_shared<bool>(false);
   const uint64_t number = core_.stream_origins->find(streamKey(), [this, is_found](const auto& origin) {
     const auto self = shared_from_this();
