--- a/tests/gateway/software_versions_test.cc
+++ b/tests/gateway/software_versions_test.cc
@@ -43,19 +43,28 @@
 struct VersionedSite : Fixture {
   std::atomic<bool> breaks_off = false;
 
-  VersionedSite() {
-    for (const char* const software : {"v1", "v2"}) {
-      for (const int number : {1, 2}) {
-        const std::string id = absl::StrCat("i-", software, "-", number);
-        site.addServer(
-            id,
-            [this, version = std::string(software)](const Seen& seen) {
-              return serveStream(seen, version, breaks_off);
-            },
-            "[]", software);
-      }
+  explicit VersionedSite(const std::vector<std::string>& versions = {"v1", "v2"}) {
+    for (const std::string& software : versions) {
+      addServers(software);
+    }
+  }
+
+  void addServers(const std::string& software) {
+    for (const int number : {1, 2}) {
+      site.addServer(
+          idOf(software, number),
+          [this, software](const Seen& seen) { return serveStream(seen, software, breaks_off); }, "[]",
+          software);
     }
   }
+  void removeServers(const std::string& software) {
+    for (const int number : {1, 2}) {
+      site.removeRow("servers", idOf(software, number));
+    }
+  }
+  static std::string idOf(const std::string& software, int number) {
+    return absl::StrCat("i-", software, "-", number);
+  }
 
   GatewaySettings settingsOf(const std::string& id) const {
     GatewaySettings result = RunningGateway::settings(id, site.storeAddress(), site);
@@ -66,6 +75,7 @@
 
 // A caller's stream over all of its attempts.
 struct CallerStream {
+  bool names_attempt = true;  // in the requests that take it up
   std::string first_attempt;
   int last_event = 0;
   std::set<std::string> versions;
@@ -83,7 +93,9 @@
                          {"Content-Length", absl::StrCat(body.size())}};
   if (stream.last_event > 0) {
     fields.push_back({"Last-Event-Id", absl::StrCat(stream.last_event)});
-    fields.push_back({"Resumes", stream.first_attempt});
+    if (stream.names_attempt) {
+      fields.push_back({"Resumes", stream.first_attempt});
+    }
   }
   std::string answer = gateway.ask(printRequestHead("POST", "/resumed/a", fields) + body);
   for (size_t place = answer.find("id: "); place != std::string::npos;
@@ -229,5 +241,139 @@
   CHECK(gone_on == 20);
 }
 
+// Streams that broke off, and how many of them a second attempt completed.
+struct TakenUp {
+  std::vector<CallerStream> streams;
+  size_t gone_on = 0;
+  size_t crossed = 0;    // hold events of two versions
+  std::string rejected;  // a response to one that didn't go on
+};
+
+TakenUp beginStreams(const RunningGateway& gateway, bool names_attempt) {
+  TakenUp result;
+  for (int number = 0; number < 24; ++number) {
+    CallerStream stream;
+    stream.names_attempt = names_attempt;
+    attempt(gateway, stream, absl::StrCat("first-", number), absl::StrCat("body ", number));
+    REQUIRE(stream.last_event > 0);
+    REQUIRE(stream.last_event < kEvents);
+    result.streams.push_back(stream);
+  }
+  return result;
+}
+
+void takeUp(const RunningGateway& gateway, TakenUp& taken_up) {
+  for (size_t number = 0; number < taken_up.streams.size(); ++number) {
+    CallerStream& stream = taken_up.streams[number];
+    const std::string answer =
+        attempt(gateway, stream, absl::StrCat("second-", number), absl::StrCat("body ", number));
+    taken_up.gone_on += stream.last_event == kEvents ? 1 : 0;
+    taken_up.rejected = stream.last_event == kEvents ? taken_up.rejected : answer;
+    taken_up.crossed += stream.versions.size() > 1 ? 1 : 0;
+  }
+}
+
+// The share that is asked for of streams that are taken up while two servers of their version serve.
+bool goesOnOftenEnough(const TakenUp& taken_up) {
+  return static_cast<double>(taken_up.gone_on) >= 0.95 * static_cast<double>(taken_up.streams.size());
+}
+
+using Gateways = std::vector<std::unique_ptr<RunningGateway>>;
+
+Gateways startGateways(const VersionedSite& fixture, bool is_first_start) {
+  Gateways gateways;
+  for (const char* const id : {"a", "b"}) {
+    GatewaySettings settings = fixture.settingsOf(id);
+    settings.site_is_new = is_first_start;
+    gateways.push_back(std::make_unique<RunningGateway>(settings));
+  }
+  awaitPeer(*gateways[0]);
+  awaitPeer(*gateways[1]);
+  return gateways;
+}
+
+void awaitServers(const RunningGateway& gateway, int count) {
+  await([&] { return has(gateway.metrics(), absl::StrCat("quincewick_servers ", count, "\n")); });
+}
+
+// Guards against streams that go on at the version that is listed now, which is no proof of the one that
+// began them.
+TEST_CASE("taken up after all gateways were killed: a stream goes on at no other version") {
+  for (const bool names_attempt : {false, true}) {
+    for (const bool began_beside_others : {false, true}) {
+      CAPTURE(names_attempt, began_beside_others);
+      VersionedSite fixture({"v1"});
+      Gateways gateways = startGateways(fixture, true);
+      if (began_beside_others) {
+        fixture.addServers("v2");
+        awaitServers(*gateways[0], 4);
+      }
+      fixture.breaks_off = true;
+      TakenUp taken_up = beginStreams(*gateways[0], names_attempt);
+      gateways.clear();
+      fixture.breaks_off = false;
+      fixture.removeServers("v1");
+      if (!began_beside_others) {
+        fixture.addServers("v2");
+      }
+      gateways = startGateways(fixture, false);
+      takeUp(*gateways[1], taken_up);
+      CHECK(taken_up.crossed == 0);
+    }
+  }
+}
+
+// The same without a kill: the servers of one version take the place of another's.
+TEST_CASE("taken up after a release: a stream goes on at no other version") {
+  VersionedSite fixture({"v1"});
+  const Gateways gateways = startGateways(fixture, true);
+  fixture.breaks_off = true;
+  TakenUp taken_up = beginStreams(*gateways[0], false);
+  fixture.breaks_off = false;
+  fixture.addServers("v2");
+  awaitServers(*gateways[1], 4);
+  fixture.removeServers("v1");
+  awaitServers(*gateways[1], 2);
+  takeUp(*gateways[1], taken_up);
+  CHECK(taken_up.crossed == 0);
+}
+
+// Guards against records of streams that only memory holds: after a restart of all gateways nothing went on.
+TEST_CASE("taken up after all gateways were killed: a stream goes on while its version serves") {
+  for (const bool has_two_versions : {false, true}) {
+    CAPTURE(has_two_versions);
+    VersionedSite fixture({"v1"});
+    Gateways gateways = startGateways(fixture, true);
+    if (has_two_versions) {
+      fixture.addServers("v2");
+      awaitServers(*gateways[0], 4);
+    }
+    fixture.breaks_off = true;
+    TakenUp taken_up = beginStreams(*gateways[0], true);
+    gateways.clear();
+    fixture.breaks_off = false;
+    gateways = startGateways(fixture, false);
+    takeUp(*gateways[1], taken_up);
+    CAPTURE(taken_up.rejected);
+    CHECK(taken_up.crossed == 0);
+    CHECK(goesOnOftenEnough(taken_up));
+  }
+}
+
+// Callers that don't name the attempt have a proof while one version alone has been in service.
+TEST_CASE("taken up without the attempt: a stream goes on while its version alone has served") {
+  VersionedSite fixture({"v1"});
+  Gateways gateways = startGateways(fixture, true);
+  fixture.breaks_off = true;
+  TakenUp taken_up = beginStreams(*gateways[0], false);
+  gateways.clear();
+  fixture.breaks_off = false;
+  gateways = startGateways(fixture, false);
+  takeUp(*gateways[1], taken_up);
+  CAPTURE(taken_up.rejected);
+  CHECK(taken_up.crossed == 0);
+  CHECK(goesOnOftenEnough(taken_up));
+}
+
 }  // namespace
 }  // namespace quincewick::gateway
--- a/tests/gateway/stand_in_site.h
+++ b/tests/gateway/stand_in_site.h
@@ -21,6 +21,7 @@
 
 #include "reactor/connection.h"
 #include "reactor/message_reader.h"
+#include "reactor/timer_queue.h"
 
 namespace quincewick::gateway {
 
@@ -290,7 +291,8 @@
       const auto row = table.find(condition["key"]);
       const uint64_t version = row == table.end() ? 0 : row->second.version;
       if (version != condition["ver"]) {
-        return {answerOf(412, storeFields(), R"({"rows":[],"ver":1,"now_ms":1000})"), false, false, false};
+        return {answerOf(412, storeFields(), absl::StrCat(R"({"rows":[],"ver":1,"now_ms":)", clockMs(), "}")),
+                false, false, false};
       }
     }
     ++version_;
@@ -299,8 +301,14 @@
       absl::Base64Unescape(put["value"].get<std::string>(), &value);
       rows_[put["table"]][put["key"]] = {value, version_};
     }
-    return {answerOf(200, storeFields(), absl::StrCat(R"({"ver":)", version_, R"(,"now_ms":1000})")), false,
-            false, false};
+    return {
+        answerOf(200, storeFields(), absl::StrCat(R"({"ver":)", version_, R"(,"now_ms":)", clockMs(), "}")),
+        false, false, false};
+  }
+
+  // The store's clock: steady, and not that of the gateways.
+  int64_t clockMs() const {
+    return absl::ToInt64Milliseconds(absl::Seconds(1) + (reactor::steadyNow() - started_));
   }
 
   HeaderFields storeFields() const {
@@ -345,10 +353,11 @@
     }
     return {answerOf(200, storeFields(),
                      absl::StrCat(R"({"rows":[)", rows, R"(],"more":)", has_more ? "true" : "false",
-                                  R"(,"ver":)", version_, R"(,"now_ms":1000})")),
+                                  R"(,"ver":)", version_, R"(,"now_ms":)", clockMs(), "}")),
             false, false, false};
   }
 
+  const absl::Time started_ = reactor::steadyNow();
   boost::asio::io_context reactor_;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
   mutable std::mutex mutex_;
