Take streams up by proofs that outlive all gateways, never by the list of servers

What callers saw: after a kill of all gateways, or a release, streams that they took up without naming the attempt were answered 200 with the first part from one software version and the rest from another; those that named it got 503. Cause: Exchange::onlyListedOrigin took the one version that is listed now for the one that began the stream. A list says nothing about the past. Records were in memory only, so nothing better was left after a kill. Now each service's versions have a history in the store, and no stream begins at a version before the history names it. A stream without a record goes on only if one version alone can have begun it. While several versions may begin streams, the first event of each is held until the store has its record, 100 ms at most; a record that isn't acknowledged binds further attempts to its version, so the store never names another version than the stream's.

--- a/src/gateway/core.h
+++ b/src/gateway/core.h
@@ -15,6 +15,7 @@
 #include "forwarding/retry_budget.h"
 #include "forwarding/server_directory.h"
 #include "forwarding/site_configuration.h"
+#include "forwarding/software_history.h"
 #include "forwarding/start_limit.h"
 #include "forwarding/store_history.h"
 #include "forwarding/weights_register.h"
@@ -58,6 +59,7 @@
   forwarding::EnginePlacement placement;
   forwarding::RetryBudget budget;
   forwarding::WeightsRegister weights;
+  forwarding::SoftwareHistories software_histories;
   forwarding::EngineWaits engine_waits;
   // Placements since the last digest to peers.
   struct UnreportedPlacement {
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -164,6 +164,9 @@
     requestPermit();
     return;
   }
+  if (needsStoredRecord() && !recordInStore()) {
+    return;
+  }
   if (ledger_.isNextRetry() && !mayRepeat(now)) {
     releaseServer();
     server_ = nullptr;
@@ -199,14 +202,15 @@
   const absl::Time now = reactor::steadyNow();
   engine_.reset();
   server_ = nullptr;
-  if (begun_software_) {
-    return chooseServerOfStream(now);
+  if (const std::optional<SoftwareVersion> bound = boundSoftware()) {
+    return chooseServerOfStream(*bound, now);
   }
   return core_.rollouts != nullptr ? chooseServerByVersion(now)
                                    : chooseServerAmong(core_.directory.ofService(service_), now);
 }
 
-bool Exchange::chooseServerAmong(const Servers& servers, absl::Time now) {
+bool Exchange::chooseServerAmong(const Servers& candidates, absl::Time now) {
+  const Servers& servers = serversForStream(candidates);
   const forwarding::Service* const service = configuration_->findService(service_);
   const bool is_engine = service != nullptr && service->engine.has_value() && !facts_.model.empty();
   return is_engine ? chooseEngine(servers, now) : choosePlainServer(servers, now);
@@ -332,6 +336,7 @@
 void Exchange::endAttempt(AttemptOutcome end) {
   core_.metrics.countAttempt(end);
   logAttemptEnd(end);
+  releaseFirstEvent();
   releaseServer();
   attempt_.reset();
   ledger_.noteOutcome(end);
@@ -375,6 +380,10 @@
 }
 
 void Exchange::onDeadline() {
+  if (is_done_) {
+    return;
+  }
+  releaseFirstEvent();
   if (is_done_) {
     return;
   }
@@ -456,6 +465,7 @@
   core_.timers.cancel(crash_timer_);
   core_.timers.cancel(offer_timer_);
   core_.timers.cancel(permit_timer_);
+  core_.timers.cancel(hold_timer_);
   cancelFindOrigin();
   releaseQuota();
   settleRollout();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -115,16 +115,29 @@
   bool chooseEngine(const Servers& servers, absl::Time now);
   bool chooseServerByVersion(absl::Time now);
   bool chooseSoftware();
-  bool chooseServerOfStream(absl::Time now);
+  bool chooseServerOfStream(const SoftwareVersion& software, absl::Time now);
   bool mayGoOnElsewhere() const;
   bool isTakenUp() const;
   // Finds the version that began the stream that the caller takes up, then goes on with acceptForService.
   void findOrigin();
+  void findOriginByRecord();
+  void findOriginByHistory();
   void onOriginFound(const std::optional<forwarding::StreamOrigin>& origin);
   void cancelFindOrigin();
   forwarding::StreamKey streamKey() const;
-  std::optional<forwarding::StreamOrigin> onlyListedOrigin() const;
   void noteStreamBegun();
+  // The version that further attempts have to keep to; nothing: any.
+  std::optional<SoftwareVersion> boundSoftware() const;
+  bool mayBeginAt(const forwarding::Server& server) const;
+  const Servers& serversForStream(const Servers& servers);
+  bool needsStoredRecord() const;
+  // Has the store record the version that the stream may begin at. Returns false if the attempt waits for it.
+  bool recordInStore();
+  void onRecordStored(bool is_stored);
+  bool isFirstEventHeld() const;
+  void deliverEvents(std::string_view events);
+  void releaseFirstEvent();
+  void finishServed();
   double promptFraction() const;
   bool mayStillUseServer() const;
   void noteRolloutSent();
@@ -220,9 +233,18 @@
   bool is_stream_begun_ = false;            // an event was forwarded
   std::optional<uint64_t> pending_origin_;  // lookup of the stream that the caller takes up
   std::string_view origin_proof_;           // by what its version was to be proven, for the log
+  // The version that the store's record of the stream names, if it needs one.
+  std::optional<SoftwareVersion> recorded_software_;
+  bool is_record_stored_ = false;        // acknowledged by the store
+  bool sends_once_recorded_ = false;     // the attempt waits to be sent until the record is stored
+  bool holds_events_ = false;            // the first event waits for it
+  std::string held_events_;              // of the current attempt
+  bool is_end_held_ = false;             // the response has ended meanwhile
+  reactor::TimerQueue::Key hold_timer_;  // set while events are held
   // Software version of the servers that this attempt may use, if the site stages rollouts.
   std::optional<SoftwareVersion> software_;
   Servers servers_of_software_;
+  Servers servers_of_history_;  // at which the stream may begin
   std::optional<RolloutExchange::AttemptOutcome>
       rollout_end_;        // set while the attempt is counted as in progress
   bool was_busy_ = false;  // over half of the server's slots were in use when it was sent
--- a/src/gateway/exchange_delegation.cc
+++ b/src/gateway/exchange_delegation.cc
@@ -89,7 +89,8 @@
   request.time_left = deadline_ - now;
   request.last_event_id = last_event_ ? absl::StrCat(*last_event_) : "";
   request.asks_for_software = mayGoOnElsewhere();
-  request.software = begun_software_;
+  // A delegate doesn't change the store's record.
+  request.software = begun_software_ ? begun_software_ : recorded_software_;
   std::optional<AttemptRequest> sealed = core_.delegations->seal(chosen, request, delegated_sequence_);
   if (!sealed) {
     return false;
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -151,10 +151,7 @@
   }
   onPromptRead();
   recordPiece();
-  forwardHead();
-  if (sink_ != nullptr) {
-    sink_->sendBody(out);
-  }
+  deliverEvents(out);
 }
 
 // Prefill is done, and the request has a slot.
@@ -306,6 +303,14 @@
     core_.placement.noteServed(now - first_piece_);
     core_.engine_waits.noteRun(now - first_piece_);
   }
+  finishServed();
+}
+
+void Exchange::finishServed() {
+  if (!held_events_.empty()) {
+    is_end_held_ = true;
+    return;
+  }
   noteServed();
   forwardBufferedBody();
   complete("answered");
--- a/src/gateway/exchange_rollout.cc
+++ b/src/gateway/exchange_rollout.cc
@@ -48,11 +48,11 @@
 }
 
 // The servers of the version that began the stream: what two versions write doesn't fit together.
-bool Exchange::chooseServerOfStream(absl::Time now) {
+bool Exchange::chooseServerOfStream(const SoftwareVersion& software, absl::Time now) {
   servers_of_software_ = core_.directory.ofService(service_);
-  std::erase_if(servers_of_software_, [this](const auto& server) {
+  std::erase_if(servers_of_software_, [this, &software](const auto& server) {
     const bool is_allowed = core_.rollouts == nullptr || core_.rollouts->mayUse(*server);
-    return !is_allowed || server->provenSoftware() != begun_software_;
+    return !is_allowed || server->provenSoftware() != software;
   });
   return chooseServerAmong(servers_of_software_, now);
 }
--- a/src/gateway/exchange_stream.cc
+++ b/src/gateway/exchange_stream.cc
@@ -1,5 +1,6 @@
 // Streams that go on: within one answer, and those that a caller takes up again.
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 #include "gateway/exchange.h"
@@ -11,8 +12,11 @@
 using forwarding::RepeatKind;
 
 constexpr std::string_view kOriginUnknown = "stream_origin_unknown";
-constexpr std::string_view kProvenByList = "list";
+constexpr std::string_view kProvenByHistory = "history";
 constexpr std::string_view kProvenByRecord = "record";
+// A first event waits no longer for the store.
+constexpr absl::Duration kMaxHold = absl::Milliseconds(100);
+constexpr size_t kMaxHeldBytes = 262144;
 constexpr absl::Duration kUnknownOriginRetryAfter = absl::Seconds(1);
 // Callers may give each attempt a deadline of its own.
 constexpr absl::Duration kTakeUpMargin = absl::Seconds(10);
@@ -31,24 +35,49 @@
 }
 
 void Exchange::findOrigin() {
-  if (!facts_.resumed_attempt) {
-    origin_proof_ = kProvenByList;
-    onOriginFound(onlyListedOrigin());
-    return;
+  if (facts_.resumed_attempt) {
+    findOriginByRecord();
+  } else {
+    findOriginByHistory();
   }
+}
+
+void Exchange::findOriginByRecord() {
   origin_proof_ = kProvenByRecord;
   const auto is_found = std::make_shared<bool>(false);
-  const uint64_t number = core_.stream_origins->find(streamKey(), [this, is_found](const auto& origin) {
-    const auto self = shared_from_this();
-    *is_found = true;
-    pending_origin_.reset();
-    onOriginFound(origin);
-  });
+  const uint64_t number =
+      core_.stream_origins->find(streamKey(), [this, is_found](const StreamOriginExchange::Found& found) {
+        const auto self = shared_from_this();
+        *is_found = true;
+        pending_origin_.reset();
+        if (found.origin || found.is_contradictory) {
+          onOriginFound(found.origin);
+        } else {
+          findOriginByHistory();
+        }
+      });
   if (!*is_found) {
     pending_origin_ = number;
   }
 }
 
+// A route that is divided doesn't tell which service began the stream.
+void Exchange::findOriginByHistory() {
+  origin_proof_ = kProvenByHistory;
+  if (route_->shares.size() != 1) {
+    onOriginFound(std::nullopt);
+    return;
+  }
+  const absl::Duration longest = route_->timeout.value_or(absl::InfiniteDuration());
+  const absl::Duration window = std::min(longest + kTakeUpMargin, forwarding::StreamOrigins::kMaxLifetime);
+  pending_origin_ = core_.stream_origins->findByHistory(route_->shares.front().service, window, began_,
+                                                        [this](const StreamOriginExchange::Found& found) {
+                                                          const auto self = shared_from_this();
+                                                          pending_origin_.reset();
+                                                          onOriginFound(found.origin);
+                                                        });
+}
+
 void Exchange::cancelFindOrigin() {
   if (pending_origin_) {
     core_.stream_origins->cancel(*std::exchange(pending_origin_, std::nullopt));
@@ -60,22 +89,6 @@
   return {tenant_ == nullptr ? TenantId() : tenant_->id, facts_.resumed_attempt.value_or(facts_.attempt_id)};
 }
 
-// For callers that don't name the attempt: where all listed servers of the route have one version, the stream
-// is taken to have begun there.
-std::optional<forwarding::StreamOrigin> Exchange::onlyListedOrigin() const {
-  std::optional<SoftwareVersion> software;
-  for (const forwarding::ServiceShare& share : route_->shares) {
-    for (const auto& server : core_.directory.ofService(share.service)) {
-      const std::optional<SoftwareVersion> listed = server->provenSoftware();
-      if (!listed || (software && *software != *listed)) {
-        return std::nullopt;
-      }
-      software = listed;
-    }
-  }
-  return software ? std::optional(forwarding::StreamOrigin{service_, *software}) : std::nullopt;
-}
-
 // Without a proven origin the stream goes on nowhere: its events might not fit those that the caller has.
 void Exchange::onOriginFound(const std::optional<forwarding::StreamOrigin>& origin) {
   const bool has_service =
@@ -107,4 +120,107 @@
   }
 }
 
+std::optional<SoftwareVersion> Exchange::boundSoftware() const {
+  if (begun_software_) {
+    return begun_software_;
+  }
+  // A record that isn't acknowledged may still be written, whatever follows it.
+  return is_record_stored_ ? std::nullopt : recorded_software_;
+}
+
+bool Exchange::mayBeginAt(const forwarding::Server& server) const {
+  const std::optional<SoftwareVersion> software = server.provenSoftware();
+  return software && core_.software_histories.mayBegin(service_, *software);
+}
+
+// The servers at which a stream that may be resumed may begin, of these.
+const Exchange::Servers& Exchange::serversForStream(const Servers& servers) {
+  const bool may_begin_anywhere =
+      begun_software_ || !mayGoOnElsewhere() ||
+      std::all_of(servers.begin(), servers.end(), [this](const auto& server) { return mayBeginAt(*server); });
+  if (may_begin_anywhere) {
+    return servers;
+  }
+  servers_of_history_ = servers;
+  std::erase_if(servers_of_history_, [this](const auto& server) { return !mayBeginAt(*server); });
+  return servers_of_history_;
+}
+
+// While one version alone may begin streams, the history proves it.
+bool Exchange::needsStoredRecord() const {
+  if (begun_software_ || terms_ || !mayGoOnElsewhere() || server_->provenSoftware() == recorded_software_) {
+    return false;
+  }
+  const std::optional<absl::Duration> clock = core_.storeClock(reactor::steadyNow());
+  return clock && core_.software_histories.hasSeveral(service_, *clock);
+}
+
+// The first record is written while the server works. A later one names another version: it is written after
+// the first, and before the request is sent.
+bool Exchange::recordInStore() {
+  const bool replaces = recorded_software_.has_value();
+  recorded_software_ = server_->provenSoftware();
+  is_record_stored_ = false;
+  sends_once_recorded_ = replaces;
+  holds_events_ = !replaces && core_.stream_origins->isStoreWritable();
+  core_.stream_origins->store({streamKey(), {service_, *recorded_software_}},
+                              [weak = weak_from_this(), software = *recorded_software_](bool is_stored) {
+                                const auto self = weak.lock();
+                                if (self != nullptr && self->recorded_software_ == software) {
+                                  self->onRecordStored(is_stored);
+                                }
+                              });
+  return !replaces;
+}
+
+void Exchange::onRecordStored(bool is_stored) {
+  is_record_stored_ = is_stored;
+  if (is_done_) {
+    return;
+  }
+  releaseFirstEvent();
+  if (!std::exchange(sends_once_recorded_, false)) {
+    return;
+  }
+  if (is_stored) {
+    sendToChosenServer();
+  } else {
+    releaseServer();
+    giveUp(false, "stream_not_recorded");
+  }
+}
+
+bool Exchange::isFirstEventHeld() const {
+  return holds_events_ && !is_head_forwarded_ && held_events_.size() < kMaxHeldBytes;
+}
+
+void Exchange::deliverEvents(std::string_view events) {
+  if (isFirstEventHeld()) {
+    if (held_events_.empty()) {
+      hold_timer_ = core_.timers.schedule(reactor::steadyNow() + kMaxHold, [this] {
+        const auto self = shared_from_this();
+        releaseFirstEvent();
+      });
+    }
+    held_events_ += events;
+    return;
+  }
+  core_.timers.cancel(hold_timer_);
+  forwardHead();
+  if (sink_ != nullptr) {
+    sink_->sendBody(std::exchange(held_events_, std::string()).append(events));
+  }
+}
+
+void Exchange::releaseFirstEvent() {
+  core_.timers.cancel(hold_timer_);
+  holds_events_ = false;
+  if (!held_events_.empty()) {
+    deliverEvents(std::exchange(held_events_, std::string()));
+  }
+  if (std::exchange(is_end_held_, false)) {
+    finishServed();
+  }
+}
+
 }  // namespace quincewick::gateway
--- a/src/gateway/site_follower.cc
+++ b/src/gateway/site_follower.cc
@@ -22,8 +22,10 @@
 // Rollout records rarely change, but while a rollout runs, gateways must know how stale their record is.
 constexpr absl::Duration kRolloutsWait = absl::Seconds(20);
 constexpr absl::Duration kRunningRolloutsWait = absl::Seconds(1);
-// Retry delay for a reader of an earlier build, which serves all tables but the rollouts.
-constexpr absl::Duration kRolloutsRetryDelay = absl::Seconds(1);
+// Retry delay for a reader of an earlier build, which doesn't serve the tables that are newer.
+constexpr absl::Duration kNewTableRetryDelay = absl::Seconds(1);
+// Between checks of the software record that no change of the list of servers causes.
+constexpr absl::Duration kSoftwareRecordInterval = absl::Milliseconds(500);
 // Upper limit of the interval between a reader's snapshots of the operator's rows.
 constexpr absl::Duration kMaxSnapshotInterval = absl::Seconds(1);
 // Readers assign versions slightly ahead of the store's to changes that they found late. A follower that
@@ -32,10 +34,10 @@
 // The platform guarantees that lost entries are back 2 s after a restore; the rest covers their propagation.
 constexpr absl::Duration kEntriesReturnTime = absl::Milliseconds(2500);
 
-// Weights versions are published rarely, and each reader records those that it sees.
-TableFollowerSettings weightsSettings() {
+// Versions of weights and of software come rarely, and each reader records those that it sees.
+TableFollowerSettings recordSettings(const char* table) {
   TableFollowerSettings settings;
-  settings.table = WeightsRecord::kTable;
+  settings.table = table;
   settings.pace.wait = absl::Seconds(20);
   settings.pace.snapshot_period = absl::Minutes(1);
   return settings;
@@ -94,6 +96,7 @@
       list_(core),
       refused_rows_(core, core.dialect->tables().configuration),
       weights_record_(core),
+      software_record_(core),
       confirmer_(core, [this](const TableUpdate& update) { handleConfirmation(update); }),
       parser_(*core.dialect),
       operator_rows_{
@@ -116,13 +119,22 @@
                    [this](const NodeId& reader) { handleReaderFailure(reader); })},
       weights_rows_{
           WeightsRecord::kTable, forwarding::RowCache(versionedRowRules()),
-          TableFollower(core, weightsSettings(),
+          TableFollower(core, recordSettings(WeightsRecord::kTable),
                         [this](const TableUpdate& update) { handleStoreUpdate(weights_rows_, update); }),
           RelayFollower(
               core, peers, WeightsRecord::kTable, kRarelyChangedRelayWait,
               [this](const TableUpdate& update) { return handleRelayedUpdate(weights_rows_, update); },
               [this] { handlePeersRestore(); },
               [this](const NodeId& reader) { handleReaderFailure(reader); })},
+      software_rows_{
+          SoftwareRecord::kTable, forwarding::RowCache(versionedRowRules()),
+          TableFollower(core, recordSettings(SoftwareRecord::kTable),
+                        [this](const TableUpdate& update) { handleStoreUpdate(software_rows_, update); }),
+          RelayFollower(
+              core, peers, SoftwareRecord::kTable, kRarelyChangedRelayWait,
+              [this](const TableUpdate& update) { return handleRelayedUpdate(software_rows_, update); },
+              [this] { handlePeersRestore(); },
+              [this](const NodeId& reader) { retryLater(software_rows_, reader); })},
       rollout_rows_{
           RolloutExchange::kTable, forwarding::RowCache(versionedRowRules()),
           TableFollower(core, rolloutSettings(),
@@ -131,10 +143,10 @@
               core, peers, RolloutExchange::kTable, kRunningRolloutsWait,
               [this](const TableUpdate& update) { return handleRelayedUpdate(rollout_rows_, update); },
               [this] { handlePeersRestore(); },
-              [this](const NodeId& reader) { retryRolloutsLater(reader); })} {}
+              [this](const NodeId& reader) { retryLater(rollout_rows_, reader); })} {}
 
 std::vector<SiteFollower::Table*> SiteFollower::tables() {
-  std::vector<Table*> followed = {&operator_rows_, &servers_, &weights_rows_};
+  std::vector<Table*> followed = {&operator_rows_, &servers_, &weights_rows_, &software_rows_};
   if (core_.rollouts != nullptr) {
     followed.push_back(&rollout_rows_);
   }
@@ -151,6 +163,7 @@
 bool SiteFollower::isZoneReader() const {
   return role_.reads && isStoreResponding() && !core_.is_stopping && operator_rows_.cache.hasSnapshot() &&
          servers_.cache.hasSnapshot() && weights_rows_.cache.hasSnapshot() &&
+         software_rows_.cache.hasSnapshot() &&
          (core_.rollouts == nullptr || rollout_rows_.cache.hasSnapshot()) &&
          reactor::steadyNow() - operator_rows_.cache.confirmed() < maxConfigurationAge();
 }
@@ -181,6 +194,9 @@
   core_.is_operator_out_of_reach =
       confirmation_watch_.isOutOfReach(core_.settings.bounds.configuration_in_force);
   list_.removeGone(now);
+  if (now >= software_recorded_ + kSoftwareRecordInterval) {
+    recordSoftware(now);
+  }
   if (knowsPeers()) {
     peers_known_since_ = std::min(peers_known_since_, now);
     checkReaderStaleness(now);
@@ -225,10 +241,10 @@
   role_.follows.reset();
 }
 
-void SiteFollower::retryRolloutsLater(const NodeId& reader) {
-  core_.timers.schedule(reactor::steadyNow() + kRolloutsRetryDelay, [this, reader] {
+void SiteFollower::retryLater(Table& table, const NodeId& reader) {
+  core_.timers.schedule(reactor::steadyNow() + kNewTableRetryDelay, [this, &table, reader] {
     if (role_.follows == reader) {
-      rollout_rows_.from_peer.follow(reader, peers_.peers().at(reader).address, 0);
+      table.from_peer.follow(reader, peers_.peers().at(reader).address, 0);
     }
   });
 }
@@ -359,6 +375,9 @@
     applyOperatorRows(effect.changes, confirmed, from_store);
   } else if (&table == &servers_) {
     list_.applyUpdate(effect.changes, now);
+    recordSoftware(now);
+  } else if (&table == &software_rows_) {
+    software_record_.applyUpdate(effect.changes);
   } else if (&table == &rollout_rows_) {
     applyRollouts(effect.changes);
   } else {
@@ -451,6 +470,15 @@
   }
 }
 
+// A version begins streams only once its row is known, so readers write and read it at once.
+void SiteFollower::recordSoftware(absl::Time now) {
+  if (isZoneReader()) {
+    software_recorded_ = now;
+    software_record_.noteListed(now);
+    software_record_.write(now, [this] { rereadTable(software_rows_); });
+  }
+}
+
 void SiteFollower::applyConfiguration(const StoreRow& row, bool from_store) {
   ConfigurationInForce& in_force = core_.in_force;
   if (row.is_gone) {
--- a/src/gateway/site_follower.h
+++ b/src/gateway/site_follower.h
@@ -18,6 +18,7 @@
 #include "gateway/rollout_exchange.h"
 #include "gateway/row_relay.h"
 #include "gateway/server_list.h"
+#include "gateway/software_record.h"
 #include "gateway/table_follower.h"
 #include "gateway/table_rules.h"
 #include "gateway/weights_record.h"
@@ -52,7 +53,8 @@
   void applyRole(const forwarding::ReaderRole& role);
   std::vector<forwarding::ReaderCandidate> candidates(absl::Time now) const;
   void handleReaderFailure(const NodeId& reader);
-  void retryRolloutsLater(const NodeId& reader);
+  // A reader of an earlier build serves no such table.
+  void retryLater(Table& table, const NodeId& reader);
   void applyRollouts(const forwarding::TableUpdate& update);
   // Logs and counts rows of a response that weren't applied, and known rows that it replaced although their
   // version is later. `source`: "store", or the peer that sent it.
@@ -75,6 +77,7 @@
   void applyOperatorRows(const forwarding::TableUpdate& update, absl::Time unnamed, bool from_store);
   void applyWeights(const forwarding::StoreRow& row, absl::Time unnamed, bool from_store);
   void rereadWeightsRecord();
+  void recordSoftware(absl::Time now);
   void applyConfiguration(const forwarding::StoreRow& row, bool from_store);
 
   Core& core_;
@@ -97,11 +100,14 @@
   ServerList list_;
   RefusedRows refused_rows_;  // the operator's rows
   WeightsRecord weights_record_;
+  SoftwareRecord software_record_;
+  absl::Time software_recorded_ = absl::InfinitePast();
   ConfigurationConfirmer confirmer_;
   ConfigurationParser parser_;
   Table operator_rows_;
   Table servers_;
   Table weights_rows_;
+  Table software_rows_;
   Table rollout_rows_;  // followed only if the site uses staged rollouts
 };
 
--- a/src/gateway/stream_origin_exchange.cc
+++ b/src/gateway/stream_origin_exchange.cc
@@ -5,9 +5,12 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 #include <vector>
 
+#include "gateway/software_record.h"
+
 namespace quincewick::gateway {
 namespace {
 
@@ -18,13 +21,17 @@
 
 constexpr absl::Duration kMemberInterval = absl::Milliseconds(250);
 constexpr absl::Duration kWriteInterval = absl::Milliseconds(200);
+// Between writes that first events wait for: at least this, and so that all gateways together make at most
+// kMaxWritesPerSecond calls.
+constexpr absl::Duration kMinAwaitedWriteInterval = absl::Milliseconds(25);
+constexpr double kMaxWritesPerSecond = 500;
 constexpr absl::Duration kStoreReadTimeout = absl::Milliseconds(500);
-constexpr size_t kMaxReads = 16;
+constexpr size_t kMaxReads = 64;
 constexpr size_t kMaxRowsPerWrite = 100;
 constexpr size_t kMaxUnstored = 1000;
 // Rows of the table: a later record displaces an earlier one in its place, so that the table stays bounded
 // without being cleared.
-constexpr uint64_t kPlaces = 16'384;
+constexpr uint64_t kPlaces = 65'536;
 
 std::string rowKeyOf(const StreamKey& key) {
   const uint64_t tenant = XXH3_64bits(key.tenant.value().data(), key.tenant.value().size());
@@ -39,6 +46,7 @@
       directory_(directory),
       peers_(peers),
       reader_(core),
+      history_reader_(core),
       writer_(core),
       origins_(core.settings.gateway_id, absl::Uniform<uint64_t>(core.random, 1, UINT64_MAX / 2)) {}
 
@@ -86,9 +94,75 @@
 
 void StreamOriginExchange::cancel(uint64_t number) {
   waiting_.erase(number);
+  history_questions_.erase(number);
   origins_.cancel(number);
 }
 
+uint64_t StreamOriginExchange::findByHistory(const forwarding::ServiceName& service, absl::Duration window,
+                                             absl::Time asked, ResultCallback on_result) {
+  const uint64_t number = ++last_history_question_;
+  history_questions_[number] = {service, window, asked, std::move(on_result)};
+  readHistory(service);
+  return number;
+}
+
+// One read serves all questions that were asked before it was sent.
+void StreamOriginExchange::readHistory(const forwarding::ServiceName& service) {
+  if (!histories_read_.insert(service).second) {
+    return;
+  }
+  history_reader_.read(
+      SoftwareRecord::kTable, service.value(), 1, kStoreReadTimeout,
+      [this, service, last = last_history_question_](StoreStatus status, const forwarding::StoreRows& rows) {
+        histories_read_.erase(service);
+        answerByHistory(service, last, status, rows);
+      });
+}
+
+void StreamOriginExchange::answerByHistory(const forwarding::ServiceName& service, uint64_t last_number,
+                                           StoreStatus status, const forwarding::StoreRows& rows) {
+  const absl::Time now = reactor::steadyNow();
+  std::optional<forwarding::SoftwareHistory> history;
+  const bool has_row =
+      status == StoreStatus::kDone && !rows.rows.empty() && rows.rows.front().key == service.value();
+  if (has_row) {
+    const auto decoded = forwarding::decodeSoftwareHistory(rows.rows.front().value);
+    if (decoded.has_error()) {
+      core_.log.event("history_not_read", now)
+          .with("service", service.value())
+          .with("why", decoded.error().message);
+    } else {
+      history = decoded.value();
+    }
+  } else {
+    core_.log.event("history_not_read", now)
+        .with("service", service.value())
+        .with("why", status == StoreStatus::kDone ? "no row" : "no answer of the store");
+  }
+  std::vector<HistoryQuestion> answered;
+  bool has_later = false;
+  absl::erase_if(history_questions_, [&](auto& entry) {
+    if (entry.second.service != service) {
+      return false;
+    }
+    has_later = has_later || entry.first > last_number;
+    if (entry.first > last_number) {
+      return false;
+    }
+    answered.push_back(std::move(entry.second));
+    return true;
+  });
+  if (has_later) {
+    readHistory(service);
+  }
+  for (const HistoryQuestion& question : answered) {
+    const absl::Duration earliest = rows.clock - (now - question.asked) - question.window;
+    const auto software = history ? history->onlyVersionSince(earliest) : std::nullopt;
+    core_.metrics.countStreamLookup(software.has_value());
+    question.on_result({software ? std::optional(StreamOrigin{service, *software}) : std::nullopt, false});
+  }
+}
+
 Result<void> StreamOriginExchange::receive(const NodeId& from, std::string_view payload) {
   BOOST_OUTCOME_TRY(message, forwarding::decodeStreamOriginMessage(payload));
   StreamOriginActions actions;
@@ -102,7 +176,7 @@
     peers_.sendTo(outgoing.to, peer::PeerModule::kStreamOrigins, encodeStreamOriginMessage(outgoing.message));
   }
   for (const StreamRecord& record : actions.to_store) {
-    queueForStore(record);
+    queueForStore(record, nullptr);
   }
   scheduleTick();
   for (const forwarding::StreamLookup& lookup : actions.lookups) {
@@ -112,9 +186,9 @@
 
 void StreamOriginExchange::handleLookup(const forwarding::StreamLookup& lookup) {
   if (lookup.is_contradictory) {
-    answer(lookup.number, std::nullopt);
+    answer(lookup.number, {std::nullopt, true});
   } else if (lookup.origin) {
-    answer(lookup.number, lookup.origin);
+    answer(lookup.number, {lookup.origin, false});
   } else {
     readFromStore(lookup.number);
   }
@@ -128,7 +202,7 @@
   const StreamKey key = waiting->second.key;
   if (reads_under_way_ >= kMaxReads) {
     noteNotRead(key, "too many reads wait");
-    answer(number, std::nullopt);
+    answer(number, {});
     return;
   }
   ++reads_under_way_;
@@ -136,7 +210,7 @@
   core_.timers.schedule(reactor::steadyNow() + kStoreReadTimeout, [this, number, key] {
     if (waiting_.contains(number)) {
       noteNotRead(key, "not in time");
-      answer(number, std::nullopt);
+      answer(number, {});
     }
   });
   reader_.read(kTable, rowKeyOf(key), 1, kStoreReadTimeout,
@@ -145,7 +219,7 @@
                  if (status != StoreStatus::kDone) {
                    noteNotRead(key, "no answer of the store");
                  }
-                 answer(number, status == StoreStatus::kDone ? originIn(rows, key) : std::nullopt);
+                 answer(number, {status == StoreStatus::kDone ? originIn(rows, key) : std::nullopt, false});
                });
 }
 
@@ -167,50 +241,94 @@
   core_.log.event("stream_not_read", reactor::steadyNow()).with("request", key.attempt_id).with("why", why);
 }
 
-void StreamOriginExchange::answer(uint64_t number, const std::optional<StreamOrigin>& origin) {
+void StreamOriginExchange::answer(uint64_t number, const Found& found) {
   const auto waiting = waiting_.find(number);
   if (waiting == waiting_.end()) {
     return;
   }
   const ResultCallback on_result = std::move(waiting->second.on_result);
   waiting_.erase(waiting);
-  core_.metrics.countStreamLookup(origin.has_value());
-  on_result(origin);
+  core_.metrics.countStreamLookup(found.origin.has_value());
+  on_result(found);
 }
 
-void StreamOriginExchange::queueForStore(const StreamRecord& record) {
-  if (unstored_.size() >= kMaxUnstored) {
+void StreamOriginExchange::store(const StreamRecord& record, StoredCallback on_result) {
+  queueForStore(record, std::move(on_result));
+}
+
+void StreamOriginExchange::queueForStore(const StreamRecord& record, StoredCallback on_result) {
+  const std::string key = rowKeyOf(record.key);
+  std::string value = encodeStreamRecord(record);
+  const auto place = unstored_.find(key);
+  const bool is_valid = record.key.attempt_id.size() <= forwarding::StreamOrigins::kMaxAttemptIdBytes;
+  if (!is_valid || (place == unstored_.end() && unstored_.size() >= kMaxUnstored)) {
     core_.log.event("stream_not_stored", reactor::steadyNow()).with("request", record.key.attempt_id);
+    if (on_result) {
+      on_result(false);
+    }
     return;
   }
-  unstored_[rowKeyOf(record.key)] = encodeStreamRecord(record);
-  scheduleWrite();
+  std::vector<StoredCallback> displaced;
+  Unstored& row = place == unstored_.end() ? unstored_[key] : place->second;
+  if (row.value != value) {
+    displaced = std::exchange(row.on_result, {});
+    row.value = std::move(value);
+  }
+  const bool is_awaited = on_result != nullptr;
+  if (is_awaited) {
+    row.on_result.push_back(std::move(on_result));
+  }
+  scheduleWrite(is_awaited ? awaitedWriteInterval() : kWriteInterval);
+  for (const StoredCallback& callback : displaced) {
+    callback(false);
+  }
+}
+
+absl::Duration StreamOriginExchange::awaitedWriteInterval() const {
+  const auto gateways = static_cast<double>(directory_.peers().size() + 1);
+  return std::max(kMinAwaitedWriteInterval, absl::Seconds(gateways / kMaxWritesPerSecond));
 }
 
-// The first record after a pause is written at once.
-void StreamOriginExchange::scheduleWrite() {
-  if (!std::exchange(is_writing_, true)) {
-    const absl::Time at = std::max(reactor::steadyNow(), last_write_ + kWriteInterval);
-    core_.timers.schedule(at, [this] { writeToStore(); });
+// The first record after a pause is written at once. One call at a time.
+void StreamOriginExchange::scheduleWrite(absl::Duration interval) {
+  const absl::Time at = std::max(reactor::steadyNow(), last_write_ + interval);
+  if (is_writing_ || at >= write_due_) {
+    return;
   }
+  core_.timers.cancel(write_timer_);
+  write_due_ = at;
+  write_timer_ = core_.timers.schedule(at, [this] {
+    write_due_ = absl::InfiniteFuture();
+    writeToStore();
+  });
 }
 
-// One call at a time; what isn't written is lost to lookups of gateways that reach no holder.
+// What isn't written is lost to lookups of gateways that reach no holder.
 void StreamOriginExchange::writeToStore() {
+  is_writing_ = true;
   last_write_ = reactor::steadyNow();
   std::vector<forwarding::RowWrite> writes;
+  std::vector<StoredCallback> on_result;
   while (!unstored_.empty() && writes.size() < kMaxRowsPerWrite) {
     auto row = unstored_.extract(unstored_.begin());
-    writes.push_back({{kTable, row.key(), std::move(row.mapped()), 0, false}, std::nullopt});
+    writes.push_back({{kTable, row.key(), std::move(row.mapped().value), 0, false}, std::nullopt});
+    std::move(row.mapped().on_result.begin(), row.mapped().on_result.end(), std::back_inserter(on_result));
   }
   const size_t count = writes.size();
-  writer_.writeAll(writes, [this, count](StoreStatus status, const forwarding::StoreRows& /*rows*/) {
-    if (status != StoreStatus::kDone) {
+  writer_.writeAll(writes, [this, count, on_result = std::move(on_result)](
+                               StoreStatus status, const forwarding::StoreRows& /*rows*/) {
+    is_store_writable_ = status == StoreStatus::kDone;
+    if (!is_store_writable_) {
       core_.log.event("streams_not_stored", reactor::steadyNow()).with("count", static_cast<int64_t>(count));
     }
     is_writing_ = false;
     if (!unstored_.empty()) {
-      scheduleWrite();
+      const bool is_awaited = std::any_of(unstored_.begin(), unstored_.end(),
+                                          [](const auto& row) { return !row.second.on_result.empty(); });
+      scheduleWrite(is_awaited ? awaitedWriteInterval() : kWriteInterval);
+    }
+    for (const StoredCallback& callback : on_result) {
+      callback(is_store_writable_);
     }
   });
 }
--- a/tests/gateway/software_versions_test.cc
+++ b/tests/gateway/software_versions_test.cc
@@ -3,7 +3,9 @@
 #include <absl/strings/numbers.h>
 
 #include <atomic>
+#include <boost/asio/read_until.hpp>
 #include <catch2/catch.hpp>
+#include <deque>
 #include <set>
 
 #include "partition_site.h"
@@ -18,9 +20,11 @@
   return value == nullptr ? "" : *value;
 }
 
-// Sends the events that follow the last one that the request names, with the version in each. An attempt that
-// begins a stream or goes on with one breaks off after one event while `breaks_off` says so.
-Script serveStream(const Seen& seen, const std::string& software, bool breaks_off) {
+// What a server does after the first event of an attempt.
+enum class AfterFirst : uint8_t { kGoesOn, kBreaksOff, kStalls };
+
+// Sends the events that follow the last one that the request names, with the version in each.
+Script serveStream(const Seen& seen, const std::string& software, AfterFirst after_first) {
   int last = 0;
   const int first = absl::SimpleAtoi(valueOf(seen.head, "Last-Event-Id"), &last) ? last + 1 : 1;
   Script script{printResponseHead(200, "OK",
@@ -30,8 +34,8 @@
                                    {"Transfer-Encoding", "chunked"}})};
   for (int id = first; id <= kEvents; ++id) {
     script.answer += printChunk(absl::StrCat("id: ", id, "\ndata: ", software, "\n\n"));
-    if (breaks_off) {
-      script.closes = true;
+    if (after_first != AfterFirst::kGoesOn) {
+      script.closes = after_first == AfterFirst::kBreaksOff;
       return script;
     }
   }
@@ -41,7 +45,7 @@
 
 // Four servers, two of each of two versions.
 struct VersionedSite : Fixture {
-  std::atomic<bool> breaks_off = false;
+  std::atomic<AfterFirst> after_first = AfterFirst::kGoesOn;
 
   explicit VersionedSite(const std::vector<std::string>& versions = {"v1", "v2"}) {
     for (const std::string& software : versions) {
@@ -53,7 +57,7 @@
     for (const int number : {1, 2}) {
       site.addServer(
           idOf(software, number),
-          [this, software](const Seen& seen) { return serveStream(seen, software, breaks_off); }, "[]",
+          [this, software](const Seen& seen) { return serveStream(seen, software, after_first); }, "[]",
           software);
     }
   }
@@ -82,9 +86,7 @@
   std::vector<int> events;
 };
 
-// Sends one attempt. Returns the response.
-std::string attempt(const RunningGateway& gateway, CallerStream& stream, const std::string& id,
-                    const std::string& body) {
+std::string printAttempt(const CallerStream& stream, const std::string& id, const std::string& body) {
   HeaderFields fields = {{"Host", "h"},
                          {"Connection", "close"},
                          {"Authorization", "Bearer key"},
@@ -97,7 +99,10 @@
       fields.push_back({"Resumes", stream.first_attempt});
     }
   }
-  std::string answer = gateway.ask(printRequestHead("POST", "/resumed/a", fields) + body);
+  return printRequestHead("POST", "/resumed/a", fields) + body;
+}
+
+void noteEvents(CallerStream& stream, const std::string& id, const std::string& answer) {
   for (size_t place = answer.find("id: "); place != std::string::npos;
        place = answer.find("id: ", place + 1)) {
     const int event = std::stoi(answer.substr(place + 4));
@@ -109,12 +114,19 @@
       stream.first_attempt = id;
     }
   }
+}
+
+// Sends one attempt. Returns the response.
+std::string attempt(const RunningGateway& gateway, CallerStream& stream, const std::string& id,
+                    const std::string& body) {
+  std::string answer = gateway.ask(printAttempt(stream, id, body));
+  noteEvents(stream, id, answer);
   return answer;
 }
 
 TEST_CASE("one answer: a stream goes on at the version that began it") {
   VersionedSite fixture;
-  fixture.breaks_off = true;
+  fixture.after_first = AfterFirst::kBreaksOff;
   const RunningGateway gateway(fixture.settingsOf("a"));
   size_t gone_on = 0;
   for (int number = 0; number < 20; ++number) {
@@ -137,9 +149,9 @@
   for (int number = 0; number < 20; ++number) {
     const std::string body = absl::StrCat("body ", number);
     CallerStream stream;
-    fixture.breaks_off = true;
+    fixture.after_first = AfterFirst::kBreaksOff;
     attempt(one, stream, absl::StrCat("first-", number), body);
-    fixture.breaks_off = false;
+    fixture.after_first = AfterFirst::kGoesOn;
     const std::string answer = attempt(two, stream, absl::StrCat("second-", number), body);
     CAPTURE(number, answer);
     CHECK(stream.versions.size() == 1);
@@ -162,9 +174,9 @@
   for (int number = 0; number < 5; ++number) {
     const std::string body = absl::StrCat("body ", number);
     CallerStream stream;
-    fixture.breaks_off = true;
+    fixture.after_first = AfterFirst::kBreaksOff;
     attempt(*gateways[0], stream, absl::StrCat("first-", number), body);
-    fixture.breaks_off = false;
+    fixture.after_first = AfterFirst::kGoesOn;
     const std::string answer = attempt(*gateways[1], stream, absl::StrCat("second-", number), body);
     CAPTURE(number, answer);
     CHECK(stream.versions.size() == 1);
@@ -188,11 +200,11 @@
 TEST_CASE("taken up: a tenant can't go on with the stream of another") {
   VersionedSite fixture;
   const RunningGateway gateway(fixture.settingsOf("a"));
-  fixture.breaks_off = true;
+  fixture.after_first = AfterFirst::kBreaksOff;
   CallerStream stream;
   attempt(gateway, stream, "first", "body");
   REQUIRE_FALSE(stream.events.empty());
-  fixture.breaks_off = false;
+  fixture.after_first = AfterFirst::kGoesOn;
   const std::string answer = gateway.ask(
       "/resumed/a", {{"Authorization", "Bearer limited"}, {"Last-Event-Id", "1"}, {"Resumes", "first"}});
   CHECK(has(answer, "HTTP/1.1 503"));
@@ -203,7 +215,9 @@
   for (const char* const software : {"v1", "v2"}) {
     fixture.site.addServer(
         absl::StrCat("i-", software),
-        [version = std::string(software)](const Seen& seen) { return serveStream(seen, version, true); },
+        [version = std::string(software)](const Seen& seen) {
+          return serveStream(seen, version, AfterFirst::kBreaksOff);
+        },
         "[]", software);
   }
   const RunningGateway gateway(fixture.site);
@@ -229,7 +243,7 @@
   const RunningGateway delegate(reaching);
   awaitPeer(origin);
   awaitPeer(delegate);
-  fixture.breaks_off = true;
+  fixture.after_first = AfterFirst::kBreaksOff;
   size_t gone_on = 0;
   for (int number = 0; number < 20; ++number) {
     CallerStream stream;
@@ -249,17 +263,46 @@
   std::string rejected;  // a response to one that didn't go on
 };
 
-TakenUp beginStreams(const RunningGateway& gateway, bool names_attempt) {
-  TakenUp result;
-  for (int number = 0; number < 24; ++number) {
-    CallerStream stream;
-    stream.names_attempt = names_attempt;
-    attempt(gateway, stream, absl::StrCat("first-", number), absl::StrCat("body ", number));
-    REQUIRE(stream.last_event > 0);
-    REQUIRE(stream.last_event < kEvents);
-    result.streams.push_back(stream);
+// Streams of which the callers have the first event; they are open until the gateway ends.
+class OpenStreams {
+ public:
+  OpenStreams(VersionedSite& fixture, const RunningGateway& gateway, bool names_attempt) {
+    fixture.after_first = AfterFirst::kStalls;
+    for (int number = 0; number < 24; ++number) {
+      CallerStream stream;
+      stream.names_attempt = names_attempt;
+      begin(gateway, stream, absl::StrCat("first-", number), absl::StrCat("body ", number));
+      REQUIRE(stream.last_event == 1);
+      taken_up.streams.push_back(stream);
+    }
+    fixture.after_first = AfterFirst::kGoesOn;
+  }
+
+  TakenUp taken_up;
+
+ private:
+  void begin(const RunningGateway& gateway, CallerStream& stream, const std::string& id,
+             const std::string& body) {
+    boost::asio::ip::tcp::socket& socket = sockets_.emplace_back(reactor_);
+    socket.connect({boost::asio::ip::make_address("127.0.0.1"), gateway.callersPort()});
+    boost::asio::write(socket, boost::asio::buffer(printAttempt(stream, id, body)));
+    std::string answer;
+    boost::asio::read_until(socket, boost::asio::dynamic_buffer(answer), "data: v");
+    boost::asio::read_until(socket, boost::asio::dynamic_buffer(answer), "\n\n");
+    noteEvents(stream, id, answer);
   }
-  return result;
+
+  boost::asio::io_context reactor_;
+  std::deque<boost::asio::ip::tcp::socket> sockets_;
+};
+
+// A gateway that has just started waits with requests until it knows what its servers stand.
+void awaitService(const RunningGateway& gateway) {
+  await([&gateway] {
+    CallerStream stream;
+    attempt(gateway, stream, "new", "body");
+    return stream.last_event == kEvents;
+  });
 }
 
 void takeUp(const RunningGateway& gateway, TakenUp& taken_up) {
@@ -308,15 +351,15 @@
         fixture.addServers("v2");
         awaitServers(*gateways[0], 4);
       }
-      fixture.breaks_off = true;
-      TakenUp taken_up = beginStreams(*gateways[0], names_attempt);
+      OpenStreams open(fixture, *gateways[0], names_attempt);
+      TakenUp& taken_up = open.taken_up;
       gateways.clear();
-      fixture.breaks_off = false;
       fixture.removeServers("v1");
       if (!began_beside_others) {
         fixture.addServers("v2");
       }
       gateways = startGateways(fixture, false);
+      awaitService(*gateways[1]);
       takeUp(*gateways[1], taken_up);
       CHECK(taken_up.crossed == 0);
     }
@@ -327,9 +370,8 @@
 TEST_CASE("taken up after a release: a stream goes on at no other version") {
   VersionedSite fixture({"v1"});
   const Gateways gateways = startGateways(fixture, true);
-  fixture.breaks_off = true;
-  TakenUp taken_up = beginStreams(*gateways[0], false);
-  fixture.breaks_off = false;
+  OpenStreams open(fixture, *gateways[0], false);
+  TakenUp& taken_up = open.taken_up;
   fixture.addServers("v2");
   awaitServers(*gateways[1], 4);
   fixture.removeServers("v1");
@@ -348,11 +390,11 @@
       fixture.addServers("v2");
       awaitServers(*gateways[0], 4);
     }
-    fixture.breaks_off = true;
-    TakenUp taken_up = beginStreams(*gateways[0], true);
+    OpenStreams open(fixture, *gateways[0], true);
+    TakenUp& taken_up = open.taken_up;
     gateways.clear();
-    fixture.breaks_off = false;
     gateways = startGateways(fixture, false);
+    awaitService(*gateways[1]);
     takeUp(*gateways[1], taken_up);
     CAPTURE(taken_up.rejected);
     CHECK(taken_up.crossed == 0);
@@ -364,11 +406,11 @@
 TEST_CASE("taken up without the attempt: a stream goes on while its version alone has served") {
   VersionedSite fixture({"v1"});
   Gateways gateways = startGateways(fixture, true);
-  fixture.breaks_off = true;
-  TakenUp taken_up = beginStreams(*gateways[0], false);
+  OpenStreams open(fixture, *gateways[0], false);
+  TakenUp& taken_up = open.taken_up;
   gateways.clear();
-  fixture.breaks_off = false;
   gateways = startGateways(fixture, false);
+  awaitService(*gateways[1]);
   takeUp(*gateways[1], taken_up);
   CAPTURE(taken_up.rejected);
   CHECK(taken_up.crossed == 0);
