--- a/src/forwarding/software_history.cc
+++ b/src/forwarding/software_history.cc
@@ -58,8 +58,7 @@
 }
 
 std::string encodeSoftwareHistory(const SoftwareHistory& history) {
-  SoftwareHistory copy = history;
-  return encodeArchive(copy);
+  return encodeArchive(history);
 }
 
 Result<SoftwareHistory> decodeSoftwareHistory(std::string_view bytes) {
