Let a retry wait for the record of the attempt before it, instead of keeping to its version

What callers saw: 502 for a stream whose first server broke off before the store had acknowledged the record, where only servers of the other version were left to try: the attempt was bound to a version that had just failed.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -105,7 +105,7 @@
 void Exchange::tryNext() {
   reservations_requested_ = 0;
   software_.reset();
-  if (!maySend()) {
+  if (!maySend() || awaitRecord()) {
     return;
   }
   if (prefersDelegate() && delegate()) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -134,6 +134,8 @@
   // Has the store record the version that the stream may begin at. Returns false if the attempt waits for it.
   bool recordInStore();
   void onRecordStored(bool is_stored);
+  // Whether the choice of the next server waits until the store has answered, which it may do for a moment.
+  bool awaitRecord();
   bool isFirstEventHeld() const;
   void deliverEvents(std::string_view events);
   void releaseFirstEvent();
@@ -235,12 +237,18 @@
   std::string_view origin_proof_;           // by what its version was to be proven, for the log
   // The version that the store's record of the stream names, if it needs one.
   std::optional<SoftwareVersion> recorded_software_;
-  bool is_record_stored_ = false;        // acknowledged by the store
-  bool sends_once_recorded_ = false;     // the attempt waits to be sent until the record is stored
+  enum class RecordState : uint8_t {
+    kPending,    // the store hasn't answered
+    kStored,     // the store has the record
+    kUncertain,  // it may have it, or get it later
+  };
+  RecordState record_state_ = RecordState::kStored;
+  bool sends_once_recorded_ = false;     // the attempt waits to be sent until the store has answered
+  bool tries_once_recorded_ = false;     // so does the choice of the next server
   bool holds_events_ = false;            // the first event waits for it
   std::string held_events_;              // of the current attempt
   bool is_end_held_ = false;             // the response has ended meanwhile
-  reactor::TimerQueue::Key hold_timer_;  // set while events are held
+  reactor::TimerQueue::Key hold_timer_;  // set while events are held, or a choice waits
   // Software version of the servers that this attempt may use, if the site stages rollouts.
   std::optional<SoftwareVersion> software_;
   Servers servers_of_software_;
--- a/src/gateway/exchange_stream.cc
+++ b/src/gateway/exchange_stream.cc
@@ -125,7 +125,7 @@
     return begun_software_;
   }
   // A record that isn't acknowledged may still be written, whatever follows it.
-  return is_record_stored_ ? std::nullopt : recorded_software_;
+  return record_state_ == RecordState::kStored ? std::nullopt : recorded_software_;
 }
 
 bool Exchange::mayBeginAt(const forwarding::Server& server) const {
@@ -160,7 +160,7 @@
 bool Exchange::recordInStore() {
   const bool replaces = recorded_software_.has_value();
   recorded_software_ = server_->provenSoftware();
-  is_record_stored_ = false;
+  record_state_ = RecordState::kPending;
   sends_once_recorded_ = replaces;
   holds_events_ = !replaces && core_.stream_origins->isStoreWritable();
   core_.stream_origins->store({streamKey(), {service_, *recorded_software_}},
@@ -174,11 +174,15 @@
 }
 
 void Exchange::onRecordStored(bool is_stored) {
-  is_record_stored_ = is_stored;
+  record_state_ = is_stored ? RecordState::kStored : RecordState::kUncertain;
   if (is_done_) {
     return;
   }
   releaseFirstEvent();
+  if (std::exchange(tries_once_recorded_, false)) {
+    tryNext();
+    return;
+  }
   if (!std::exchange(sends_once_recorded_, false)) {
     return;
   }
@@ -190,6 +194,20 @@
   }
 }
 
+bool Exchange::awaitRecord() {
+  if (begun_software_ || record_state_ != RecordState::kPending) {
+    return false;
+  }
+  tries_once_recorded_ = true;
+  hold_timer_ = core_.timers.schedule(reactor::steadyNow() + kMaxHold, [this] {
+    const auto self = shared_from_this();
+    tries_once_recorded_ = false;
+    record_state_ = RecordState::kUncertain;
+    tryNext();
+  });
+  return true;
+}
+
 bool Exchange::isFirstEventHeld() const {
   return holds_events_ && !is_head_forwarded_ && held_events_.size() < kMaxHeldBytes;
 }
