--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -28,6 +28,7 @@
 constexpr absl::Duration kHintDeadline = absl::Seconds(15);
 constexpr absl::Duration kCheckDeadline = absl::Seconds(5);
 constexpr uint64_t kSharedParts = 40;   // of prompts
+constexpr uint64_t kUnnamedOneIn = 3;   // callers don't name the attempt that began their stream
 constexpr int kMaxTakeUps = 3;          // of one stream
 constexpr uint64_t kAbandonOneIn = 40;  // a caller abandons one in this many requests early
 
@@ -339,7 +340,9 @@
                                                                "d", request_count_, ":628")});
   }
   if (!request.stream.empty()) {
-    fields.push_back({"Resumes", request.stream});
+    if (number_ % kUnnamedOneIn != 0) {
+      fields.push_back({"Resumes", request.stream});
+    }
     fields.push_back({"Last-Event-Id", absl::StrCat(request.last_event_before)});
   }
   return fields;
--- a/tests/soak/run.cc
+++ b/tests/soak/run.cc
@@ -257,6 +257,7 @@
       case FaultKind::kFreeze:
       case FaultKind::kReload:
       case FaultKind::kKillMany:
+      case FaultKind::kKillAll:
         injectProcessFault(fault, gateway);
         return;
       case FaultKind::kStoreRefuses:
@@ -331,12 +332,20 @@
           processes_->signal(gateway, SIGHUP);
         }
         return;
+      case FaultKind::kKillAll:
+        killGateways(0, 1);
+        return;
       default:
-        for (size_t other = fault.target % 2; other < settings_.gateways; other += 2) {
-          is_planned_[gateway_ids_[other]] = false;
-          recordDisturbance(gateway_ids_[other], absl::ZeroDuration());
-          processes_->signal(other, SIGKILL);
-        }
+        killGateways(fault.target % 2, 2);
+    }
+  }
+
+  // Kills each `step`th gateway from `first` on.
+  void killGateways(size_t first, size_t step) {
+    for (size_t other = first; other < settings_.gateways; other += step) {
+      is_planned_[gateway_ids_[other]] = false;
+      recordDisturbance(gateway_ids_[other], absl::ZeroDuration());
+      processes_->signal(other, SIGKILL);
     }
   }
 
--- a/tests/soak/schedule.cc
+++ b/tests/soak/schedule.cc
@@ -51,15 +51,17 @@
                                     "path-silent",
                                     "brittle",
                                     "route-storm",
-                                    "store-goes-back-late"};
+                                    "store-goes-back-late",
+                                    "kill-all"};
 constexpr size_t kKindCount = kFaultNames.size();
-static_assert(static_cast<size_t>(FaultKind::kStoreRestoredLate) + 1 == kKindCount);
+static_assert(static_cast<size_t>(FaultKind::kKillAll) + 1 == kKindCount);
 // Kinds added later are drawn by separate generators, so that a seed's earlier faults don't change.
 constexpr size_t kFirstKindsEnd = static_cast<size_t>(FaultKind::kKeyRemoved) + 1;
 constexpr size_t kSecondKindsEnd = static_cast<size_t>(FaultKind::kRowOutdated) + 1;
 constexpr size_t kThirdKindsEnd = static_cast<size_t>(FaultKind::kBackEndSendsMalformed) + 1;
 constexpr size_t kFourthKindsEnd = static_cast<size_t>(FaultKind::kHolderRefused) + 1;
 constexpr size_t kFifthKindsEnd = static_cast<size_t>(FaultKind::kBackEndBrittle) + 1;
+constexpr size_t kDrawnKindsEnd = static_cast<size_t>(FaultKind::kStoreRestoredLate) + 1;
 
 // Mean interval between faults. Some repeat up to three times, 0.5 s to 2 s apart.
 constexpr absl::Duration kMeanInterval = absl::Milliseconds(400);
@@ -127,7 +129,7 @@
   if (draws_restores) {
     drawLaterKinds(std::mt19937_64(seed ^ kFourthSeedMask), kThirdKindsEnd, kFourthKindsEnd, last, longest,
                    schedule);
-    drawLaterKinds(std::mt19937_64(seed ^ kSixthSeedMask), kFifthKindsEnd, kKindCount, last, longest,
+    drawLaterKinds(std::mt19937_64(seed ^ kSixthSeedMask), kFifthKindsEnd, kDrawnKindsEnd, last, longest,
                    schedule);
   }
   drawLaterKinds(std::mt19937_64(seed ^ kFifthSeedMask), kFourthKindsEnd, kFifthKindsEnd, last, longest,
@@ -151,9 +153,9 @@
                    [](const Fault& one, const Fault& other) { return one.at < other.at; });
 }
 
-void addWeightsAtIntervals(absl::Duration interval, absl::Duration length, Schedule& schedule) {
+void addAtIntervals(FaultKind kind, absl::Duration interval, absl::Duration length, Schedule& schedule) {
   for (absl::Duration at = interval; at > absl::ZeroDuration() && at < length; at += interval) {
-    schedule.push_back({at, FaultKind::kVersionPublished, 0, absl::ZeroDuration()});
+    schedule.push_back({at, kind, 0, absl::ZeroDuration()});
   }
   std::stable_sort(schedule.begin(), schedule.end(),
                    [](const Fault& one, const Fault& other) { return one.at < other.at; });
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -54,6 +54,7 @@
   kRouteStorm,         // a route is added and removed by turns, several times a second
   kStoreRestoredLate,  // like kStoreRestored after half of the duration; the rest of it passes until what was
                        // lost is written again
+  kKillAll,            // all gateways are killed at once
 };
 
 struct Fault {
@@ -74,8 +75,8 @@
 // Adds series of new weights, close together, at drawn times.
 void addWeightsSeries(uint64_t seed, absl::Duration length, Schedule& schedule);
 
-// Adds new weights at this interval; none if it is zero.
-void addWeightsAtIntervals(absl::Duration interval, absl::Duration length, Schedule& schedule);
+// Adds a fault without a target and a duration at this interval; none if it is zero.
+void addAtIntervals(FaultKind kind, absl::Duration interval, absl::Duration length, Schedule& schedule);
 
 // One line per fault: "AT_MS KIND TARGET DURATION_MS".
 std::string printSchedule(const Schedule& schedule);
--- a/tests/soak/schedule_test.cc
+++ b/tests/soak/schedule_test.cc
@@ -45,6 +45,7 @@
     for (const Fault& fault : drawSchedule(seed, absl::Seconds(30), true)) {
       const bool is_fourth_kind =
           fault.kind > FaultKind::kBackEndSendsMalformed && fault.kind <= FaultKind::kHolderRefused;
+      CHECK(fault.kind != FaultKind::kKillAll);
       if (is_fourth_kind || fault.kind > FaultKind::kBackEndBrittle) {
         kinds.insert(fault.kind);
       } else {
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -188,6 +188,8 @@
       ("no-faults", "only new weights, if any")       //
       ("version-gap", "names new weights at this interval, beside the schedule",
        cxxopts::value<std::string>()->default_value("0s"))  //
+      ("kill-gap", "kills all gateways at once at this interval, beside the schedule",
+       cxxopts::value<std::string>()->default_value("0s"))  //
       ("event-interval", "between the events of a stream",
        cxxopts::value<std::string>()->default_value("20ms"))                                         //
       ("weights", "also name new weights in series")                                                 //
@@ -206,12 +208,14 @@
   Options options;
   absl::Duration length;
   absl::Duration version_gap;
+  absl::Duration kill_gap;
   const bool is_usable =
       parsed.count("program") == 1 && absl::ParseDuration(parsed["duration"].as<std::string>(), &length) &&
       absl::ParseDuration(parsed["event-interval"].as<std::string>(), &options.run.event_interval) &&
       absl::ParseDuration(parsed["prefill"].as<std::string>(), &options.run.engines.prefill) &&
       absl::ParseDuration(parsed["load-time"].as<std::string>(), &options.run.engines.load_time) &&
       absl::ParseDuration(parsed["version-gap"].as<std::string>(), &version_gap) &&
+      absl::ParseDuration(parsed["kill-gap"].as<std::string>(), &kill_gap) &&
       parsed["gateways"].as<uint32_t>() > 0;
   if (parsed.count("help") > 0 || !is_usable) {
     std::cout << described.help() << "\n";
@@ -242,7 +246,8 @@
     if (parsed.count("no-faults") == 0) {
       schedule = drawSchedule(options.run.seed, length, parsed.count("store-goes-back") > 0);
     }
-    addWeightsAtIntervals(version_gap, length, schedule);
+    addAtIntervals(FaultKind::kVersionPublished, version_gap, length, schedule);
+    addAtIntervals(FaultKind::kKillAll, kill_gap, length, schedule);
     if (parsed.count("weights") > 0) {
       addWeightsSeries(options.run.seed, length, schedule);
     }
