Read no further requests from a caller while those that it sent ahead wait

Cause: reading stops at 64 KB of waiting requests, but each response resumed it whatever was still waiting, so that up to several reads came in for each request that went out. Now it resumes once what waits is under that limit.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -197,9 +197,7 @@
   }
   reader_.next();
   reader_.take({});
-  if (!isBackedUp()) {
-    connection_->resumeReading();
-  }
+  resumeReading();
   armTimer();
   processInput();
 }
@@ -225,10 +223,18 @@
     return;
   }
   const auto self = shared_from_this();
-  connection_->resumeReading();
+  resumeReading();
   processInput();
 }
 
+// Requests that wait here are processed before more of them are read.
+void CallerConnection::resumeReading() {
+  const bool has_waiting = reader_.status() == ReadStatus::kDone && reader_.unreadBytes() > kMaxUnreadBytes;
+  if (!isBackedUp() && !has_waiting) {
+    connection_->resumeReading();
+  }
+}
+
 bool CallerConnection::isBackedUp() const {
   return connection_->unsentBytes() > kMaxUnsentResponseBytes;
 }
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -50,6 +50,7 @@
   void onSent() override;
 
   void processInput();
+  void resumeReading();
   // The caller doesn't take its responses.
   bool isBackedUp() const;
   void startExchange();
--- a/tests/gateway/bytes_without_end_test.cc
+++ b/tests/gateway/bytes_without_end_test.cc
@@ -150,5 +150,17 @@
   CHECK(has(ask("/safe/a"), "served"));  // others are served meanwhile
 }
 
+// Guards against reading on with each response to requests that a caller has sent ahead.
+TEST_CASE_METHOD(EndlessServer,
+                 "a caller with a key that sends requests but reads no responses isn't read any more") {
+  start([](const Seen&) { return signedAnswer(std::string(50, 's')); });
+  Sender caller(gateway->callersPort());
+  const std::string request =
+      "POST /once/a HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\nQuincewick-Attempt-Id: attempt-1\r\n"
+      "Content-Length: 2\r\n\r\nab";
+  constexpr size_t most = 40'000'000;
+  CHECK(caller.fill(request, most) < most);
+}
+
 }  // namespace
 }  // namespace quincewick::gateway
