--- a/tests/gateway/software_versions_test.cc
+++ b/tests/gateway/software_versions_test.cc
@@ -341,6 +341,13 @@
   return gateways;
 }
 
+// Kills all gateways and starts them again.
+void restartAll(Gateways& gateways, const VersionedSite& fixture) {
+  gateways.clear();
+  gateways = startGateways(fixture, false);
+  awaitService(*gateways[1]);
+}
+
 void awaitServers(const RunningGateway& gateway, int count) {
   await([&] { return has(gateway.metrics(), absl::StrCat("quincewick_servers ", count, "\n")); });
 }
@@ -398,9 +405,7 @@
     }
     OpenStreams open(fixture, *gateways[0], true);
     TakenUp& taken_up = open.taken_up;
-    gateways.clear();
-    gateways = startGateways(fixture, false);
-    awaitService(*gateways[1]);
+    restartAll(gateways, fixture);
     takeUp(*gateways[1], taken_up);
     CAPTURE(taken_up.rejected);
     CHECK(taken_up.crossed == 0);
@@ -418,10 +423,8 @@
   fixture.is_first_server_broken = true;
   OpenStreams open(fixture, *gateways[0], true);
   TakenUp& taken_up = open.taken_up;
-  gateways.clear();
   fixture.is_first_server_broken = false;
-  gateways = startGateways(fixture, false);
-  awaitService(*gateways[1]);
+  restartAll(gateways, fixture);
   takeUp(*gateways[1], taken_up);
   CAPTURE(taken_up.rejected);
   CHECK(taken_up.crossed == 0);
@@ -434,9 +437,7 @@
   Gateways gateways = startGateways(fixture, true);
   OpenStreams open(fixture, *gateways[0], false);
   TakenUp& taken_up = open.taken_up;
-  gateways.clear();
-  gateways = startGateways(fixture, false);
-  awaitService(*gateways[1]);
+  restartAll(gateways, fixture);
   takeUp(*gateways[1], taken_up);
   CAPTURE(taken_up.rejected);
   CHECK(taken_up.crossed == 0);
