Show streams that join two services or versions after a move, a restore or a release, and rejections after a restart of all

Callers see: a stream that broke off goes on at another service once its route moved (24 of 24), at the version of an older copy once the store was restored while all gateways were down (24 of 24), and nowhere if it began before a release after which all gateways were killed (0 of 24).

--- a/tests/gateway/running_gateway.h
+++ b/tests/gateway/running_gateway.h
@@ -140,8 +140,11 @@
   }
 }
 
+inline void awaitPeers(const RunningGateway& gateway, size_t count) {
+  await([&] { return has(gateway.metrics(), absl::StrCat("quincewick_peers ", count, "\n")); });
+}
 inline void awaitPeer(const RunningGateway& gateway) {
-  await([&gateway] { return has(gateway.metrics(), "quincewick_peers 1"); });
+  awaitPeers(gateway, 1);
 }
 
 // A site whose configuration routes to one service, "pool".
--- a/tests/gateway/software_versions_test.cc
+++ b/tests/gateway/software_versions_test.cc
@@ -1,6 +1,7 @@
 // Guards against streams that hold events from servers of two software versions, which don't fit together: a
 // gateway went on with a stream at any server, and so did callers that took theirs up again.
 #include <absl/strings/numbers.h>
+#include <absl/strings/str_replace.h>
 
 #include <atomic>
 #include <boost/asio/read_until.hpp>
@@ -8,6 +9,7 @@
 #include <deque>
 #include <set>
 
+#include "gateway/software_record.h"
 #include "partition_site.h"
 
 namespace quincewick::gateway {
@@ -54,7 +56,7 @@
     }
   }
 
-  void addServers(const std::string& software) {
+  void addServers(const std::string& software, const std::string& service = "pool") {
     for (const int number : {1, 2}) {
       site.addServer(
           idOf(software, number),
@@ -62,7 +64,7 @@
             const bool is_broken = is_first_server_broken && number == 1 && software == "v1";
             return is_broken ? Script{"", true} : serveStream(seen, software, after_first);
           },
-          "[]", software);
+          "[]", software, service);
     }
   }
   void removeServers(const std::string& software) {
@@ -70,6 +72,19 @@
       site.removeRow("servers", idOf(software, number));
     }
   }
+  // Sends the route of resumable streams to the service.
+  void moveRoute(uint64_t version, const std::string& service, const std::string& more_routes = "") {
+    site.setRow("op", "config",
+                absl::StrReplaceAll(
+                    kConfiguration,
+                    {{R"("version":3)", absl::StrCat(R"("version":)", version)},
+                     {R"("timeoutMs":5000,"service":"pool",
+   "maxAttempts":2,"resumable":true})",
+                      absl::StrCat(R"("timeoutMs":5000,"service":")", service,
+                                   R"(","maxAttempts":2,"resumable":true})", more_routes)},
+                     {R"([{"name":"pool","maxConnections":100}])",
+                      R"([{"name":"pool","maxConnections":100},{"name":"other","maxConnections":100}])"}}));
+  }
   static std::string idOf(const std::string& software, int number) {
     return absl::StrCat("i-", software, "-", number);
   }
@@ -329,22 +344,24 @@
 
 using Gateways = std::vector<std::unique_ptr<RunningGateway>>;
 
-Gateways startGateways(const VersionedSite& fixture, bool is_first_start) {
+Gateways startGateways(const VersionedSite& fixture, bool is_first_start, size_t count = 2) {
   Gateways gateways;
-  for (const char* const id : {"a", "b"}) {
-    GatewaySettings settings = fixture.settingsOf(id);
+  for (size_t index = 0; index < count; ++index) {
+    GatewaySettings settings = fixture.settingsOf(std::string(1, static_cast<char>('a' + index)));
     settings.site_is_new = is_first_start;
     gateways.push_back(std::make_unique<RunningGateway>(settings));
   }
-  awaitPeer(*gateways[0]);
-  awaitPeer(*gateways[1]);
+  for (const auto& gateway : gateways) {
+    awaitPeers(*gateway, count - 1);
+  }
   return gateways;
 }
 
 // Kills all gateways and starts them again.
 void restartAll(Gateways& gateways, const VersionedSite& fixture) {
+  const size_t count = gateways.size();
   gateways.clear();
-  gateways = startGateways(fixture, false);
+  gateways = startGateways(fixture, false, count);
   awaitService(*gateways[1]);
 }
 
@@ -352,6 +369,15 @@
   await([&] { return has(gateway.metrics(), absl::StrCat("quincewick_servers ", count, "\n")); });
 }
 
+// Waits until streams begin at the version.
+void awaitSoftware(const RunningGateway& gateway, const std::string& software) {
+  await([&] {
+    CallerStream stream;
+    attempt(gateway, stream, "new", "body");
+    return stream.versions.contains(software);
+  });
+}
+
 // Guards against streams that go on at the version that is listed now, which is no proof of the one that
 // began them.
 TEST_CASE("taken up after all gateways were killed: a stream goes on at no other version") {
@@ -431,6 +457,63 @@
   CHECK(goesOnOftenEnough(taken_up));
 }
 
+constexpr const char* kOtherRoute =
+    R"(,{"name":"more","host":"h","pathPrefix":"/more/","kind":"streaming","timeoutMs":5000,"service":"other",
+   "maxAttempts":2,"resumable":true})";
+
+// Guards against streams that go on at the service that their route has now, when another one began them.
+TEST_CASE("taken up after the route moved: a stream goes on at no other service") {
+  const bool is_other_in_use = GENERATE(false, true);
+  CAPTURE(is_other_in_use);
+  const std::string more_routes = is_other_in_use ? kOtherRoute : "";
+  VersionedSite fixture({"v1"});
+  fixture.addServers("w1", "other");
+  fixture.moveRoute(4, "pool", more_routes);
+  const Gateways gateways = startGateways(fixture, true);
+  awaitServers(*gateways[1], 4);
+  OpenStreams open(fixture, *gateways[0], false);
+  fixture.moveRoute(5, "other", more_routes);
+  awaitSoftware(*gateways[1], "w1");
+  takeUp(*gateways[1], open.taken_up);
+  CHECK(open.taken_up.crossed == 0);
+}
+
+// Guards against a history that a restored store brings back without the versions that came since.
+TEST_CASE("taken up after the restore of a store: a stream goes on at no other version") {
+  VersionedSite fixture({"v1"});
+  fixture.site.sendEra(true);
+  Gateways gateways = startGateways(fixture, true);
+  await([&] { return fixture.site.hasRows(SoftwareRecord::kTable); });
+  fixture.site.saveCopy();
+  fixture.addServers("v2");
+  awaitServers(*gateways[0], 4);
+  fixture.removeServers("v1");
+  awaitSoftware(*gateways[0], "v2");
+  OpenStreams open(fixture, *gateways[0], false);
+  gateways.clear();
+  fixture.site.restoreCopy();
+  gateways = startGateways(fixture, false);
+  awaitService(*gateways[1]);
+  takeUp(*gateways[1], open.taken_up);
+  CHECK(open.taken_up.crossed == 0);
+}
+
+// Guards against streams that are lost with all gateways since their version served alone when they began.
+TEST_CASE(
+    "taken up after the release: a stream that began before it goes on though all gateways were killed") {
+  VersionedSite fixture({"v1"});
+  Gateways gateways = startGateways(fixture, true, 5);
+  OpenStreams open(fixture, *gateways[0], true);
+  fixture.addServers("v2");
+  awaitServers(*gateways[0], 4);
+  awaitSoftware(*gateways[0], "v2");
+  restartAll(gateways, fixture);
+  takeUp(*gateways[1], open.taken_up);
+  CAPTURE(open.taken_up.rejected);
+  CHECK(open.taken_up.crossed == 0);
+  CHECK(goesOnOftenEnough(open.taken_up));
+}
+
 // Callers that don't name the attempt have a proof while one version alone has been in service.
 TEST_CASE("taken up without the attempt: a stream goes on while its version alone has served") {
   VersionedSite fixture({"v1"});
--- a/tests/gateway/stand_in_site.h
+++ b/tests/gateway/stand_in_site.h
@@ -197,9 +197,10 @@
     return row == nullptr || !row->contains(key) ? "" : row->at(key).value;
   }
 
-  // Adds a server of the service "pool". `answers` maps each request to the response.
+  // Adds a server. `answers` maps each request to the response.
   void addServer(const std::string& id, std::function<Script(const Seen& seen)> answers,
-                 const std::string& models = "[]", const std::string& software = "v1") {
+                 const std::string& models = "[]", const std::string& software = "v1",
+                 const std::string& service = "pool") {
     std::promise<void> done;
     boost::asio::post(reactor_, [&] {
       servers_.push_back(std::make_unique<StandInServer>(
@@ -215,7 +216,7 @@
     done.get_future().wait();
     const Address address = servers_.back()->address();
     setRow("servers", id,
-           absl::StrCat(R"({"service":"pool","address":")", address.host, ":", address.port,
+           absl::StrCat(R"({"service":")", service, R"(","address":")", address.host, ":", address.port,
                         R"(","zone":"z","slots":4,"state":"ready","version":")", software, R"(","models":)",
                         models, "}"));
   }
