Prove a stream's origin across moved routes and restored stores, or not at all

Cause: a history of a service's versions proved which version it had, not that the service began the stream, nor that the row is the latest one. Class: the absence of other candidates is taken for a proof.

The row now says which resumable routes lead to the hosts of the service, since when, and in which era of the store it was written. A proof needs the same routes for as long as the stream can have lasted and lists may lag, and the same era; otherwise the stream goes on nowhere, with 503. The table has a new name, as rows of the former one can't be read.

The property in virtual time draws moves of the route and restores.

--- a/src/forwarding/software_history.cc
+++ b/src/forwarding/software_history.cc
@@ -1,5 +1,9 @@
 #include "forwarding/software_history.h"
 
+#include <absl/container/flat_hash_set.h>
+#include <absl/strings/str_cat.h>
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -35,6 +39,26 @@
   return found == history.versions.end() ? nullptr : &*found;
 }
 
+bool leadsTo(const Route& route, const ServiceName& service) {
+  return std::any_of(route.shares.begin(), route.shares.end(),
+                     [&service](const ServiceShare& share) { return share.service == service; });
+}
+
+// Takes over what the reader sees of the routes and of the store's era.
+void noteSurroundings(SoftwareHistory& history, const SoftwareHistories::Observation& observation,
+                      absl::Duration clock) {
+  if (history.era != observation.era) {
+    history.era = observation.era;
+    history.complete_since = clock;
+  }
+  // A reader whose configuration lags doesn't undo what others saw.
+  const bool is_change =
+      history.routes.hash != observation.routes && history.routes.configuration < observation.configuration;
+  if (is_change) {
+    history.routes = {observation.routes, observation.configuration, clock};
+  }
+}
+
 void dropForgotten(SoftwareHistory& history, absl::Duration clock) {
   std::erase_if(history.versions, [clock](const SoftwareUse& use) {
     return use.last_listed < clock - SoftwareHistory::kRetention;
@@ -51,10 +75,45 @@
   archiveTime(archive, use.last_listed);
 }
 
+template <class Archive>
+void serialize(Archive& archive, ResumableRoutes& routes) {
+  uint64_t configuration = routes.configuration.value();
+  archive(routes.hash, configuration);
+  routes.configuration = ConfigurationVersion(configuration);
+  archiveTime(archive, routes.since);
+}
+
 template <class Archive>
 void serialize(Archive& archive, SoftwareHistory& history) {
   archiveTime(archive, history.complete_since);
   archiveList(archive, history.versions, kMaxVersions);
+  archive(history.routes);
+  bool has_era = history.era.has_value();
+  uint64_t era = history.era.value_or(0);
+  archive(has_era, era);
+  history.era = has_era ? std::optional(era) : std::nullopt;
+}
+
+uint64_t hashOfResumableRoutes(const SiteConfiguration& configuration, const ServiceName& service) {
+  const std::vector<Route>& routes = configuration.routes();
+  absl::flat_hash_set<std::string_view> hosts;
+  for (const Route& route : routes) {
+    if (route.is_resumable && leadsTo(route, service)) {
+      hosts.insert(route.host);
+    }
+  }
+  std::string text;
+  for (const Route& route : routes) {  // in the configuration's order, by host and prefix
+    if (!route.is_resumable || !hosts.contains(route.host)) {
+      continue;
+    }
+    absl::StrAppend(&text, route.host, "\n", route.path_prefix);
+    for (const ServiceShare& share : route.shares) {
+      absl::StrAppend(&text, "\n", share.service.value());
+    }
+    text += '\0';
+  }
+  return XXH3_64bits(text.data(), text.size());
 }
 
 std::string encodeSoftwareHistory(const SoftwareHistory& history) {
@@ -71,13 +130,16 @@
   });
 }
 
-std::optional<SoftwareVersion> SoftwareHistory::onlyVersionSince(absl::Duration earliest) const {
-  if (earliest < complete_since) {
+std::optional<SoftwareVersion> SoftwareHistory::onlyVersion(const Question& question) const {
+  const absl::Duration proven_since = std::max(complete_since, routes.since + kListLag);
+  const bool is_covered =
+      question.era == era && question.routes == routes.hash && question.earliest >= proven_since;
+  if (!is_covered) {
     return std::nullopt;
   }
   std::optional<SoftwareVersion> only;
   for (const SoftwareUse& use : versions) {
-    if (use.last_listed + kListLag < earliest) {
+    if (use.last_listed + kListLag < question.earliest) {
       continue;
     }
     if (only) {
@@ -100,6 +162,9 @@
     }
   }
   merged.complete_since = std::max(history.complete_since, entry.known.history.complete_since);
+  if (history.routes.configuration < entry.known.history.routes.configuration) {
+    merged.routes = entry.known.history.routes;
+  }
   entry.is_row_behind = merged != history;
   entry.known = {std::move(merged), row_version};
 }
@@ -129,25 +194,24 @@
 }
 
 std::optional<SoftwareHistories::Known> SoftwareHistories::nextWrite(const ServiceName& service,
-                                                                     const Versions& listed,
-                                                                     const Versions& recent, bool is_complete,
+                                                                     const Observation& observation,
                                                                      absl::Duration clock) const {
   const auto found = services_.find(service);
   const bool is_new = found == services_.end();
-  if (is_new && listed.empty()) {
+  if (is_new && observation.listed.empty()) {
     return std::nullopt;
   }
-  const Entry entry =
-      is_new ? Entry{{{is_complete ? -absl::InfiniteDuration() : clock, {}}, 0}, true} : found->second;
+  const Entry entry = is_new ? firstEntry(observation, clock) : found->second;
   Known next = entry.known;
+  noteSurroundings(next.history, observation, clock);
   for (SoftwareUse& use : next.history.versions) {
-    if (listed.contains(use.software)) {
+    if (observation.listed.contains(use.software)) {
       use.last_listed = absl::InfiniteDuration();
-    } else if (use.isListed() && !recent.contains(use.software)) {
+    } else if (use.isListed() && !observation.recent.contains(use.software)) {
       use.last_listed = clock;
     }
   }
-  for (const SoftwareVersion& software : listed) {
+  for (const SoftwareVersion& software : observation.listed) {
     if (findUse(next.history, software) == nullptr) {
       next.history.versions.push_back({software});
     }
@@ -159,4 +223,16 @@
   return next;
 }
 
+// Of a service of which the store has no row.
+SoftwareHistories::Entry SoftwareHistories::firstEntry(const Observation& observation, absl::Duration clock) {
+  Entry entry;
+  entry.is_row_behind = true;
+  SoftwareHistory& history = entry.known.history;
+  history.complete_since = observation.is_complete ? -absl::InfiniteDuration() : clock;
+  history.routes = {observation.routes, observation.configuration,
+                    history.complete_since - SoftwareHistory::kListLag};
+  history.era = observation.era;
+  return entry;
+}
+
 }  // namespace quincewick::forwarding
--- a/src/forwarding/software_history.h
+++ b/src/forwarding/software_history.h
@@ -29,6 +29,20 @@
   friend bool operator==(const SoftwareUse&, const SoftwareUse&) = default;
 };
 
+// The routes on which streams of a service may be taken up.
+struct ResumableRoutes {
+  uint64_t hash = 0;                   // as of `hashOfResumableRoutes`
+  ConfigurationVersion configuration;  // that a gateway first saw them in
+  // Every stream on them that began since then began by them, at gateways whose configuration doesn't lag.
+  absl::Duration since = -absl::InfiniteDuration();
+
+  friend bool operator==(const ResumableRoutes&, const ResumableRoutes&) = default;
+};
+
+// All resumable routes of the hosts at which a resumable route leads to the service, as a hash that is the
+// same in all builds: while it doesn't change, no stream comes to the service that began at another.
+uint64_t hashOfResumableRoutes(const SiteConfiguration& configuration, const ServiceName& service);
+
 // One service's versions.
 struct SoftwareHistory {
   // Gateways begin streams at a version that is no longer listed for so long: by lists that lag, or cut off
@@ -40,11 +54,21 @@
   // Every version that began streams since then is in `versions`; minus InfiniteDuration: ever.
   absl::Duration complete_since = -absl::InfiniteDuration();
   std::vector<SoftwareUse> versions;
+  ResumableRoutes routes;
+  // The store's era when the row was written. After a restore the row may lack what was written since.
+  std::optional<uint64_t> era;
 
   // Whether a stream may begin at the version.
   bool isListed(const SoftwareVersion& software) const;
-  // The version of every stream that began at `earliest` or later; nothing if that isn't proven.
-  std::optional<SoftwareVersion> onlyVersionSince(absl::Duration earliest) const;
+
+  // A stream that is taken up, as the gateway that has to find its version knows it.
+  struct Question {
+    absl::Duration earliest;  // it began then or later
+    uint64_t routes = 0;      // hashOfResumableRoutes of the configuration that applies
+    std::optional<uint64_t> era;
+  };
+  // The version of every stream that may be meant; nothing if that isn't proven.
+  std::optional<SoftwareVersion> onlyVersion(const Question& question) const;
 
   friend bool operator==(const SoftwareHistory&, const SoftwareHistory&) = default;
 };
@@ -73,11 +97,19 @@
   // Whether several versions may begin streams, so that each needs a record.
   bool hasSeveral(const ServiceName& service, absl::Duration clock) const;
 
-  // The history to write, given the versions that are listed now and those that were a short time ago;
-  // nothing if the store has it. `is_complete`: if there is no history yet, nothing served before.
   using Versions = absl::flat_hash_set<SoftwareVersion>;
-  std::optional<Known> nextWrite(const ServiceName& service, const Versions& listed, const Versions& recent,
-                                 bool is_complete, absl::Duration clock) const;
+  // What a reader sees of a service.
+  struct Observation {
+    Versions listed;
+    Versions recent;  // were listed a short time ago
+    uint64_t routes = 0;
+    ConfigurationVersion configuration;
+    std::optional<uint64_t> era;
+    bool is_complete = false;  // if there is no history yet, nothing served before
+  };
+  // The history to write; nothing if the store has it.
+  std::optional<Known> nextWrite(const ServiceName& service, const Observation& observation,
+                                 absl::Duration clock) const;
 
  private:
   struct Entry {
@@ -85,6 +117,8 @@
     bool is_row_behind = false;  // the row lacks what is known
   };
 
+  static Entry firstEntry(const Observation& observation, absl::Duration clock);
+
   absl::flat_hash_map<ServiceName, Entry> services_;
 };
 
--- a/src/gateway/exchange_stream.cc
+++ b/src/gateway/exchange_stream.cc
@@ -70,7 +70,9 @@
   }
   const absl::Duration longest = route_->timeout.value_or(absl::InfiniteDuration());
   const absl::Duration window = std::min(longest + kTakeUpMargin, forwarding::StreamOrigins::kMaxLifetime);
-  pending_origin_ = core_.stream_origins->findByHistory(route_->shares.front().service, window, began_,
+  const forwarding::ServiceName& service = route_->shares.front().service;
+  const uint64_t routes = forwarding::hashOfResumableRoutes(*configuration_, service);
+  pending_origin_ = core_.stream_origins->findByHistory({service, routes, window, began_},
                                                         [this](const StreamOriginExchange::Found& found) {
                                                           const auto self = shared_from_this();
                                                           pending_origin_.reset();
--- a/src/gateway/software_record.cc
+++ b/src/gateway/software_record.cc
@@ -74,20 +74,39 @@
   return versions;
 }
 
+forwarding::SoftwareHistories::Observation SoftwareRecord::observe(const forwarding::ServiceName& service,
+                                                                   absl::Time now) {
+  const forwarding::SiteConfiguration& configuration = *core_.in_force.configuration;
+  forwarding::SoftwareHistories::Observation observation;
+  observation.listed = listedVersions(service);
+  observation.recent = recentVersions(service, now);
+  observation.routes = forwarding::hashOfResumableRoutes(configuration, service);
+  observation.configuration = configuration.version();
+  observation.era = core_.store_history.era();
+  observation.is_complete = isCompleteFromStart(service);
+  return observation;
+}
+
+// Nothing served before the first start of a site whose store was never restored.
+bool SoftwareRecord::isCompleteFromStart(const forwarding::ServiceName& service) {
+  if (!first_services_) {
+    first_services_ = recordedServices();
+  }
+  return core_.settings.site_is_new && core_.store_history.restores() == 0 &&
+         first_services_->contains(service);
+}
+
 void SoftwareRecord::write(absl::Time now, const std::function<void()>& written) {
   const std::optional<absl::Duration> clock = core_.storeClock(now);
   if (!clock) {
     return;
   }
-  // Nothing served before the first start of a site whose store was never restored.
-  const bool is_complete = core_.settings.site_is_new && core_.store_history.restores() == 0;
   for (const forwarding::ServiceName& service : recordedServices()) {
     const auto busy = busy_until_.find(service);
     if (busy != busy_until_.end() && now < busy->second) {
       continue;
     }
-    const auto next = core_.software_histories.nextWrite(service, listedVersions(service),
-                                                         recentVersions(service, now), is_complete, *clock);
+    const auto next = core_.software_histories.nextWrite(service, observe(service, now), *clock);
     if (next) {
       busy_until_[service] = now + StoreClient::kCallLimit + kRewriteDelay;
       writeRow(service, *next, written);
--- a/src/gateway/software_record.h
+++ b/src/gateway/software_record.h
@@ -8,6 +8,7 @@
 #include <absl/time/time.h>
 
 #include <functional>
+#include <optional>
 #include <utility>
 
 #include "forwarding/row_cache.h"
@@ -20,7 +21,7 @@
 
 class SoftwareRecord {
  public:
-  static constexpr const char* kTable = "gateway-software";
+  static constexpr const char* kTable = "gateway-software-history";
 
   explicit SoftwareRecord(Core& core) : core_(core), store_(core), refused_rows_(core, kTable) {}
 
@@ -36,6 +37,9 @@
 
   // The services whose streams may be resumed.
   absl::flat_hash_set<forwarding::ServiceName> recordedServices() const;
+  forwarding::SoftwareHistories::Observation observe(const forwarding::ServiceName& service, absl::Time now);
+  // Whether no stream of the service can have begun before its first row.
+  bool isCompleteFromStart(const forwarding::ServiceName& service);
   Versions listedVersions(const forwarding::ServiceName& service) const;
   Versions recentVersions(const forwarding::ServiceName& service, absl::Time now) const;
   void writeRow(const forwarding::ServiceName& service, const forwarding::SoftwareHistories::Known& next,
@@ -44,6 +48,8 @@
   Core& core_;
   StoreClient store_;
   RefusedRows refused_rows_;
+  // Of the first configuration: other services may have got streams by one that this gateway didn't see.
+  std::optional<absl::flat_hash_set<forwarding::ServiceName>> first_services_;
   absl::flat_hash_map<std::pair<forwarding::ServiceName, SoftwareVersion>, absl::Time> last_listed_;
   // Services whose row is being written, or written and not read again, until then at most.
   absl::flat_hash_map<forwarding::ServiceName, absl::Time> busy_until_;
--- a/src/gateway/stream_origin_exchange.cc
+++ b/src/gateway/stream_origin_exchange.cc
@@ -98,11 +98,10 @@
   origins_.cancel(number);
 }
 
-uint64_t StreamOriginExchange::findByHistory(const forwarding::ServiceName& service, absl::Duration window,
-                                             absl::Time asked, ResultCallback on_result) {
+uint64_t StreamOriginExchange::findByHistory(const HistoryQuestion& question, ResultCallback on_result) {
   const uint64_t number = ++last_history_question_;
-  history_questions_[number] = {service, window, asked, std::move(on_result)};
-  readHistory(service);
+  history_questions_[number] = {question, std::move(on_result)};
+  readHistory(question.service);
   return number;
 }
 
@@ -139,10 +138,10 @@
         .with("service", service.value())
         .with("why", status == StoreStatus::kDone ? "no row" : "no answer of the store");
   }
-  std::vector<HistoryQuestion> answered;
+  std::vector<WaitingForHistory> answered;
   bool has_later = false;
   absl::erase_if(history_questions_, [&](auto& entry) {
-    if (entry.second.service != service) {
+    if (entry.second.question.service != service) {
       return false;
     }
     has_later = has_later || entry.first > last_number;
@@ -155,11 +154,12 @@
   if (has_later) {
     readHistory(service);
   }
-  for (const HistoryQuestion& question : answered) {
+  for (const auto& [question, on_result] : answered) {
     const absl::Duration earliest = rows.clock - (now - question.asked) - question.window;
-    const auto software = history ? history->onlyVersionSince(earliest) : std::nullopt;
+    const auto software =
+        history ? history->onlyVersion({earliest, question.routes, core_.store_history.era()}) : std::nullopt;
     core_.metrics.countStreamLookup(software.has_value());
-    question.on_result({software ? std::optional(StreamOrigin{service, *software}) : std::nullopt, false});
+    on_result({software ? std::optional(StreamOrigin{service, *software}) : std::nullopt, false});
   }
 }
 
--- a/src/gateway/stream_origin_exchange.h
+++ b/src/gateway/stream_origin_exchange.h
@@ -46,10 +46,17 @@
   };
   using ResultCallback = std::function<void(const Found& found)>;
   uint64_t find(const forwarding::StreamKey& key, ResultCallback on_result);
-  // The origin of a stream of the service that began in the time `window` before `asked`, if the history of
-  // the service's versions proves it. Calls `on_result` and returns like `find`.
-  uint64_t findByHistory(const forwarding::ServiceName& service, absl::Duration window, absl::Time asked,
-                         ResultCallback on_result);
+  // A stream of the service that began in the time `window` before `asked`. `routes`: as of
+  // forwarding::hashOfResumableRoutes.
+  struct HistoryQuestion {
+    forwarding::ServiceName service;
+    uint64_t routes;
+    absl::Duration window;
+    absl::Time asked;
+  };
+  // Its origin, if the history of the service's versions proves it. Calls `on_result` and returns like
+  // `find`.
+  uint64_t findByHistory(const HistoryQuestion& question, ResultCallback on_result);
   void cancel(uint64_t number);
 
  private:
@@ -57,10 +64,8 @@
     forwarding::StreamKey key;
     ResultCallback on_result;
   };
-  struct HistoryQuestion {
-    forwarding::ServiceName service;
-    absl::Duration window;
-    absl::Time asked;
+  struct WaitingForHistory {
+    HistoryQuestion question;
     ResultCallback on_result;
   };
   // A row that waits to be written.
@@ -99,9 +104,9 @@
   StoreClient history_reader_;
   StoreClient writer_;
   forwarding::StreamOrigins origins_;
-  absl::btree_map<uint64_t, Waiting> waiting_;                    // lookups by number
-  absl::btree_map<uint64_t, HistoryQuestion> history_questions_;  // by number
-  absl::flat_hash_set<forwarding::ServiceName> histories_read_;   // whose read is under way
+  absl::btree_map<uint64_t, Waiting> waiting_;                      // lookups by number
+  absl::btree_map<uint64_t, WaitingForHistory> history_questions_;  // by number
+  absl::flat_hash_set<forwarding::ServiceName> histories_read_;     // whose read is under way
   uint64_t last_history_question_ = kFirstHistoryQuestion;
   absl::btree_map<std::string, Unstored> unstored_;  // by key
   size_t reads_under_way_ = 0;
--- a/tests/forwarding/software_history_site_test.cc
+++ b/tests/forwarding/software_history_site_test.cc
@@ -1,9 +1,10 @@
 // Streams that callers take up after all gateways were killed, on a site in virtual time: what the store
-// keeps is all that is left. Lists lag, gateways are cut off from the store, and versions come, go and come
-// back.
+// keeps is all that is left. Lists lag, gateways are cut off from the store, versions come, go and come back,
+// the store is restored from a copy, and the route moves to another service and back.
 #include <absl/strings/str_cat.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <deque>
 #include <map>
@@ -20,6 +21,7 @@
 constexpr absl::Duration kMostListLag = absl::Seconds(2);
 constexpr absl::Duration kGoneAfter = absl::Seconds(5);
 constexpr absl::Duration kMostStoreDelay = absl::Milliseconds(60);
+constexpr absl::Duration kMemberInterval = absl::Milliseconds(250);
 constexpr absl::Duration kMaxHold = absl::Milliseconds(100);
 constexpr absl::Duration kMostStreaming = absl::Seconds(4);
 constexpr absl::Duration kMostAbsence = absl::Seconds(8);
@@ -31,6 +33,7 @@
   size_t versions = 2;
   uint64_t seed = 1;
   bool is_new = true;
+  bool has_memory = false;  // gateways that live tell what they began
 };
 
 class HistorySite {
@@ -54,6 +57,7 @@
       for (size_t index = 0; index < gateways_.size(); ++index) {
         readList(index);
         writeHistory(index);
+        storeBegunAlone(index);
       }
     }
   }
@@ -82,6 +86,15 @@
   }
   void setStoreUp(bool is_up) { is_store_up_ = is_up; }
   void setMostWriteDelay(absl::Duration most) { most_write_delay_ = most; }
+  void saveCopy() { copy_ = {row_, row_version_, records_}; }
+  void restoreCopy() {
+    row_ = copy_.row;
+    row_version_ = copy_.row_version;
+    records_ = copy_.records;
+    ++era_;
+  }
+  // The route leads to the service, or to another one.
+  void moveRoute() { route_moves_.push_back(network_.now()); }
   void addServers(size_t version) {
     for (int count = 0; count < 2; ++count) {
       servers_.push_back({SoftwareVersion(absl::StrCat("v", version)), network_.now()});
@@ -104,8 +117,11 @@
     if (!isUp(index)) {
       return;
     }
-    const std::optional<SoftwareVersion> software = chooseServer(index, std::nullopt);
-    if (!software) {
+    const bool is_here = leadsHere(configurationOf(*gateways_[index]));
+    const std::optional<SoftwareVersion> software =
+        is_here ? chooseServer(index, std::nullopt) : std::optional(kOfOtherService);
+    const bool begins = software && (is_here || areRoutesRecorded(*gateways_[index]));
+    if (!begins) {
       return;
     }
     const auto stream = std::make_shared<Stream>();
@@ -118,11 +134,7 @@
     if (gateways_[index]->histories.hasSeveral(kService, clock())) {
       const absl::Duration delay = upTo(kMostStoreDelay);
       held = reachesStore(index) ? delay : kMaxHold;
-      network_.schedule(network_.now() + delay, [this, stream] {
-        if (isAlive(*stream) && reachesStore(stream->gateway)) {
-          records_[stream->number] = stream->software;
-        }
-      });
+      writeRecord(stream, delay);
     }
     network_.schedule(network_.now() + held, [this, stream] { forwardFirstEvent(stream); });
   }
@@ -135,12 +147,20 @@
   }
 
  private:
+  inline static const SoftwareVersion kOfOtherService{"other"};
+
+  struct Copy {
+    SoftwareHistory row;
+    uint64_t row_version = 0;
+    std::map<uint64_t, SoftwareVersion> records;
+  };
   struct Server {
     SoftwareVersion software;
     absl::Time began;
     absl::Time unlisted = absl::InfiniteFuture();
     absl::Time ended = absl::InfiniteFuture();
   };
+  struct Stream;
   struct Gateway {
     uint64_t life = 0;
     SoftwareHistories histories;
@@ -149,6 +169,9 @@
     bool is_cut_off = false;
     bool is_writing = false;
     std::map<SoftwareVersion, absl::Time> last_listed;
+    std::optional<uint64_t> era;
+    bool had_several = false;  // versions
+    std::vector<std::shared_ptr<Stream>> begun;
   };
   struct Stream {
     uint64_t number = 0;
@@ -170,6 +193,41 @@
     }
   }
 
+  // Each move of the route is a version of the configuration.
+  uint64_t configurationOf(const Gateway& gateway) const {
+    return static_cast<uint64_t>(
+        std::upper_bound(route_moves_.begin(), route_moves_.end(), gateway.list_as_of) -
+        route_moves_.begin());
+  }
+  static bool leadsHere(uint64_t configuration) { return configuration % 2 == 0; }
+  static uint64_t hashOfRoutes(uint64_t configuration) { return leadsHere(configuration) ? 1 : 2; }
+  // Streams that begin before any reader has recorded that the route moved are a limit of the design.
+  bool areRoutesRecorded(const Gateway& gateway) const {
+    return row_.routes.configuration.value() >= configurationOf(gateway);
+  }
+
+  void writeRecord(const std::shared_ptr<Stream>& stream, absl::Duration delay) {
+    network_.schedule(network_.now() + delay, [this, stream] {
+      if (isAlive(*stream) && reachesStore(stream->gateway)) {
+        records_[stream->number] = stream->software;
+      }
+    });
+  }
+
+  void storeBegunAlone(size_t index) {
+    if (!isUp(index)) {
+      return;
+    }
+    Gateway& gateway = *gateways_[index];
+    const bool has_several = gateway.histories.hasSeveral(kService, clock());
+    if (has_several && !gateway.had_several) {
+      for (const auto& stream : gateway.begun) {
+        writeRecord(stream, upTo(kMemberInterval) + upTo(kMostStoreDelay));
+      }
+    }
+    gateway.had_several = has_several;
+  }
+
   SoftwareHistories::Versions listedBy(const Gateway& gateway) const {
     SoftwareHistories::Versions versions;
     for (const Server& server : servers_) {
@@ -186,17 +244,21 @@
     }
     Gateway& gateway = *gateways_[index];
     readRow(gateway);
-    const SoftwareHistories::Versions listed = listedBy(gateway);
-    SoftwareHistories::Versions recent;
-    for (const SoftwareVersion& software : listed) {
+    SoftwareHistories::Observation observation;
+    observation.listed = listedBy(gateway);
+    observation.configuration = ConfigurationVersion(configurationOf(gateway));
+    observation.routes = hashOfRoutes(configurationOf(gateway));
+    observation.era = gateway.era;
+    observation.is_complete = settings_.is_new && era_ == 1;
+    for (const SoftwareVersion& software : observation.listed) {
       gateway.last_listed[software] = network_.now();
     }
     for (const auto& [software, at] : gateway.last_listed) {
       if (network_.now() < at + kGoneAfter) {
-        recent.insert(software);
+        observation.recent.insert(software);
       }
     }
-    const auto next = gateway.histories.nextWrite(kService, listed, recent, settings_.is_new, clock());
+    const auto next = gateway.histories.nextWrite(kService, observation, clock());
     if (!next) {
       return;
     }
@@ -215,6 +277,7 @@
   }
 
   void readRow(Gateway& gateway) {
+    gateway.era = era_;
     if (row_version_ > 0) {
       gateway.histories.noteRow(kService, row_, row_version_, clock());
     }
@@ -237,6 +300,7 @@
 
   void forwardFirstEvent(const std::shared_ptr<Stream>& stream) {
     if (isAlive(*stream)) {
+      gateways_[stream->gateway]->begun.push_back(stream);
       network_.schedule(network_.now() + upTo(kMostStreaming) + upTo(kMostAbsence),
                         [this, stream] { takeUp(stream); });
     }
@@ -263,10 +327,12 @@
       }
       std::optional<SoftwareVersion> proven;
       const auto record = records_.find(stream->number);
-      if (stream->names_attempt && record != records_.end()) {
+      if (settings_.has_memory && stream->names_attempt && isAlive(*stream)) {
+        proven = stream->software;
+      } else if (stream->names_attempt && record != records_.end()) {
         proven = record->second;
-      } else if (row_version_ > 0) {
-        proven = row_.onlyVersionSince(clock() - (network_.now() - asked) - kWindow);
+      } else if (row_version_ > 0 && leadsHere(configurationOf(*gateways_[index]))) {
+        proven = row_.onlyVersion({clock() - (network_.now() - asked) - kWindow, hashOfRoutes(0), era_});
       }
       if (!proven || !chooseServer(index, proven)) {
         return;
@@ -286,6 +352,9 @@
   SoftwareHistory row_;
   uint64_t row_version_ = 0;
   std::map<uint64_t, SoftwareVersion> records_;  // by stream
+  Copy copy_;
+  uint64_t era_ = 1;  // of the store
+  std::vector<absl::Time> route_moves_;
   uint64_t last_stream_ = 0;
 };
 
@@ -319,13 +388,24 @@
         }
       }
       site.setStoreUp(site.uniform() < 0.8);
+      if (site.uniform() < 0.1) {
+        site.moveRoute();
+      }
+      if (site.uniform() < 0.1) {
+        site.saveCopy();
+      }
       site.setMostWriteDelay(site.uniform() < 0.7 ? kMostStoreDelay : absl::Seconds(5));
       const bool kills_all = site.uniform() < 0.15;
       if (kills_all) {
         site.killAll();
         site.uniform() < 0.5 ? site.removeServers(version) : site.addServers(version);
         site.runFor(site.upTo(absl::Seconds(3)));
+        if (site.uniform() < 0.3) {
+          site.restoreCopy();
+        }
         site.startAll();
+      } else if (site.uniform() < 0.05) {
+        site.restoreCopy();
       }
       playStreams(site, absl::Seconds(2));
     }
@@ -357,6 +437,28 @@
   }));
 }
 
+// Guards against streams that are lost with all gateways since their version served alone when they began.
+TEST_CASE("streams that began before another version came go on after all gateways were killed") {
+  CHECK(rc::check([] {
+    SiteSettings settings;
+    settings.gateways = *rc::gen::inRange<size_t>(1, 16);
+    settings.seed = *rc::gen::arbitrary<uint32_t>();
+    settings.has_memory = true;
+    HistorySite site(settings);
+    site.runFor(absl::Seconds(3));
+    playStreams(site, absl::Seconds(4), false);
+    site.addServers(1);
+    site.runFor(kMostListLag + absl::Seconds(1));
+    site.killAll();
+    site.runFor(site.upTo(absl::Seconds(1)));
+    site.startAll();
+    site.runFor(kMostStreaming + kMostAbsence);
+    RC_ASSERT(site.crossed == 0);
+    RC_ASSERT(site.taken_up > 0);
+    RC_ASSERT(site.goneOnShare() >= 0.95);
+  }));
+}
+
 // Guards against a history that never proves anything.
 TEST_CASE("streams that don't name the attempt go on while one version alone has served") {
   CHECK(rc::check([] {
