Have the store keep what began before a second version came

Callers saw: streams that began before a release went on nowhere after a kill of all gateways (0 of 24 with five gateways), though servers of their version served.

Cause: while one version serves, its history is the proof and no stream has a record in the store. Once a second version is listed the proof is gone, and the records are in the memory of four gateways. When a gateway learns of the second version, it now has the store keep the records of the streams that it began, once, in batches.

--- a/src/forwarding/stream_origins.cc
+++ b/src/forwarding/stream_origins.cc
@@ -42,10 +42,12 @@
   });
 }
 
-void StreamOrigins::hold(const StreamRecord& record, absl::Time expires) {
-  const auto [place, is_new] = records_.try_emplace(record.key, HeldRecord{record.origin, false, expires});
+void StreamOrigins::hold(const StreamRecord& record, bool is_own, absl::Time expires) {
+  const auto [place, is_new] =
+      records_.try_emplace(record.key, HeldRecord{record.origin, false, expires, is_own});
   if (!is_new) {
     HeldRecord& held = place->second;
+    held.is_own = held.is_own || is_own;
     held.is_contradictory = held.is_contradictory || held.origin != record.origin;
     held.expires = std::max(held.expires, expires);
   }
@@ -83,7 +85,7 @@
     return;
   }
   const absl::Time expires = now + std::min(lifetime, kMaxLifetime);
-  hold(record, expires);
+  hold(record, true, expires);
   const uint64_t number = ++last_number_;
   Delivery delivery;
   delivery.record = record;
@@ -130,6 +132,15 @@
   }
 }
 
+void StreamOrigins::keepOwnInStore(const ServiceName& service, absl::Time now,
+                                   StreamOriginActions& actions) const {
+  for (const auto& [key, held] : records_) {
+    if (held.is_own && !held.is_contradictory && held.expires > now && held.origin.service == service) {
+      actions.to_store.push_back({key, held.origin});
+    }
+  }
+}
+
 uint64_t StreamOrigins::find(const StreamKey& key, absl::Time now, StreamOriginActions& actions) {
   const uint64_t number = ++last_number_;
   if (const HeldRecord* const held = heldRecord(key, now)) {
@@ -172,7 +183,7 @@
   silent_.erase(from);
   switch (message.kind) {
     case Kind::kRecord:
-      hold(message.record, now + std::min(message.lifetime, kMaxLifetime));
+      hold(message.record, false, now + std::min(message.lifetime, kMaxLifetime));
       actions.messages.push_back(
           {from, {Kind::kAcknowledge, message.number, {message.record.key, {}}, absl::ZeroDuration()}});
       break;
--- a/src/forwarding/stream_origins.h
+++ b/src/forwarding/stream_origins.h
@@ -62,6 +62,8 @@
   // An event of the stream was forwarded. `lifetime`: how long a caller may take it up.
   void record(const StreamRecord& record, absl::Duration lifetime, absl::Time now,
               StreamOriginActions& actions);
+  // Has the store keep the records that were made here of the service's streams.
+  void keepOwnInStore(const ServiceName& service, absl::Time now, StreamOriginActions& actions) const;
   // Looks up the origin of a stream. Exactly one result follows, at once or soon, unless it is cancelled.
   uint64_t find(const StreamKey& key, absl::Time now, StreamOriginActions& actions);
   void cancel(uint64_t number) { questions_.erase(number); }
@@ -80,6 +82,7 @@
     StreamOrigin origin;
     bool is_contradictory = false;
     absl::Time expires;
+    bool is_own = false;  // made here
   };
   // A record that is being given to holders.
   struct Delivery {
@@ -99,7 +102,7 @@
     absl::Time due;
   };
 
-  void hold(const StreamRecord& record, absl::Time expires);
+  void hold(const StreamRecord& record, bool is_own, absl::Time expires);
   const HeldRecord* heldRecord(const StreamKey& key, absl::Time now) const;
   // The gateways for the stream's records in order, without this one.
   std::vector<NodeId> candidatesFor(const StreamKey& key);
--- a/src/gateway/site_follower.cc
+++ b/src/gateway/site_follower.cc
@@ -4,6 +4,8 @@
 #include <string>
 #include <utility>
 
+#include "gateway/stream_origin_exchange.h"
+
 namespace quincewick::gateway {
 namespace {
 
@@ -378,6 +380,7 @@
     recordSoftware(now);
   } else if (&table == &software_rows_) {
     software_record_.applyUpdate(effect.changes);
+    core_.stream_origins->storeBegunAlone();
   } else if (&table == &rollout_rows_) {
     applyRollouts(effect.changes);
   } else {
--- a/src/gateway/stream_origin_exchange.cc
+++ b/src/gateway/stream_origin_exchange.cc
@@ -73,9 +73,30 @@
 
 void StreamOriginExchange::heartbeat() {
   updateMembers();
+  storeBegunAlone();
   core_.timers.schedule(reactor::steadyNow() + kMemberInterval, [this] { heartbeat(); });
 }
 
+// While a version served alone, its history proved what it began.
+void StreamOriginExchange::storeBegunAlone() {
+  const absl::Time now = reactor::steadyNow();
+  const std::optional<absl::Duration> clock = core_.storeClock(now);
+  if (!clock || core_.in_force.configuration == nullptr) {
+    return;
+  }
+  StreamOriginActions actions;
+  for (const forwarding::Service& service : core_.in_force.configuration->services()) {
+    if (!core_.software_histories.hasSeveral(service.name, *clock)) {
+      with_several_versions_.erase(service.name);
+    } else if (with_several_versions_.insert(service.name).second) {
+      origins_.keepOwnInStore(service.name, now, actions);
+    }
+  }
+  for (const StreamRecord& record : actions.to_store) {
+    queueForStore(record, [](bool /*is_stored*/) {});
+  }
+}
+
 void StreamOriginExchange::record(const StreamRecord& record, absl::Duration lifetime) {
   noticeNewPeers();
   StreamOriginActions actions;
--- a/src/gateway/stream_origin_exchange.h
+++ b/src/gateway/stream_origin_exchange.h
@@ -35,6 +35,9 @@
   // has it: false also if that isn't known.
   using StoredCallback = std::function<void(bool is_stored)>;
   void store(const forwarding::StreamRecord& record, StoredCallback on_result);
+  // The histories of the services' versions may have changed: has the store keep what this gateway began
+  // before a service had several versions.
+  void storeBegunAlone();
   // Whether the store took the last records.
   bool isStoreWritable() const { return is_store_writable_; }
 
@@ -109,6 +112,7 @@
   absl::flat_hash_set<forwarding::ServiceName> histories_read_;     // whose read is under way
   uint64_t last_history_question_ = kFirstHistoryQuestion;
   absl::btree_map<std::string, Unstored> unstored_;  // by key
+  absl::flat_hash_set<forwarding::ServiceName> with_several_versions_;
   size_t reads_under_way_ = 0;
   bool is_writing_ = false;
   bool is_store_writable_ = true;
