Tell callers when the permits' quarantine after a start is over

Callers saw: after a restart of all gateways, no_permit with a Retry-After of up to 5.0 s (22 of 24 above 1.3 s), where 1.05 s of the quarantine are left at most. Clients that keep to it come back too late, or not at all.

Cause: the time was computed from the requests that were rejected and placed lately, as for a crowded brittle service. In the quarantine nothing is placed and nothing is known of the servers. Rejections for want of knowledge no longer count as demand.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -95,6 +95,8 @@
   void sendToChosenServer();
   // Takes one retry from the site's retry budget; false if none is left.
   bool mayRepeat(absl::Time now);
+  // Whether any server of the service is brittle, as far as this gateway or one that it asked knows.
+  bool isKnownBrittle() const;
   bool prefersDelegate() const;
   bool isHeldBackByPath() const;
   bool mayStillDelegate() const;
@@ -285,6 +287,7 @@
   bool is_told_brittle_ = false;           // any result said that a server of the service is brittle
   std::optional<uint64_t> permit_;         // held until the request is sent
   std::optional<uint64_t> unaccepted_;     // sent, and not yet accepted by the server
+  absl::Duration permit_retry_after_;      // of the last result
   std::vector<uint64_t> without_permit_;   // servers without a free permit, passed over until the next wait
   reactor::TimerQueue::Key permit_timer_;  // set while the request waits for a permit
   absl::Time permit_wait_ends_ = absl::InfiniteFuture();  // finite once the wait has begun
--- a/src/gateway/exchange_permit.cc
+++ b/src/gateway/exchange_permit.cc
@@ -56,6 +56,7 @@
     return;
   }
   is_permit_unavailable_ = result.is_unavailable;
+  permit_retry_after_ = result.retry_after;
   is_told_brittle_ = is_told_brittle_ || result.is_brittle;
   without_permit_.push_back(server_->identity_hash);
   releaseServer();
@@ -67,10 +68,14 @@
   }
 }
 
+bool Exchange::isKnownBrittle() const {
+  return is_told_brittle_ || core_.permits->isBrittle(service_);
+}
+
 // Tries again shortly, for a fraction of the time in which the response is due; then the request is rejected.
 void Exchange::awaitPermit() {
   const absl::Time now = reactor::steadyNow();
-  const bool is_brittle = is_told_brittle_ || core_.permits->isBrittle(service_);
+  const bool is_brittle = isKnownBrittle();
   const absl::Duration target = route_->target_latency.value_or(kMaxPermitWait);
   const absl::Duration longest =
       is_brittle ? std::min(kMaxPermitWait, target * kPermitWaitShare) : kMaxFirstContactWait;
@@ -79,7 +84,9 @@
     // Nobody has heard the servers for a while, and they weren't brittle then; or nobody can tell.
     skips_permit_ = !is_brittle && (core_.permits->isHeard(service_) || is_permit_unavailable_);
     if (!skips_permit_) {
-      core_.permits->noteDemand(service_, false);
+      if (is_brittle) {
+        core_.permits->noteDemand(service_, false);
+      }
       giveUp(false, kNoPermit);
       return;
     }
--- a/src/gateway/exchange_rate.cc
+++ b/src/gateway/exchange_rate.cc
@@ -62,9 +62,12 @@
   if (retry_after_of_delegate_) {
     return std::max(kRetryAfter, *retry_after_of_delegate_);
   }
-  if (!without_permit_.empty() || core_.permits->isBrittle(service_)) {
+  if (isKnownBrittle()) {
     return std::max(kRetryAfter, core_.permits->retryAfter(service_));
   }
+  if (!without_permit_.empty()) {
+    return std::max(kRetryAfter, core_.permits->spreadRetryAfter(permit_retry_after_));
+  }
   const absl::Time now = reactor::steadyNow();
   const absl::Time free_at = forwarding::firstAvailableAt(core_.directory.ofService(service_), now);
   return free_at == absl::InfiniteFuture() ? kRetryAfter : std::max(kRetryAfter, free_at - now);
--- a/src/gateway/permit_exchange.cc
+++ b/src/gateway/permit_exchange.cc
@@ -175,7 +175,7 @@
     waiting_.erase(waiting);
     core_.metrics.countPermitDecision(decision.is_granted);
     on_result({decision.is_granted, decision.is_unneeded ? std::nullopt : std::optional(decision.number),
-               decision.is_unavailable, decision.is_brittle});
+               decision.is_unavailable, decision.is_brittle, decision.retry_after});
   }
   for (const uint64_t permit : actions.lost) {
     if (const auto request = request_of_permit_.find(permit); request != request_of_permit_.end()) {
@@ -296,4 +296,9 @@
   return std::clamp(absl::Seconds(seconds * spread), kMinRetryAfter, kMaxRetryAfter);
 }
 
+absl::Duration PermitExchange::spreadRetryAfter(absl::Duration time) const {
+  return std::clamp(time * absl::Uniform(core_.random, 1, 1 + kRetryAfterSpread), kMinRetryAfter,
+                    kMaxRetryAfter);
+}
+
 }  // namespace quincewick::gateway
--- a/src/gateway/permit_exchange.h
+++ b/src/gateway/permit_exchange.h
@@ -24,6 +24,8 @@
   bool is_unavailable = false;
   // Denied, and this gateway or one that it asked knows that the server is brittle.
   bool is_brittle = false;
+  // If denied and nothing is known of the server: when the holder that decides who finds out can do so.
+  absl::Duration retry_after;
 };
 
 class PermitExchange {
@@ -60,6 +62,8 @@
   // When a request that was rejected here may be placed: the time in which the requests that were rejected
   // lately are placed at the rate of late.
   absl::Duration retryAfter(const forwarding::ServiceName& service) const;
+  // The time, and up to a fraction more, so that callers who were rejected together don't return together.
+  absl::Duration spreadRetryAfter(absl::Duration time) const;
 
  private:
   struct UnacceptedRequest {
--- a/src/quota/shared_permits.cc
+++ b/src/quota/shared_permits.cc
@@ -143,13 +143,18 @@
   }
 }
 
+// For how long this gateway may still be bound by what its last life gave out.
+absl::Duration SharedPermits::quarantineLeft(bool is_told, absl::Time now) const {
+  const absl::Duration quarantine = is_told ? kQuarantine : kRejectionWindow;
+  return site_is_new_ ? absl::ZeroDuration()
+                      : std::max(absl::ZeroDuration(), quarantine - (now - first_heartbeat_));
+}
+
 uint32_t SharedPermits::capacityFor(uint64_t server, uint32_t max_rejections, absl::Time now) {
   const bool is_told = max_rejections > 0;
   const std::vector<size_t> places =
       holders_.placesOf(subjectOf(server), is_told ? partsFor(max_rejections) : kMaxParts, self_);
-  const absl::Duration quarantine = is_told ? kQuarantine : kRejectionWindow;
-  const bool may_have_granted = !site_is_new_ && now - first_heartbeat_ < quarantine;
-  if (places.empty() || may_have_granted) {
+  if (places.empty() || quarantineLeft(is_told, now) > absl::ZeroDuration()) {
     return 0;
   }
   if (!is_told) {
@@ -180,7 +185,7 @@
   const uint32_t capacity = only_inquired ? 0 : capacityFor(request.server, most, now);
   if (capacity == 0) {
     reply.kind = most == 0 ? PermitMessageKind::kDeny : PermitMessageKind::kNotHolder;
-    reply.retry_after = kMinRetryAfter;
+    reply.retry_after = std::max(kMinRetryAfter, quarantineLeft(most > 0, now));
     return reply;
   }
   Account& account = accounts_[request.server];
@@ -290,7 +295,9 @@
       actions.decisions.push_back({message.number, true, true, absl::ZeroDuration(), false, false});
       return;
     case PermitMessageKind::kDeny:
-      pending.retry_after = std::min(pending.retry_after, message.retry_after);
+      if (!pending.only_inquires) {
+        pending.retry_after = std::min(pending.retry_after, message.retry_after);
+      }
       pending.only_inquires = pending.only_inquires || message.max_rejections == 0;
       break;
     default:
--- a/src/quota/shared_permits.h
+++ b/src/quota/shared_permits.h
@@ -39,7 +39,7 @@
   uint64_t number = 0;  // as returned by `request`
   bool is_granted = false;
   bool is_unneeded = false;    // granted, as the server isn't brittle: nothing is to be ended
-  absl::Duration retry_after;  // if denied
+  absl::Duration retry_after;  // if denied: the least that a holder of permits named
   // Denied because nothing is known of the server, and its first holder doesn't answer.
   bool is_unavailable = false;
   // Denied, and the server is brittle as far as the requester or a holder knows.
@@ -136,6 +136,7 @@
   void deny(uint64_t number, PermitActions& actions);
   void grant(uint64_t number, const NodeId& holder, PermitActions& actions);
   PermitMessage decide(const NodeId& from, const PermitMessage& request, absl::Time now);
+  absl::Duration quarantineLeft(bool is_told, absl::Time now) const;
   uint32_t capacityFor(uint64_t server, uint32_t max_rejections, absl::Time now);
   void free(const NodeId& from, const PermitMessage& message, absl::Time now);
   bool renew(const NodeId& from, const PermitMessage& message, absl::Time now);
