Send requests to sound servers at once after a restart of all gateways

Cause: what servers stand is known to gateways' memory alone, and permits that the last life gave out may be outstanding. Class: what only memory knows is lost when all are killed. The store now has a record of the services that were sound, written by one gateway each 5 s, and of those that became brittle, written when that is first heard. A gateway that starts trusts it as long as what it would have heard itself, 10 s.

restart_of_all_test failed before and holds.

--- a/src/forwarding/brittleness.cc
+++ b/src/forwarding/brittleness.cc
@@ -5,11 +5,7 @@
 namespace quincewick::forwarding {
 namespace {
 
-// How long a sound server's statement holds. Other gateways report at once that a server has become brittle.
-constexpr absl::Duration kSoundValidity = absl::Seconds(10);
 constexpr absl::Duration kSoundValidityIsolated = absl::Seconds(2);
-// How long the other servers of a brittle server's service count as brittle.
-constexpr absl::Duration kBrittleValidity = absl::Seconds(10);
 constexpr absl::Duration kStatementLifetime = absl::Minutes(5);
 constexpr size_t kMaxServers = 20'000;
 
@@ -39,10 +35,25 @@
   noteBrittle(services_[service], max_rejections, now);
 }
 
+void BrittlenessRegister::noteRecordedSound(const ServiceName& service, absl::Time at) {
+  recorded_sound_[service] = at;
+}
+
+std::vector<BrittlenessRegister::SoundService> BrittlenessRegister::soundServices(absl::Time now) const {
+  std::vector<SoundService> sound;
+  for (const auto& [service, known] : services_) {
+    if (now - known.sound_at <= kSoundValidity && !isBrittle(service, now)) {
+      sound.push_back({service, known.sound_at});
+    }
+  }
+  return sound;
+}
+
 void BrittlenessRegister::forgetSound() {
   for (auto& [service, known] : services_) {
     known.sound_at = absl::InfinitePast();
   }
+  recorded_sound_.clear();
   absl::erase_if(servers_, [](const auto& entry) { return entry.second.max_rejections == 0; });
 }
 
@@ -59,7 +70,10 @@
     return is_newer ? quota::RejectionTolerance{true, 0}
                     : quota::RejectionTolerance{true, known->second.max_rejections};
   }
-  const absl::Time sound_at = known == services_.end() ? absl::InfinitePast() : known->second.sound_at;
+  const auto recorded = recorded_sound_.find(service);
+  const absl::Time sound_at =
+      std::max(known == services_.end() ? absl::InfinitePast() : known->second.sound_at,
+               recorded == recorded_sound_.end() ? absl::InfinitePast() : recorded->second);
   return {now - sound_at <= validity, 0};
 }
 
--- a/src/forwarding/brittleness.h
+++ b/src/forwarding/brittleness.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 #include "forwarding/site_configuration.h"
 #include "quota/shared_permits.h"
@@ -15,11 +16,25 @@
 
 class BrittlenessRegister {
  public:
+  // How long a sound server's statement holds. Other gateways report at once that a server has become
+  // brittle.
+  static constexpr absl::Duration kSoundValidity = absl::Seconds(10);
+  // How long the other servers of a brittle server's service count as brittle.
+  static constexpr absl::Duration kBrittleValidity = absl::Seconds(10);
+
   // A response of the server said how many rejections a second it stands; nothing: any number.
   void noteStatement(uint64_t server, const ServiceName& service, std::optional<uint32_t> max_rejections,
                      absl::Time now);
   // Another gateway heard this from a server of the service.
   void noteReport(const ServiceName& service, uint32_t max_rejections, absl::Time now);
+  // By the site's record no server of the service was known to be brittle then, and one wasn't.
+  void noteRecordedSound(const ServiceName& service, absl::Time at);
+  // The services of which a server said lately that it isn't brittle, and no server that it is; and when.
+  struct SoundService {
+    ServiceName service;
+    absl::Time heard;
+  };
+  std::vector<SoundService> soundServices(absl::Time now) const;
   // The process stood still: what was known may have changed meanwhile, but for servers that are brittle.
   void forgetSound();
 
@@ -47,6 +62,7 @@
 
   absl::flat_hash_map<uint64_t, Statement> servers_;  // by identity hash
   absl::flat_hash_map<ServiceName, Service> services_;
+  absl::flat_hash_map<ServiceName, absl::Time> recorded_sound_;  // when, by the site's record
 };
 
 }  // namespace quincewick::forwarding
--- a/src/gateway/permit_exchange.cc
+++ b/src/gateway/permit_exchange.cc
@@ -30,6 +30,7 @@
     : core_(core),
       directory_(directory),
       peers_(peers),
+      record_(core, peers, register_),
       permits_(core.settings.gateway_id, absl::Uniform<uint64_t>(core.random, 1, UINT64_MAX / 2),
                core.settings.site_is_new, [this](uint64_t hash, absl::Time now) {
                  const auto server = core_.directory.findByHash(hash);
@@ -40,6 +41,7 @@
   peers_.setMessageHandler(
       peer::PeerModule::kRejectionPermits,
       [this](const NodeId& from, std::string_view payload) { return receive(from, payload); });
+  record_.start();
   heartbeat();
 }
 
@@ -54,6 +56,7 @@
   }
   is_isolated_ = !directory_.peers().empty() && peers_.areNearPeersSilent(now);
   permits_.onHeartbeat(is_isolated_, now);
+  record_.onHeartbeat(now);
   core_.timers.schedule(now + kHeartbeatInterval, [this] { heartbeat(); });
 }
 
@@ -69,6 +72,7 @@
   if (!max_rejections) {
     return;
   }
+  record_.noteBrittle(service, now);
   watch();
   absl::Time& last = reported_.try_emplace(service, absl::InfinitePast()).first->second;
   if (now - last < kReportInterval) {
--- a/src/gateway/permit_exchange.h
+++ b/src/gateway/permit_exchange.h
@@ -13,6 +13,7 @@
 #include "gateway/core.h"
 #include "gateway/peer_directory.h"
 #include "gateway/peer_exchange.h"
+#include "gateway/soundness_record.h"
 #include "quota/shared_permits.h"
 
 namespace quincewick::gateway {
@@ -94,6 +95,7 @@
   PeerDirectory& directory_;
   PeerExchange& peers_;
   forwarding::BrittlenessRegister register_;
+  SoundnessRecord record_;
   quota::SharedPermits permits_;
   bool is_isolated_ = false;
   bool has_watch_ = false;
