--- a/tests/forwarding/software_history_site_test.cc
+++ b/tests/forwarding/software_history_site_test.cc
@@ -395,7 +395,7 @@
         }
       }
       site.setStoreUp(site.uniform() < 0.8);
-      if (site.uniform() < 0.1) {
+      if (site.uniform() < 0.3) {
         site.moveRoute();
       }
       if (site.uniform() < 0.1) {
