Fuzz the reader of HTTP messages; show a verdict that depends on how bytes are split

Callers see 504 at the deadline where a server's answer is no HTTP, comes in pieces and then stops. docs/design/connections.md claims otherwise.

--- a/tests/reactor/message_reader_test.cc
+++ b/tests/reactor/message_reader_test.cc
@@ -111,5 +111,21 @@
   }));
 }
 
+// Guards against attempts that wait for their deadline at a server whose answer is no HTTP and comes in
+// pieces.
+TEST_CASE("bytes that are no message are refused as soon, however they are split") {
+  CHECK(rc::check([] {
+    const std::string beginning = *rc::gen::element<std::string>("", "HTTP/1.1 200 OK\r\n");
+    const std::string text =
+        beginning + *rc::gen::element<std::string>("\x01\x02 garbage", "Bad Name: x\r\n");
+    MessageReader whole(MessageKind::kResponse, {});
+    RC_ASSERT(whole.take(text) == ReadStatus::kMalformed);
+    MessageReader split(MessageKind::kResponse, {});
+    const auto first = *rc::gen::inRange<size_t>(1, text.size());
+    split.take(text.substr(0, first));
+    RC_ASSERT(split.take(text.substr(first)) == ReadStatus::kMalformed);
+  }));
+}
+
 }  // namespace
 }  // namespace quincewick::reactor
