--- a/tests/soak/back_ends.cc
+++ b/tests/soak/back_ends.cc
@@ -13,6 +13,10 @@
 
 constexpr absl::Duration kMinWork = absl::Milliseconds(5);
 constexpr uint64_t kWorkSpreadMs = 40;
+// 64 KB each 5 ms are 13 MB a second.
+constexpr absl::Duration kEndlessTime = absl::Seconds(3);
+constexpr absl::Duration kEndlessInterval = absl::Milliseconds(5);
+constexpr size_t kEndlessPieceBytes = 65536;
 constexpr const char* kAttemptHeader = "Quincewick-Attempt-Id";
 constexpr const char* kSignatureHeader = "Quincewick-Response-Signature";
 
@@ -132,6 +136,13 @@
     record().status = fails ? 500 : 200;
     record().signature = signature;
     record().body = body;
+    if (back_end_.isEndless(attempt_)) {
+      sendHead(200, {{kSignatureHeader, signature}, {"Transfer-Encoding", "chunked"}});
+      connection_->send("5;e=");
+      recordAbort();
+      sendWithoutEnd(reactor::steadyNow() + kEndlessTime);
+      return;
+    }
     if (request_faults.truncates_responses && back_end_.drawFault()) {
       sendHead(200, {{kSignatureHeader, signature}, {"Content-Length", absl::StrCat(body.size())}});
       connection_->send(body.substr(0, body.size() / 2));
@@ -173,6 +184,18 @@
     runAfter(back_end_.event_interval_, [this, number] { sendEvent(number + 1); });
   }
 
+  // A chunk's extension, until the gateway breaks it off.
+  void sendWithoutEnd(absl::Time until) {
+    if (reactor::steadyNow() >= until) {
+      reset();
+      return;
+    }
+    if (connection_->unsentBytes() < kEndlessPieceBytes) {
+      connection_->send(std::string(kEndlessPieceBytes, 'e'));
+    }
+    runAfter(kEndlessInterval, [this, until] { sendWithoutEnd(until); });
+  }
+
   void sendPart(const std::string& bytes) { connection_->send(is_unframed_ ? bytes : printChunk(bytes)); }
 
   // An unframed stream ends with its connection, as one that is broken off does.
@@ -323,6 +346,12 @@
 
 BackEnd::~BackEnd() = default;
 
+// By the attempt, so that other faults are drawn as before.
+bool BackEnd::isEndless(const std::string& attempt) const {
+  constexpr size_t kParts = 1000;
+  return static_cast<double>(std::hash<std::string>()(attempt) % kParts) < endless_responses_ * kParts;
+}
+
 Address BackEnd::addressFor(size_t gateway) const {
   return {"127.0.0.1", ports_[gateway]};
 }
--- a/tests/soak/back_ends.h
+++ b/tests/soak/back_ends.h
@@ -62,6 +62,8 @@
   Announcements& announcements() { return announcements_; }
   // Between the events of a stream.
   void setEventInterval(absl::Duration interval) { event_interval_ = interval; }
+  // The share of its plain responses that never end.
+  void setEndlessResponses(double share) { endless_responses_ = share; }
   // The address for this gateway.
   Address addressFor(size_t gateway) const;
   std::vector<uint16_t> ports() const;
@@ -78,6 +80,7 @@
   class GatewayConnection;
   void accept(size_t gateway, reactor::Connection::Socket socket);
   bool drawFault() { return random_() % 2 == 0; }
+  bool isEndless(const std::string& attempt) const;
   void listen(size_t gateway, uint16_t port);
 
   boost::asio::io_context& reactor_;
@@ -91,6 +94,7 @@
   std::mt19937_64 random_;
   RequestFaults request_faults_;
   absl::Duration event_interval_ = absl::Milliseconds(20);
+  double endless_responses_ = 0;
   Announcements announcements_;
   std::vector<std::unique_ptr<reactor::Listener>> listeners_;
   std::vector<std::unique_ptr<reactor::Listener>> closed_listeners_;  // their last callbacks may still come
--- a/tests/soak/run.cc
+++ b/tests/soak/run.cc
@@ -14,6 +14,7 @@
 #include "back_ends.h"
 #include "callers.h"
 #include "configuration_claims.h"
+#include "endless_callers.h"
 #include "engines.h"
 #include "fault_switches.h"
 #include "processes.h"
@@ -128,6 +129,7 @@
     back_ends_.push_back(std::make_unique<BackEnd>(reactor_, timers_, history_, id, service, gateway_ids_,
                                                    settings_.seed + ++starts_, absl::Now(), ports));
     back_ends_.back()->setEventInterval(settings_.event_interval);
+    back_ends_.back()->setEndlessResponses(settings_.endless_responses);
     putServer(*back_ends_.back(), "ready");
     serving_.push_back(back_ends_.back().get());
     return *back_ends_.back();
@@ -184,12 +186,19 @@
                                                   traffic_, workloadOf(number), number,
                                                   settings_.seed * 1000 + number));
     }
+    for (uint64_t number = 0; number < settings_.endless_callers; ++number) {
+      endless_callers_.push_back(std::make_unique<EndlessCaller>(
+          reactor_, timers_, *processes_, kPermanentKey, settings_.seed * 1000 + number));
+    }
     faults_began_ = now;
     for (const Fault& fault : schedule_) {
       timers_.schedule(faults_began_ + fault.at, [this, fault] { inject(fault); });
     }
     timers_.schedule(faults_began_ + settings_.length, [this] {
       faults_ended_ = reactor::steadyNow();
+      for (const auto& caller : endless_callers_) {
+        caller->stop();
+      }
       traffic_.loads_engines = false;
       recovery_first_request_ = history_.requests.size();
       awaitRecovery();
@@ -605,6 +614,7 @@
   std::unique_ptr<LoadBalancer> load_balancer_;
   Traffic traffic_;
   std::vector<std::unique_ptr<Caller>> callers_;
+  std::vector<std::unique_ptr<EndlessCaller>> endless_callers_;
   std::array<bool, 4> is_key_removed_ = {};
   uint64_t configuration_version_ = 0;
   uint64_t last_back_end_ = 0;
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -185,6 +185,10 @@
        cxxopts::value<double>()->default_value("0"))  //
       ("heedless", "share of the engines' requests that outlive their connection",
        cxxopts::value<double>()->default_value("0"))  //
+      ("endless-callers", "how many send bytes without end",
+       cxxopts::value<uint32_t>()->default_value("0"))  //
+      ("endless-responses", "share of the plain responses that never end",
+       cxxopts::value<double>()->default_value("0"))  //
       ("no-faults", "only new weights, if any")       //
       ("version-gap", "names new weights at this interval, beside the schedule",
        cxxopts::value<std::string>()->default_value("0s"))  //
@@ -228,6 +232,8 @@
   options.run.engines.slots = parsed["engine-slots"].as<uint32_t>();
   options.run.engines.lost_orders = parsed["lost-orders"].as<double>();
   options.run.engines.heedless = parsed["heedless"].as<double>();
+  options.run.endless_callers = parsed["endless-callers"].as<uint32_t>();
+  options.run.endless_responses = parsed["endless-responses"].as<double>();
   options.run.length = length;
   options.run.gateways = parsed["gateways"].as<uint32_t>();
   options.run.callers = parsed["callers"].as<uint32_t>();
