Log the build's revision at the start; rank the gateway that records sound services

The start line has the commit now.

The gateway that writes the record of sound services is the first by rank, as for trials of quarantined parts, and others look once a second whether they are that one. The lowest hash of an id, as before, would make one gateway the writer of every such table, and each heartbeat compared all ids.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -7,6 +7,8 @@
 #include <utility>
 #include <vector>
 
+#include "types/build_revision.h"
+
 namespace quincewick::gateway {
 namespace {
 
@@ -74,7 +76,9 @@
   if (!are_bound) {
     return fail(ErrorCode::kUnavailable, "cannot bind a listen address");
   }
-  core_.log.event("start", reactor::steadyNow()).with("zone", core_.settings.zone.value());
+  core_.log.event("start", reactor::steadyNow())
+      .with("zone", core_.settings.zone.value())
+      .with("build", buildRevision());
   awaitSignal();
   core_.quotas = &quotas_;
   core_.server_rates = &server_rates_;
--- a/src/gateway/soundness_record.cc
+++ b/src/gateway/soundness_record.cc
@@ -2,7 +2,6 @@
 
 #include <absl/strings/strip.h>
 
-#include <algorithm>
 #include <optional>
 #include <string>
 
@@ -16,6 +15,8 @@
 constexpr uint32_t kMaxRows = 4096;
 // Half of BrittlenessRegister::kSoundValidity, for which a statement holds.
 constexpr absl::Duration kWriteInterval = absl::Seconds(5);
+// Between checks whether this gateway writes for all.
+constexpr absl::Duration kWriterCheckInterval = absl::Seconds(1);
 // By then a gateway that starts knows which others are live.
 constexpr absl::Duration kFirstWriteDelay = absl::Seconds(1);
 // Later a request has found out what the record would tell.
@@ -39,8 +40,11 @@
       writeBrittle(service, now);
     }
   }
-  if (now >= next_write_ && isWriter(now)) {
-    writeSound(now);
+  if (now >= next_write_) {
+    next_write_ = now + kWriterCheckInterval;
+    if (peers_.ranksFirst(kTable)) {
+      writeSound(now);
+    }
   }
 }
 
@@ -85,13 +89,6 @@
   }
 }
 
-bool SoundnessRecord::isWriter(absl::Time now) const {
-  const uint64_t own = hashOf(core_.settings.gateway_id.value());
-  const std::vector<NodeId> peers = peers_.livePeers(now);
-  return std::all_of(peers.begin(), peers.end(),
-                     [own](const NodeId& peer) { return own <= hashOf(peer.value()); });
-}
-
 void SoundnessRecord::writeSound(absl::Time now) {
   const std::optional<absl::Duration> clock = core_.storeClock(now);
   const auto sound = known_.soundServices(now);
--- a/src/gateway/soundness_record.h
+++ b/src/gateway/soundness_record.h
@@ -30,8 +30,6 @@
  private:
   void read();
   void applyRows(const forwarding::StoreRows& rows, absl::Time now);
-  // One gateway writes for all.
-  bool isWriter(absl::Time now) const;
   void writeSound(absl::Time now);
   void writeBrittle(const forwarding::ServiceName& service, absl::Time now);
 
