Follow a reader that was started again at once, though its last life failed

Traced by the log of the gateway that sent it: all but three gateways lost power at 48.18 s, its zone's reader among them, and were there again at 49.11 s. It noticed the failure at 49.75 s, when the reader had been started again, and then didn't follow any reader by that name for 3 s. Its own turn to read came after those of twelve live peers. It followed another one at 52.35 s; its list was 4,238 ms old then (3,000 is the bound).

A reader that was seen not to read since it was followed has been started again, or stopped in order: its failure is over, and it is followed when it reads. The same when it says so after the failure was noticed. One that never said so, as behind a cut, is avoided for 3 s as before.

reader_election_test, 'a reader that failed': two of three sections failed before.

--- a/src/forwarding/reader_election.cc
+++ b/src/forwarding/reader_election.cc
@@ -54,14 +54,29 @@
   distrusted_until = std::max(distrusted_until, now + kStaleReaderDistrust);
 }
 
+// A reader that doesn't read any more has been started again, or has stopped in order: what failed is over.
 void ReaderElection::noteFailed(const NodeId& reader, absl::Time now) {
-  failed_[reader] = now + kFailedReaderDistrust;
+  const auto idle = last_idle_.find(reader);
+  const bool was_idle_since = idle != last_idle_.end() && idle->second > follows_since_;
+  if (!was_idle_since) {
+    failed_[reader] = now + kFailedReaderDistrust;
+  }
   role_.follows.reset();
 }
 
+void ReaderElection::noteIdle(const std::vector<ReaderCandidate>& live, absl::Time now) {
+  for (const ReaderCandidate& peer : live) {
+    if (!peer.is_zone_reader) {
+      last_idle_[peer.id] = now;
+      failed_.erase(peer.id);
+    }
+  }
+}
+
 const ReaderRole& ReaderElection::decide(const std::vector<ReaderCandidate>& live, bool store_answers,
                                          absl::Time now) {
   absl::erase_if(failed_, [now](const auto& entry) { return now >= entry.second; });
+  noteIdle(live, now);
   const ReaderCandidate self{self_, capacity_, true};
   const ReaderCandidate* best = nullptr;
   bool followed_reads = false;
--- a/src/forwarding/reader_election.h
+++ b/src/forwarding/reader_election.h
@@ -54,7 +54,8 @@
   bool followsStaleReader(absl::Time as_of, absl::Duration oldest, absl::Time now) const;
   // The followed reader has stale rows: other readers are preferred for a moment.
   void noteStaleReader(const NodeId& reader, absl::Time now);
-  // The followed reader does not respond: stops following it.
+  // The followed reader does not respond: stops following it, and doesn't follow it again for a while, unless
+  // it has been started again.
   void noteFailed(const NodeId& reader, absl::Time now);
   const ReaderRole& role() const { return role_; }
   // Whether, at the last decision, a peer reported that it reads successfully.
@@ -62,6 +63,7 @@
 
  private:
   void follow(const NodeId& reader, absl::Time now);
+  void noteIdle(const std::vector<ReaderCandidate>& live, absl::Time now);
   bool hasPriorityOver(const ReaderCandidate& left, const ReaderCandidate& right) const;
   bool isTrusted(const NodeId& reader, absl::Time now) const;
 
@@ -73,6 +75,7 @@
   absl::Time better_since_ = absl::InfiniteFuture();      // since when a better reader has been known
   absl::Time leaderless_since_ = absl::InfiniteFuture();  // since when no peer has read successfully
   absl::flat_hash_map<NodeId, absl::Time> failed_;        // until when each is not trusted
+  absl::flat_hash_map<NodeId, absl::Time> last_idle_;     // when each live peer last didn't read
 };
 
 }  // namespace quincewick::forwarding
--- a/tests/forwarding/reader_election_test.cc
+++ b/tests/forwarding/reader_election_test.cc
@@ -170,6 +170,39 @@
 
 // Guards against followers that abandon each new reader before its first response can arrive and then
 // distrust it, when the previous reader stopped during a store outage.
+// Guards against lists older than their bound at a gateway that outlived the others of its zone: it didn't
+// follow the reader that had just been started again, and its own turn to read was late.
+TEST_CASE("a reader that failed is followed at once when it was started again") {
+  ReaderElection election(NodeId("n9"), 10);
+  std::vector<ReaderCandidate> peers;
+  for (const char* const id : {"n1", "n2", "n3", "n4", "n5", "n6", "n7", "n8"}) {
+    peers.push_back({NodeId(id), 10, false});
+  }
+  std::vector<ReaderCandidate> with_reader = peers;
+  with_reader.front().is_zone_reader = true;
+  const NodeId reader("n1");
+  absl::Time now = absl::UnixEpoch();
+  const auto decideAfter = [&](absl::Duration time, const std::vector<ReaderCandidate>& live) {
+    now += time;
+    return election.decide(live, true, now);
+  };
+  REQUIRE(decideAfter(absl::ZeroDuration(), with_reader).follows == reader);
+  SECTION("its failure is noticed later") {
+    decideAfter(absl::Seconds(1), peers);
+    election.noteFailed(reader, now);
+    CHECK(decideAfter(absl::Milliseconds(100), with_reader).follows == reader);
+  }
+  SECTION("its failure is noticed earlier") {
+    election.noteFailed(reader, now);
+    decideAfter(absl::Seconds(1), peers);
+    CHECK(decideAfter(absl::Milliseconds(100), with_reader).follows == reader);
+  }
+  SECTION("it wasn't started again") {
+    election.noteFailed(reader, now);
+    CHECK_FALSE(decideAfter(absl::Milliseconds(100), with_reader).follows);
+  }
+}
+
 TEST_CASE("rows that were stale before a reader was followed do not count against it") {
   const absl::Time start = absl::UnixEpoch();
   const absl::Time confirmed = start - absl::Seconds(10);
