--- a/tests/reactor/message_reader_test.cc
+++ b/tests/reactor/message_reader_test.cc
@@ -113,7 +113,7 @@
 
 // Guards against attempts that wait for their deadline at a server whose answer is no HTTP and comes in
 // pieces.
-TEST_CASE("bytes that are no message are refused as soon, however they are split") {
+TEST_CASE("bytes that are no message are refused as soon however they are split") {
   CHECK(rc::check([] {
     const std::string beginning = *rc::gen::element<std::string>("", "HTTP/1.1 200 OK\r\n");
     const std::string text =
