--- a/src/forwarding/software_history.h
+++ b/src/forwarding/software_history.h
@@ -33,7 +33,8 @@
 struct ResumableRoutes {
   uint64_t hash = 0;                   // as of `hashOfResumableRoutes`
   ConfigurationVersion configuration;  // that a gateway first saw them in
-  // Every stream on them that began since then began by them, at gateways whose configuration doesn't lag.
+  // Streams that began on these routes since then began at the service, but for those of gateways whose
+  // configuration lagged.
   absl::Duration since = -absl::InfiniteDuration();
 
   friend bool operator==(const ResumableRoutes&, const ResumableRoutes&) = default;
