One check for streams that go on after a restart of all gateways

Four cases of software_versions_test repeated the restart, the take-up and the same two assertions; restart_of_all_test named the table of sound services by a literal beside SoundnessRecord::kTable.

--- a/tests/gateway/restart_of_all_test.cc
+++ b/tests/gateway/restart_of_all_test.cc
@@ -6,6 +6,7 @@
 #include <mutex>
 #include <thread>
 
+#include "gateway/soundness_record.h"
 #include "partition_site.h"
 
 namespace quincewick::gateway {
@@ -39,7 +40,7 @@
   await([&] {
     CHECK(has(gateways[0]->ask("/safe/a", kKey), "served"));
     CHECK(has(gateways[1]->ask("/safe/a", kKey), "served"));
-    return site.hasRows("gateway-soundness") || ++polls == 100;
+    return site.hasRows(SoundnessRecord::kTable) || ++polls == 100;
   });
   gateways.clear();
   gateways = start(false);
--- a/tests/gateway/software_versions_test.cc
+++ b/tests/gateway/software_versions_test.cc
@@ -365,6 +365,15 @@
   awaitService(*gateways[1]);
 }
 
+// Takes the streams up after a restart of all gateways, at which two servers of their version serve.
+void checkGoesOnAfterRestart(Gateways& gateways, const VersionedSite& fixture, TakenUp& taken_up) {
+  restartAll(gateways, fixture);
+  takeUp(*gateways[1], taken_up);
+  CAPTURE(taken_up.rejected);
+  CHECK(taken_up.crossed == 0);
+  CHECK(goesOnOftenEnough(taken_up));
+}
+
 void awaitServers(const RunningGateway& gateway, int count) {
   await([&] { return has(gateway.metrics(), absl::StrCat("quincewick_servers ", count, "\n")); });
 }
@@ -430,12 +439,7 @@
       awaitServers(*gateways[0], 4);
     }
     OpenStreams open(fixture, *gateways[0], true);
-    TakenUp& taken_up = open.taken_up;
-    restartAll(gateways, fixture);
-    takeUp(*gateways[1], taken_up);
-    CAPTURE(taken_up.rejected);
-    CHECK(taken_up.crossed == 0);
-    CHECK(goesOnOftenEnough(taken_up));
+    checkGoesOnAfterRestart(gateways, fixture, open.taken_up);
   }
 }
 
@@ -448,13 +452,8 @@
   awaitServers(*gateways[0], 4);
   fixture.is_first_server_broken = true;
   OpenStreams open(fixture, *gateways[0], true);
-  TakenUp& taken_up = open.taken_up;
   fixture.is_first_server_broken = false;
-  restartAll(gateways, fixture);
-  takeUp(*gateways[1], taken_up);
-  CAPTURE(taken_up.rejected);
-  CHECK(taken_up.crossed == 0);
-  CHECK(goesOnOftenEnough(taken_up));
+  checkGoesOnAfterRestart(gateways, fixture, open.taken_up);
 }
 
 constexpr const char* kOtherRoute =
@@ -507,11 +506,7 @@
   fixture.addServers("v2");
   awaitServers(*gateways[0], 4);
   awaitSoftware(*gateways[0], "v2");
-  restartAll(gateways, fixture);
-  takeUp(*gateways[1], open.taken_up);
-  CAPTURE(open.taken_up.rejected);
-  CHECK(open.taken_up.crossed == 0);
-  CHECK(goesOnOftenEnough(open.taken_up));
+  checkGoesOnAfterRestart(gateways, fixture, open.taken_up);
 }
 
 // Callers that don't name the attempt have a proof while one version alone has been in service.
@@ -519,12 +514,7 @@
   VersionedSite fixture({"v1"});
   Gateways gateways = startGateways(fixture, true);
   OpenStreams open(fixture, *gateways[0], false);
-  TakenUp& taken_up = open.taken_up;
-  restartAll(gateways, fixture);
-  takeUp(*gateways[1], taken_up);
-  CAPTURE(taken_up.rejected);
-  CHECK(taken_up.crossed == 0);
-  CHECK(goesOnOftenEnough(taken_up));
+  checkGoesOnAfterRestart(gateways, fixture, open.taken_up);
 }
 
 }  // namespace
