--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -7,10 +7,12 @@
 
 using namespace review;
 
-constexpr int kEngines = 12;
-constexpr int kCrashing = 3;          // of 12: a share of 0.25, at most 0.3
+constexpr int kEngines = 15;
+constexpr int kCrashing = 4;          // of 15: a share of 0.27, at most 0.3
+constexpr int64_t kCrashMs = 600;     // from one crash to the next
 constexpr int64_t kDownMs = 1000;     // at most 1 s
-constexpr double kFailing = 0.45;     // of the requests of one engine of 12: a share of 0.083, at most 0.14
+constexpr int kFailingEngines = 2;    // of 15: a share of 0.13, at most 0.14
+constexpr double kFailing = 0.45;     // of their requests, at most 0.45
 constexpr int64_t kFailingMs = 3500;  // at most 6.5 s
 constexpr int kWaves = 8;
 constexpr int64_t kWaveMs = 7000;
@@ -290,18 +292,27 @@
       sleepMs(kWaveMs);
       continue;
     }
-    Engine* const failing = engines[static_cast<size_t>(wave + 3) % kEngines];
-    failing->setFailing(true);
-    for (int number = 0; number < kCrashing; ++number) {
-      engines[static_cast<size_t>(wave + 4 + number) % kEngines]->crash();
+    const auto engineAt = [&engines, wave](int place) {
+      return engines[static_cast<size_t>(wave + place) % kEngines];
+    };
+    for (int number = 0; number < kFailingEngines; ++number) {
+      engineAt(number)->setFailing(true);
     }
-    sleepMs(kDownMs);
+    const int64_t began = nowMs();
     for (int number = 0; number < kCrashing; ++number) {
-      engines[static_cast<size_t>(wave + 4 + number) % kEngines]->restart();
+      Engine* const engine = engineAt(kFailingEngines + number);
+      engine->crash();
+      std::thread([engine] {
+        sleepMs(kDownMs);
+        engine->restart();
+      }).detach();
+      sleepMs(kCrashMs);
+    }
+    sleepMs(began + kFailingMs - nowMs());
+    for (int number = 0; number < kFailingEngines; ++number) {
+      engineAt(number)->setFailing(false);
     }
-    sleepMs(kFailingMs - kDownMs);
-    failing->setFailing(false);
-    sleepMs(kWaveMs - kFailingMs);
+    sleepMs(began + kWaveMs - nowMs());
   }
   site.is_over = true;
   for (std::thread& client : clients) {
--- a/review/stand_ins_2/stand_ins.h
+++ b/review/stand_ins_2/stand_ins.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -467,35 +468,51 @@
   Listener listener_;
 };
 
+// Below the ports that the system gives to outgoing connections, free for TCP and UDP.
 inline uint16_t freePort() {
-  const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address = loopback(0);
-  socklen_t size = sizeof(address);
-  bind(descriptor, reinterpret_cast<sockaddr*>(&address), size);
-  getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
-  ::close(descriptor);
-  return ntohs(address.sin_port);
+  static std::mt19937 random{std::random_device()()};
+  while (true) {
+    const auto port = static_cast<uint16_t>(12'000 + random() % 20'000);
+    const sockaddr_in address = loopback(port);
+    bool is_free = true;
+    for (const int type : {SOCK_STREAM, SOCK_DGRAM}) {
+      const int descriptor = socket(AF_INET, type | SOCK_CLOEXEC, 0);
+      is_free =
+          is_free && bind(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0;
+      ::close(descriptor);
+    }
+    if (is_free) {
+      return port;
+    }
+  }
 }
 
 // A gateway process, with the command of the deploy file and the settings that its template gives.
 class Gateway {
  public:
   Gateway(std::string program, std::string folder, std::string name, std::string zone, uint16_t store)
-      : program_(std::move(program)), folder_(std::move(folder)), name_(std::move(name)) {
+      : program_(std::move(program)),
+        folder_(std::move(folder)),
+        name_(std::move(name)),
+        zone_(std::move(zone)),
+        store_(store) {}
+  ~Gateway() { end(); }
+
+  // With free ports.
+  void writeSettings() {
     front_ = freePort();
     ready_ = freePort();
     std::ofstream file(folder_ + "/" + name_ + ".yaml");
     const auto at = [](uint16_t port) { return "\"127.0.0.1:" + std::to_string(port) + "\"\n"; };
     file
-        << "gateway_id: \"" << name_ << "\"\nzone: \"" << zone << "\"\nregion: \"hu-central\"\nlisten:\n"
+        << "gateway_id: \"" << name_ << "\"\nzone: \"" << zone_ << "\"\nregion: \"hu-central\"\nlisten:\n"
         << "  callers: " << at(front_) << "  readiness: " << at(ready_) << "  peers: " << at(freePort())
-        << "  delegation: " << at(freePort()) << "  metrics: " << at(freePort()) << "store: " << at(store)
+        << "  delegation: " << at(freePort()) << "  metrics: " << at(freePort()) << "store: " << at(store_)
         << "site_is_new: true\ncapacity: 1000\nplacement:\n  late_within_class: true\n  learned_speed: true\n"
         << "bounds:\n  key_revocation: 5000ms\n  configuration_in_force: 2000ms\n  server_drain: 2000ms\n"
         << "  stop_grace: 8s\n  order_lease: 3000ms\n  weights_in_force: 8000ms\n  retry_ratio: 0.2\n"
         << "  retry_constant: 54\n";
   }
-  ~Gateway() { end(); }
 
   void start() {
     const std::string settings = folder_ + "/" + name_ + ".yaml";
@@ -503,9 +520,9 @@
     process_ = fork();
     if (process_ == 0) {
       prctl(PR_SET_PDEATHSIG, SIGKILL);  // also if this program is killed
-      if (freopen(log.c_str(), "a", stdout) == nullptr || freopen(log.c_str(), "a", stderr) == nullptr) {
-        _exit(127);
-      }
+      const int descriptor = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+      dup2(descriptor, STDOUT_FILENO);
+      dup2(descriptor, STDERR_FILENO);
       execl(program_.c_str(), program_.c_str(), "serve", "--settings", settings.c_str(), nullptr);
       _exit(127);
     }
@@ -540,6 +557,8 @@
   std::string program_;
   std::string folder_;
   std::string name_;
+  std::string zone_;
+  uint16_t store_ = 0;
   uint16_t front_ = 0;
   uint16_t ready_ = 0;
   pid_t process_ = 0;
@@ -548,11 +567,16 @@
 // Starts the gateways and waits until all are ready; false after 20 s.
 inline bool startAll(std::vector<std::unique_ptr<Gateway>>& gateways) {
   for (const auto& gateway : gateways) {
+    gateway->writeSettings();
     gateway->start();
   }
   const int64_t until = nowMs() + 20'000;
   for (const auto& gateway : gateways) {
     while (!gateway->isReady()) {
+      if (gateway->hasEnded()) {  // another program has taken a port meanwhile
+        gateway->writeSettings();
+        gateway->start();
+      }
       if (nowMs() > until) {
         return false;
       }
